Skeleton: build, lint, tests, base and wire libraries, interfaces

Cause: nothing exists yet, and every part is built against these headers. Ruled out: one lib/core for all decisions; several people would edit the same files, so entry, sidecar, moves and ledger are a library each, without I/O. Conclusion: the thin path can be built on it.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,45 @@
+# The commands are listed in README.md.
+B ?= rel
+LIBS = base wire conf net platform move ledger entry side
+DIRS = $(LIBS:%=lib/%) cmd/chestnuthinged cmd/chestnuthinge \
+	$(wildcard test/standin/*/)
+SRC = $(shell git ls-files '*.c' '*.h' '*.cc')
+CSRC = $(shell git ls-files '*.c')
+
+all:
+	@for d in $(DIRS); do $(MAKE) --no-print-directory -C $$d B=$(B) || exit 1; done
+
+deps:
+	apt-get update -qq
+	xargs apt-get install -y -qq < deps.txt
+
+demo: all
+	test/demo
+
+check:
+	$(MAKE) all B=san
+	$(MAKE) -C test B=san
+	test/run build/san
+
+bench: all
+	$(MAKE) -C bench B=rel
+	bench/run build/rel
+
+capacity: all
+	$(MAKE) -C bench B=rel
+	bench/capacity build/rel
+
+lint:
+	clang-format --dry-run -Werror $(SRC)
+	cppcheck --quiet --std=c11 --error-exitcode=1 --inline-suppr \
+		--enable=warning,portability --suppress=missingIncludeSystem \
+		--suppress=normalCheckLevelMaxBranches -j 8 -Ilib $(CSRC)
+	echo $(CSRC) | tr ' ' '\n' | xargs -P 8 -n 1 mk/tidy
+
+format:
+	clang-format -i $(SRC)
+
+clean:
+	rm -rf build
+
+.PHONY: all deps demo check bench capacity lint format clean
--- /dev/null
+++ b/lib/base/dat.h
@@ -0,0 +1,142 @@
+/* Types shared by every library: time, lists, result codes, counters. */
+#ifndef BASE_DAT_H
+#define BASE_DAT_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <glib.h>
+
+/* A point in time or a span, in milliseconds of a monotonic clock. */
+typedef int64_t ms_t;
+
+/* A doubly linked list node, embedded in the entry that it links. */
+typedef struct list {
+	struct list *next;
+	struct list *prev;
+} list_t;
+
+#define list_entry(ptr, type, member)                                          \
+	((type *)((char *)(ptr)-offsetof(type, member)))
+
+#define list_for_each_safe(pos, tmp, head)                                     \
+	for ((pos) = (head)->next, (tmp) = (pos)->next; (pos) != (head);       \
+	     (pos) = (tmp), (tmp) = (pos)->next)
+
+/*
+ * Result codes. The hundreds tell the subject; docs/ERRORS.md has the table,
+ * and code_name() the short name used in logs and counters.
+ */
+typedef enum code {
+	CODE_OK = 0,
+
+	/* Settings and intents. */
+	CODE_SYNTAX = 101,
+	CODE_UNKNOWN_KEY = 102,
+	CODE_MISSING_KEY = 103,
+	CODE_BAD_TYPE = 104,
+	CODE_OUT_OF_RANGE = 105,
+	CODE_UNKNOWN_SECTION = 106,
+	CODE_BAD_REFERENCE = 107,
+	CODE_FILE = 108,
+
+	/* Requests that no engine ran: outcome not-run. */
+	CODE_BAD_REQUEST = 201,
+	CODE_NO_SERVICE = 202,
+	CODE_TOO_LARGE = 203,
+	CODE_BAD_KEY = 204,
+	CODE_OVER_LIMIT = 205,
+	CODE_SHED = 206,
+	CODE_CANNOT_FINISH = 207,
+	CODE_EXPIRED_WAITING = 208,
+	CODE_STOPPING = 209,
+	CODE_DUPLICATE = 210,
+	CODE_NO_CLAIM = 211,
+	CODE_NO_SERVER = 212,
+	CODE_GRANT_LAPSED = 213,
+	CODE_NOT_SENT = 214,
+	CODE_NOT_LOADED = 215,
+	CODE_CALLER_GONE = 216,
+
+	/* Requests that may have run: outcome unknown. */
+	CODE_PATH_LOST = 251,
+	CODE_CUT = 252,
+	CODE_EXPIRED_RUNNING = 253,
+	CODE_CANCELLED = 254,
+	CODE_BAD_ANSWER = 255,
+
+	/* Frames and connections between processes. */
+	CODE_TRUNCATED = 301,
+	CODE_FRAME_TOO_LARGE = 302,
+	CODE_UNKNOWN_TYPE = 303,
+	CODE_WRONG_VERSION = 304,
+	CODE_BAD_FIELD = 305,
+	CODE_BAD_MAC = 306,
+	CODE_SILENT = 307,
+
+	/* The platform. */
+	CODE_UNREACHABLE = 401,
+	CODE_THROTTLED = 402,
+	CODE_ANSWER_LOST = 403,
+	CODE_FORGOTTEN = 404,
+	CODE_BAD_RECORD = 405,
+
+	/* Plans, moves and orders. */
+	CODE_CONFLICT = 501,
+	CODE_BAD_PLAN = 502,
+	CODE_TOO_LATE = 503,
+	CODE_STALE_FENCE = 504,
+} code_t;
+
+/* The log levels, from rare to common. */
+typedef enum log_level {
+	LOG_ERROR,
+	LOG_WARN,
+	LOG_INFO,
+	LOG_DEBUG,
+} log_level_t;
+
+/* A counter or a gauge. Names and labels are in the scrape text format. */
+typedef struct counter {
+	list_t link;
+	char *name;
+	char *labels;
+	bool gauge;
+	uint64_t value;
+} counter_t;
+
+/* All counters of one process or of one library instance. */
+typedef struct counters {
+	list_t all;
+	GHashTable *index;
+} counters_t;
+
+/* Exponential backoff with full jitter; spans in milliseconds. */
+typedef struct backoff {
+	ms_t base;
+	ms_t max;
+	unsigned int tries;
+} backoff_t;
+
+/*
+ * Identifies a request for ever: the incarnation of the entry that took it,
+ * and that entry's own number for it.
+ */
+typedef struct rid {
+	uint64_t inc;
+	uint64_t seq;
+} rid_t;
+
+/* Bytes owned by someone else. Not terminated by a NUL. */
+typedef struct str {
+	const char *p;
+	size_t n;
+} str_t;
+
+enum {
+	TIER_COUNT = 4, /* tier 0 is the highest, 3 the lowest */
+	TIER_LOWEST = 3,
+};
+
+#endif
--- /dev/null
+++ b/lib/base/fns.h
@@ -0,0 +1,46 @@
+/* Prototypes of lib/base. */
+#ifndef BASE_FNS_H
+#define BASE_FNS_H
+
+#include "base/dat.h"
+
+/* list.c */
+void list_init(list_t *head);
+bool list_empty(const list_t *head);
+void list_add(list_t *head, list_t *node);
+void list_add_tail(list_t *head, list_t *node);
+void list_del(list_t *node);
+size_t list_len(const list_t *head);
+
+/* code.c */
+const char *code_name(code_t code);
+bool code_not_run(code_t code);
+int code_http_status(code_t code);
+GQuark code_quark(void);
+
+/* log.c */
+void log_open(FILE *to, log_level_t least);
+void log_line(log_level_t level, const char *event, const char *fmt, ...)
+	G_GNUC_PRINTF(3, 4);
+
+/* counter.c */
+counters_t *counters_new(void);
+void counters_free(counters_t *cs);
+counter_t *counter_get(counters_t *cs, const char *name, const char *labels);
+counter_t *gauge_get(counters_t *cs, const char *name, const char *labels);
+void counters_print(const counters_t *cs, GString *out);
+
+/* backoff.c */
+void backoff_init(backoff_t *b, ms_t base, ms_t max);
+ms_t backoff_next(backoff_t *b, GRand *rand);
+void backoff_reset(backoff_t *b);
+
+/* str.c */
+str_t str_of(const char *s);
+bool str_eq(str_t a, str_t b);
+char *str_dup(str_t s);
+guint rid_hash(gconstpointer rid);
+gboolean rid_equal(gconstpointer a, gconstpointer b);
+uint64_t hash64(const void *p, size_t n, uint64_t seed);
+
+#endif
--- /dev/null
+++ b/lib/entry/stub.c
@@ -0,0 +1,2 @@
+/* Placeholder until the library has its first file. */
+#include "entry/fns.h"
--- /dev/null
+++ b/lib/ledger/fns.h
@@ -0,0 +1,39 @@
+/* Prototypes of lib/ledger. */
+#ifndef LEDGER_FNS_H
+#define LEDGER_FNS_H
+
+#include "base/fns.h"
+#include "conf/fns.h"
+#include "ledger/dat.h"
+
+/* ledger.c: records of the config stream in, the accepted revision out. */
+ledger_t *ledger_new(const ledger_ops_t *ops, void *ctx);
+void ledger_free(ledger_t *l);
+code_t ledger_record(ledger_t *l, uint64_t offset, str_t data);
+/* Records before first are gone from the log. */
+void ledger_forgotten(ledger_t *l, uint64_t first);
+/* A peer's configuration; older offsets than the accepted change nothing. */
+code_t ledger_from_peer(ledger_t *l, uint64_t offset, str_t text);
+const revision_t *ledger_revision(const ledger_t *l);
+const GPtrArray *ledger_results(const ledger_t *l); /* of move_result_t */
+
+/* plan.c: a plan is text that confirm sends back whole. */
+char *plan_make(const revision_t *base, const char *text, const char *name,
+		int64_t unix_now, GError **err);
+char *plan_record(const char *plan, GError **err); /* the confirm record */
+char *result_record(const move_result_t *r);
+char *carry_record(const ledger_t *l);
+
+/* claim.c: claims of idempotency keys, batched. */
+claims_t *claims_new(const claims_ops_t *ops, void *ctx, ms_t batch,
+		     ms_t window, ms_t timeout);
+void claims_free(claims_t *c);
+void claims_add(claims_t *c, rid_t rid, const char *customer, const char *key,
+		ms_t now);
+void claims_appended(claims_t *c, code_t code, ms_t now);
+void claims_record(claims_t *c, uint64_t offset, str_t data, ms_t now);
+void claims_caught_up(claims_t *c, uint64_t next, ms_t now);
+void claims_reachable(claims_t *c, bool yes, ms_t now);
+void claims_tick(claims_t *c, ms_t now);
+
+#endif
--- /dev/null
+++ b/lib/move/dat.h
@@ -0,0 +1,44 @@
+/* Facts that only grow, and version moves decided from them. No I/O here. */
+#ifndef MOVE_DAT_H
+#define MOVE_DAT_H
+
+#include "conf/dat.h"
+#include "wire/dat.h"
+
+typedef struct facts facts_t;
+typedef struct moves moves_t;
+
+/* What one finished request says about the version that ran it. */
+typedef struct sample {
+	const char *service;
+	const char *version;
+	const char *route;
+	code_t code;	 /* how it ended */
+	int status;	 /* the backend server's HTTP status; 0 none came */
+	ms_t first;	 /* dispatch to first chunk; -1 none came */
+	ms_t gap;	 /* mean time between tokens; -1 unknown */
+	uint64_t tokens; /* prompt and output: the size of the work */
+} sample_t;
+
+typedef enum move_state {
+	MOVE_RUNNING,
+	MOVE_WATCHING, /* all traffic moved, old version kept loaded */
+	MOVE_DONE,
+	MOVE_REVERSED,
+} move_state_t;
+
+/* How a move ended, as kept in the log; the first record of an op counts. */
+typedef struct move_result {
+	uint64_t op; /* log offset of the confirm that began the move */
+	char *service;
+	char *version;
+	move_state_t state; /* MOVE_DONE or MOVE_REVERSED */
+	char *evidence;	    /* one line of key=value pairs */
+} move_result_t;
+
+typedef struct moves_ops {
+	/* A move ended. May be called again until its result is set. */
+	void (*ended)(void *ctx, const move_result_t *r);
+} moves_ops_t;
+
+#endif
--- /dev/null
+++ b/lib/move/fns.h
@@ -0,0 +1,44 @@
+/* Prototypes of lib/move. */
+#ifndef MOVE_FNS_H
+#define MOVE_FNS_H
+
+#include "base/fns.h"
+#include "conf/fns.h"
+#include "move/dat.h"
+
+/*
+ * facts.c: registers merged by maximum. Every change gets a local sequence
+ * number, so that a connection sends just what changed since its last message.
+ */
+facts_t *facts_new(void);
+void facts_free(facts_t *f);
+bool facts_merge(facts_t *f, str_t key, uint64_t value);
+bool facts_set(facts_t *f, const char *key, uint64_t value);
+uint64_t facts_get(const facts_t *f, const char *key);
+uint64_t facts_sum(const facts_t *f, const char *prefix);
+size_t facts_since(const facts_t *f, uint64_t seq, fact_kv_t *out, size_t max,
+		   uint64_t *next);
+size_t facts_drop(facts_t *f, const char *prefix);
+size_t facts_len(const facts_t *f);
+
+/* move.c; inc is this entry's incarnation. */
+moves_t *moves_new(facts_t *facts, uint64_t inc, const moves_ops_t *ops,
+		   void *ctx);
+void moves_free(moves_t *m);
+/* Takes a newly accepted intent; results are of move_result_t. */
+void moves_set(moves_t *m, const intent_t *in, uint64_t offset,
+	       const GPtrArray *results, ms_t now, int64_t unix_now);
+/* Which version the next request of the service goes to; NULL: none known. */
+const char *moves_pick(moves_t *m, const char *service, ms_t now);
+/* The version to fall back to when no live server has the picked one. */
+const char *moves_fallback(const moves_t *m, const char *service,
+			   const char *picked);
+bool moves_is_bad(const moves_t *m, const char *service, const char *version);
+void moves_note(moves_t *m, const sample_t *s, ms_t now);
+void moves_tick(moves_t *m, ms_t now);
+void moves_print(const moves_t *m, GString *out); /* a line each */
+/* Versions of the service that a backend server should have loaded. */
+GPtrArray *moves_wanted(const intent_t *in, const char *service,
+			const GPtrArray *results);
+
+#endif
--- /dev/null
+++ b/lib/net/dat.h
@@ -0,0 +1,59 @@
+/* Connections over libuv: authenticated peers, and an HTTP client. */
+#ifndef NET_DAT_H
+#define NET_DAT_H
+
+#include <uv.h>
+#include "conf/dat.h"
+#include "wire/dat.h"
+
+typedef struct peers peers_t;
+typedef struct httpc httpc_t;
+typedef struct httpc_req httpc_req_t;
+
+/*
+ * What a process learns of its connections. A peer is known by its incarnation;
+ * up and down alternate for each. Strings live during the call only.
+ */
+typedef struct peers_ops {
+	void (*up)(void *ctx, const msg_hello_t *who);
+	void (*down)(void *ctx, uint64_t inc);
+	void (*recv)(void *ctx, uint64_t inc, const msg_t *m);
+} peers_ops_t;
+
+typedef struct peers_conf {
+	role_t role;
+	const char *name;
+	const char *data_center;
+	uint64_t inc;
+	str_t key;
+	size_t frame_max; /* bytes */
+	size_t queue_max; /* bytes waiting to be written to one peer */
+	ms_t heartbeat;
+	ms_t silent;
+	ms_t retry_base; /* backoff of connection attempts */
+	ms_t retry_max;
+} peers_conf_t;
+
+/* An HTTP request to a backend server or the platform. */
+typedef struct httpc_call {
+	addr_t to;
+	const char *method;
+	const char *path;
+	const char *headers; /* "Name: value\r\n" lines, or NULL */
+	str_t body;	     /* copied */
+	ms_t silent;	     /* give up after so long without a byte; 0 never */
+} httpc_call_t;
+
+/*
+ * Results of a call. head and data may never come; end comes exactly once,
+ * unless httpc_cancel came first. Codes of end: CODE_OK (whole by
+ * Content-Length or chunked coding), CODE_NOT_SENT (no byte was written),
+ * CODE_CUT (closed early), CODE_SILENT.
+ */
+typedef struct httpc_ops {
+	void (*head)(void *ctx, int status, str_t content_type);
+	void (*data)(void *ctx, str_t data);
+	void (*end)(void *ctx, code_t code);
+} httpc_ops_t;
+
+#endif
--- /dev/null
+++ b/lib/net/fns.h
@@ -0,0 +1,30 @@
+/* Prototypes of lib/net. */
+#ifndef NET_FNS_H
+#define NET_FNS_H
+
+#include "conf/fns.h"
+#include "wire/fns.h"
+#include "net/dat.h"
+
+/* peers.c */
+peers_t *peers_new(uv_loop_t *loop, const peers_conf_t *conf,
+		   const peers_ops_t *ops, void *ctx, counters_t *counters);
+code_t peers_listen(peers_t *ps, const addr_t *at);
+void peers_connect(peers_t *ps, const char *name, const addr_t *to);
+void peers_forget(peers_t *ps, const char *name);
+void peers_send(peers_t *ps, uint64_t inc, const msg_t *m);
+void peers_close(peers_t *ps, void (*done)(void *ctx), void *ctx);
+
+/* httpc.c */
+httpc_t *httpc_new(uv_loop_t *loop, counters_t *counters);
+httpc_req_t *httpc_call(httpc_t *c, const httpc_call_t *call,
+			const httpc_ops_t *ops, void *ctx);
+void httpc_cancel(httpc_req_t *r);
+void httpc_free(httpc_t *c);
+
+/* clock.c */
+ms_t clock_now(void);	  /* monotonic, milliseconds */
+int64_t clock_unix(void); /* seconds since 1970 */
+uint64_t random_u64(void);
+
+#endif
--- /dev/null
+++ b/lib/platform/fns.h
@@ -0,0 +1,22 @@
+/* Prototypes of lib/platform. */
+#ifndef PLATFORM_FNS_H
+#define PLATFORM_FNS_H
+
+#include "net/fns.h"
+#include "platform/dat.h"
+
+/* logc.c: requests time out after 2 s; reading backs off with jitter. */
+logc_t *logc_new(uv_loop_t *loop, httpc_t *http, const addr_t *platform,
+		 const char *ns, const char *stream, ms_t poll);
+void logc_append(logc_t *l, str_t data, log_appended_t done, void *ctx);
+void logc_read(logc_t *l, uint64_t from, const log_reader_ops_t *ops,
+	       void *ctx);
+void logc_wake(logc_t *l); /* read now, not at the next period */
+void logc_free(logc_t *l);
+
+/* hostsc.c */
+hostsc_t *hostsc_new(uv_loop_t *loop, httpc_t *http, const addr_t *platform,
+		     ms_t poll, hosts_seen_t seen, void *ctx);
+void hostsc_free(hostsc_t *h);
+
+#endif
