Entry decisions: offers, sending, answers, limits

Cause: the thin path needs an entry that takes a request, offers it to sidecars, sends the body on the first grant and passes the answer on. Change: lib/entry with tables of requests, sidecars and offers, run by entry_tick. entry_ops_t gains is_bad, which may be NULL: a grant for a version found bad since it was picked is given back.

--- a/lib/entry/dat.h
+++ b/lib/entry/dat.h
@@ -52,6 +52,7 @@
 } outcome_t;
 
 typedef struct entry_ops {
+	/* Must not call the entry back. */
 	void (*send)(void *ctx, uint64_t side_inc, const msg_t *m);
 	/* The answer: head at most once, then data, then end exactly once. */
 	void (*head)(void *ctx, void *user, const outcome_t *so_far, int status,
@@ -65,6 +66,8 @@
 	const char *(*pick_version)(void *ctx, const char *service, ms_t now);
 	const char *(*fallback)(void *ctx, const char *service,
 				const char *picked);
+	/* Whether a version was found bad after it was picked. May be NULL. */
+	bool (*is_bad)(void *ctx, const char *service, const char *version);
 	void (*note)(void *ctx, const sample_t *s, ms_t now);
 } entry_ops_t;
 
--- /dev/null
+++ b/lib/entry/estimate.c
@@ -0,0 +1,44 @@
+/* Estimates of output lengths, learned for each service and route. */
+#include "entry/priv.h"
+
+enum {
+	OUTPUT_DEFAULT = 256, /* tokens, before anything was seen */
+};
+
+static const double length_weight = 0.05; /* of the newest answer */
+
+static char *length_key(const submit_t *s)
+{
+	return g_strdup_printf("%s %s", s->service, s->route ? s->route : "");
+}
+
+/* Returns the expected output tokens, at least 1, at most s->max_output. */
+uint64_t estimate_output(const entry_t *e, const submit_t *s)
+{
+	char *key = length_key(s);
+	const double *seen = g_hash_table_lookup(e->lengths, key);
+	uint64_t n = s->model ? OUTPUT_DEFAULT : 1;
+
+	g_free(key);
+	if (seen)
+		n = (uint64_t)(*seen + 0.5);
+	if (s->max_output > 0)
+		n = MIN(n, s->max_output);
+	return MAX(n, 1);
+}
+
+/* Learns from a whole answer. */
+void estimate_note(entry_t *e, const submit_t *s, uint64_t output_tokens)
+{
+	char *key = length_key(s);
+	double *seen = g_hash_table_lookup(e->lengths, key);
+
+	if (seen) {
+		*seen += length_weight * ((double)output_tokens - *seen);
+		g_free(key);
+		return;
+	}
+	seen = g_new(double, 1);
+	*seen = (double)output_tokens;
+	g_hash_table_insert(e->lengths, key, seen);
+}
--- /dev/null
+++ b/lib/entry/offer.c
@@ -0,0 +1,358 @@
+/* Offers to sidecars: filling up, widening, grants and refusals. */
+#include "entry/priv.h"
+
+static void send_withdraw(entry_t *e, const sidecar_t *s, rid_t rid)
+{
+	msg_t m = { .type = MSG_WITHDRAW };
+
+	m.u.withdraw.rid = rid;
+	e->ops.send(e->ctx, s->inc, &m);
+}
+
+/* Removes an offer; tell has the sidecar forget one that is out. */
+void offer_drop(entry_t *e, offer_t *o, bool tell)
+{
+	if (!o->refused) {
+		o->request->out--;
+		if (tell && o->sidecar->up)
+			send_withdraw(e, o->sidecar, o->request->rid);
+	}
+	list_del(&o->by_request);
+	list_del(&o->by_sidecar);
+	g_free(o);
+}
+
+/* Withdraws all offers of the request. */
+void offers_withdraw(entry_t *e, request_t *r)
+{
+	list_t *pos;
+	list_t *tmp;
+
+	list_for_each_safe(pos, tmp, &r->offers)
+		offer_drop(e, list_entry(pos, offer_t, by_request), true);
+}
+
+static offer_t *find_offer(const request_t *r, const sidecar_t *s)
+{
+	for (list_t *p = r->offers.next; p != &r->offers; p = p->next) {
+		offer_t *o = list_entry(p, offer_t, by_request);
+
+		if (o->sidecar == s)
+			return o;
+	}
+	return NULL;
+}
+
+static void send_offer(entry_t *e, const request_t *r, const sidecar_t *s,
+		       ms_t now)
+{
+	msg_t m = { .type = MSG_OFFER };
+	msg_offer_t *o = &m.u.offer;
+
+	o->rid = r->rid;
+	o->service = str_of(r->s.service);
+	o->version = str_of(r->version);
+	o->customer = str_of(r->s.customer);
+	o->tier = (uint64_t)r->s.tier;
+	o->prompt_tokens = r->s.prompt_tokens;
+	o->output_tokens = estimate_output(e, &r->s);
+	o->prefix = r->s.prefix;
+	o->left_ms = (uint64_t)MAX(r->deadline - now, 0);
+	e->offers_sent->value++;
+	e->ops.send(e->ctx, s->inc, &m);
+}
+
+static offer_t *offer_new(request_t *r, sidecar_t *s)
+{
+	offer_t *o = g_new0(offer_t, 1);
+
+	o->request = r;
+	o->sidecar = s;
+	list_add_tail(&r->offers, &o->by_request);
+	list_add_tail(&s->offers, &o->by_sidecar);
+	return o;
+}
+
+/* The sidecar did not run the request: no offer there for a moment. */
+void offer_pause(request_t *r, sidecar_t *s, ms_t now)
+{
+	offer_t *o = offer_new(r, s);
+
+	o->refused = true;
+	o->code = CODE_NOT_SENT;
+	o->sent_at = now;
+	o->hold_until = now + NOT_RUN_PAUSE;
+}
+
+/*
+ * Offers the request to a sidecar. Where a refusal of a higher tier still
+ * holds, the answer is known and no message is sent.
+ */
+static void offer_to(entry_t *e, request_t *r, sidecar_t *s, ms_t now)
+{
+	offer_t *o = find_offer(r, s);
+	ms_t refuses_until = s->refuses_until[r->s.tier];
+
+	if (!o)
+		o = offer_new(r, s);
+	o->sent_at = now;
+	o->refused = refuses_until > now;
+	if (o->refused) {
+		o->code = CODE_SHED;
+		o->hold_until = refuses_until;
+		o->retry = refuses_until - now;
+		return;
+	}
+	r->out++;
+	r->lonely_since = -1;
+	send_offer(e, r, s, now);
+}
+
+static bool has_live(const entry_t *e, const request_t *r, const char *version)
+{
+	for (list_t *p = e->sidecars.next; p != &e->sidecars; p = p->next) {
+		const sidecar_t *s = list_entry(p, sidecar_t, link);
+
+		if (sidecar_serves(s, r->s.service, version))
+			return true;
+	}
+	return false;
+}
+
+/* Without a known version, takes the oldest that a live sidecar has. */
+static const char *any_version(const entry_t *e, const request_t *r)
+{
+	for (list_t *p = e->sidecars.next; p != &e->sidecars; p = p->next) {
+		const sidecar_t *s = list_entry(p, sidecar_t, link);
+
+		if (sidecar_serves(s, r->s.service, NULL))
+			return s->versions[0];
+	}
+	return NULL;
+}
+
+static void set_version(entry_t *e, request_t *r, const char *version)
+{
+	if (!version || g_strcmp0(version, r->version) == 0)
+		return;
+	offers_withdraw(e, r);
+	g_free(r->version);
+	r->version = g_strdup(version);
+}
+
+static bool version_is_bad(const entry_t *e, const request_t *r,
+			   const char *version)
+{
+	return version && e->ops.is_bad &&
+	       e->ops.is_bad(e->ctx, r->s.service, version);
+}
+
+/* Forgets a version found bad since it was picked. */
+static void forget_bad_version(entry_t *e, request_t *r)
+{
+	if (version_is_bad(e, r, r->picked))
+		g_clear_pointer(&r->picked, g_free);
+	if (!version_is_bad(e, r, r->version))
+		return;
+	offers_withdraw(e, r);
+	g_clear_pointer(&r->version, g_free);
+}
+
+/*
+ * Picks the version once, before any sidecar. When no live sidecar has it, the
+ * fallback is taken, and the picked one again as soon as that is all there is.
+ */
+static void choose_version(entry_t *e, request_t *r, ms_t now)
+{
+	const char *fallback;
+
+	forget_bad_version(e, r);
+	if (!r->picked)
+		r->picked = g_strdup(
+			e->ops.pick_version(e->ctx, r->s.service, now));
+	if (!r->picked) {
+		set_version(e, r, any_version(e, r));
+		return;
+	}
+	if (!r->version)
+		set_version(e, r, r->picked);
+	if (has_live(e, r, r->version))
+		return;
+	fallback = e->ops.fallback(e->ctx, r->s.service, r->picked);
+	if (fallback && has_live(e, r, fallback))
+		set_version(e, r, fallback);
+	else if (has_live(e, r, r->picked))
+		set_version(e, r, r->picked);
+}
+
+/* Leaves the sidecars that were not asked, or whose hold has lapsed. */
+static GPtrArray *not_asked(const request_t *r, const GPtrArray *live,
+			    bool lapsed, ms_t now)
+{
+	GPtrArray *left = g_ptr_array_new();
+
+	for (guint i = 0; i < live->len; i++) {
+		const offer_t *o = find_offer(r, live->pdata[i]);
+		bool again = o && lapsed && o->refused &&
+			     o->code != CODE_CANNOT_FINISH &&
+			     o->hold_until <= now;
+
+		if (!o || again)
+			g_ptr_array_add(left, live->pdata[i]);
+	}
+	return left;
+}
+
+/* Asks the sidecar of the prefix first and alone, unless it is too busy. */
+static void offer_by_prefix(entry_t *e, request_t *r, const GPtrArray *live,
+			    GPtrArray *left, ms_t now)
+{
+	sidecar_t *s = pick_by_prefix(live, r->s.prefix);
+
+	if (!s || !g_ptr_array_remove_fast(left, s))
+		return;
+	offer_to(e, r, s, now);
+	if (pick_not_much_worse(live, s))
+		r->rest_at = now + e->conf.head_start;
+}
+
+static void fill_from(entry_t *e, request_t *r, GPtrArray *left, ms_t now)
+{
+	unsigned int want = r->widened ? UINT_MAX : e->conf.offers;
+
+	if (!r->widened && now < r->rest_at)
+		want = 1;
+	while (left->len > 0 && r->out < want)
+		offer_to(e, r, pick_random(e->rand, left), now);
+}
+
+static void wait_for_server(entry_t *e, request_t *r, ms_t now)
+{
+	if (r->lonely_since < 0)
+		r->lonely_since = now;
+	if (now - r->lonely_since >= NO_SERVER_WAIT)
+		request_end(e, r, CODE_NO_SERVER, RETRY_DEFAULT);
+}
+
+/*
+ * Brings the offers of a waiting request up to the wanted number. Ends it when
+ * every sidecar has refused, or none has been there for a time.
+ */
+void offers_fill(entry_t *e, request_t *r, ms_t now)
+{
+	bool first = list_empty(&r->offers);
+	GPtrArray *live;
+	GPtrArray *left;
+	bool none;
+
+	choose_version(e, r, now);
+	r->filled = e->changes;
+	live = pick_live(e, r, now);
+	none = live->len == 0 || !r->version;
+	if (!none) {
+		left = not_asked(r, live, false, now);
+		if (first && r->s.prefix)
+			offer_by_prefix(e, r, live, left, now);
+		fill_from(e, r, left, now);
+		g_ptr_array_unref(left);
+	}
+	if (!none && r->out == 0) {
+		left = not_asked(r, live, true, now);
+		fill_from(e, r, left, now);
+		g_ptr_array_unref(left);
+	}
+	if (none)
+		wait_for_server(e, r, now);
+	else if (r->out == 0)
+		shed_if_refused(e, r, live, now);
+	g_ptr_array_unref(live);
+}
+
+/* Offers the request to all live sidecars from now on. */
+void offers_widen(entry_t *e, request_t *r, ms_t now)
+{
+	r->widened = true;
+	offers_fill(e, r, now);
+}
+
+static void send_body(entry_t *e, const request_t *r, uint64_t grant, ms_t now)
+{
+	msg_t m = { .type = MSG_BODY };
+	msg_body_t *b = &m.u.body;
+
+	b->rid = r->rid;
+	b->grant = grant;
+	b->left_ms = (uint64_t)MAX(r->deadline - now, 0);
+	b->max_output = r->s.max_output;
+	b->version = str_of(r->version);
+	b->method = str_of(r->s.method);
+	b->path = str_of(r->s.path);
+	b->content_type = str_of(r->s.content_type);
+	b->route = str_of(r->s.route);
+	b->stream = r->s.stream;
+	b->body = r->s.body;
+	e->ops.send(e->ctx, r->sidecar->inc, &m);
+}
+
+/* The first grant of a waiting request wins it; others are given back. */
+void offer_granted(entry_t *e, sidecar_t *s, const msg_grant_t *m, ms_t now)
+{
+	request_t *r = request_find(e, m->rid);
+	offer_t *o;
+
+	if (r && r->sidecar == s)
+		return;
+	o = r && r->state == REQUEST_WAITING ? find_offer(r, s) : NULL;
+	if (!o || now >= r->deadline) {
+		e->grants_late->value++;
+		send_withdraw(e, s, m->rid);
+		return;
+	}
+	if (version_is_bad(e, r, r->version)) {
+		send_withdraw(e, s, m->rid);
+		offer_drop(e, o, false);
+		offers_fill(e, r, now);
+		return;
+	}
+	offer_drop(e, o, false);
+	offers_withdraw(e, r);
+	request_set_sent(e, r, s);
+	r->acked_at = now;
+	send_body(e, r, m->grant, now);
+}
+
+/* A refusal of one tier also tells the answer to every lower one. */
+static void note_hold(sidecar_t *s, int tier, ms_t until)
+{
+	for (int t = tier + 1; t < TIER_COUNT; t++)
+		s->refuses_until[t] = MAX(s->refuses_until[t], until);
+}
+
+/*
+ * A sidecar refused or evicted an offer. Its hold is counted from the sending
+ * of the offer, since the time of the refusal there is not known here.
+ */
+void offer_refused(entry_t *e, sidecar_t *s, const msg_refuse_t *m, ms_t now)
+{
+	request_t *r = request_find(e, m->rid);
+	offer_t *o = r ? find_offer(r, s) : NULL;
+
+	e->refusals->value++;
+	if (m->code == CODE_STOPPING)
+		sidecar_leave(e, s);
+	else if (m->code == CODE_NOT_LOADED)
+		sidecar_forget_state(e, s);
+	else if (o && !o->refused) {
+		o->refused = true;
+		r->out--;
+		o->code = (code_t)m->code;
+		o->hold_until = o->sent_at + (ms_t)MIN(m->hold_ms, INT32_MAX);
+		o->retry = (ms_t)MIN(m->retry_ms, INT32_MAX);
+		if (m->code == CODE_SHED)
+			note_hold(s, r->s.tier, o->hold_until);
+	}
+	if (!r || r->state != REQUEST_WAITING)
+		return;
+	r->rest_at = 0;
+	offers_fill(e, r, now);
+}
--- /dev/null
+++ b/lib/entry/shed.c
@@ -0,0 +1,101 @@
+/* Refusing requests under overload, the lowest tier first. */
+#include "entry/priv.h"
+
+enum {
+	RESERVE_SHARE = 4, /* one over so many of waiting_max is kept free */
+};
+
+static const offer_t *refusal_of(const request_t *r, const sidecar_t *s)
+{
+	for (list_t *p = r->offers.next; p != &r->offers; p = p->next) {
+		const offer_t *o = list_entry(p, offer_t, by_request);
+
+		if (o->sidecar == s)
+			return o->refused ? o : NULL;
+	}
+	return NULL;
+}
+
+static bool holds(const offer_t *o, ms_t now)
+{
+	return o && (o->code == CODE_CANNOT_FINISH || o->hold_until > now);
+}
+
+/*
+ * Ends a request that every live sidecar has refused while all the refusals
+ * hold, so that no lower tier waits or is granted at any of them. Returns
+ * whether it ended.
+ */
+bool shed_if_refused(entry_t *e, request_t *r, const GPtrArray *live, ms_t now)
+{
+	code_t code = CODE_CANNOT_FINISH;
+	ms_t retry = -1;
+
+	for (guint i = 0; i < live->len; i++) {
+		const offer_t *o = refusal_of(r, live->pdata[i]);
+
+		if (!holds(o, now) || o->code == CODE_NOT_SENT)
+			return false;
+		if (o->code != CODE_CANNOT_FINISH)
+			code = CODE_SHED;
+		if (retry < 0 || o->retry < retry)
+			retry = o->retry;
+	}
+	request_end(e, r, code, MAX(retry, 1));
+	return true;
+}
+
+/* Returns the newest request of the service's lowest tier, or NULL. */
+static request_t *lowest(entry_t *e, const char *service)
+{
+	queue_t *q = queue_get(e, service);
+
+	for (int t = TIER_LOWEST; t >= 0; t--) {
+		if (!list_empty(&q->tiers[t]))
+			return list_entry(q->tiers[t].prev, request_t,
+					  by_queue);
+	}
+	return NULL;
+}
+
+static bool sheds_freely(const entry_t *e, int tier)
+{
+	return tier == TIER_LOWEST ||
+	       e->waiting >= e->conf.waiting_max +
+				     e->conf.waiting_max / RESERVE_SHARE;
+}
+
+static void count_out_of_order(entry_t *e, int tier)
+{
+	if (tier != TIER_LOWEST)
+		e->out_of_order->value++;
+}
+
+/*
+ * Makes room for a new request when too many wait here: the newest of the
+ * lowest tier of its service goes, which may be the new one itself. A tier
+ * above the lowest is only asked of all sidecars, until the reserve is used up
+ * too. Returns whether the new request may come in.
+ */
+bool shed_make_room(entry_t *e, const submit_t *s, ms_t now)
+{
+	int tier = CLAMP(s->tier, 0, TIER_LOWEST);
+	request_t *r;
+
+	if (e->waiting < e->conf.waiting_max)
+		return true;
+	r = lowest(e, s->service);
+	if (!r || r->s.tier <= tier) {
+		if (!sheds_freely(e, tier))
+			return true;
+		count_out_of_order(e, tier);
+		return false;
+	}
+	if (sheds_freely(e, r->s.tier)) {
+		count_out_of_order(e, r->s.tier);
+		request_end(e, r, CODE_SHED, pick_retry(e, s->service));
+	} else if (r->state == REQUEST_WAITING && !r->widened) {
+		offers_widen(e, r, now);
+	}
+	return true;
+}
--- /dev/null
+++ b/lib/entry/tick.c
@@ -0,0 +1,81 @@
+/* What an entry does as time passes. */
+#include "entry/priv.h"
+
+static bool waiting_due(const entry_t *e, const request_t *r, ms_t now)
+{
+	if (r->state != REQUEST_WAITING)
+		return false;
+	if (r->out == 0 || r->filled != e->changes)
+		return true;
+	if (r->rest_at > 0 && now >= r->rest_at)
+		return true;
+	return !r->widened && r->deadline - now <= e->conf.widen_before;
+}
+
+static void ack_if_due(entry_t *e, request_t *r, ms_t now)
+{
+	if (r->state != REQUEST_SENT || r->next - 1 == r->acked)
+		return;
+	if (now - r->acked_at >= e->conf.ack_every)
+		answer_ack(e, r, false, now);
+}
+
+/*
+ * Collects the requests that need a decision. Callbacks may change the table,
+ * so it is done with before the first of them.
+ */
+static GArray *collect_due(entry_t *e, ms_t now)
+{
+	GArray *due = g_array_new(FALSE, FALSE, sizeof(rid_t));
+	list_t *pos;
+	list_t *tmp;
+
+	list_for_each_safe(pos, tmp, &e->requests)
+	{
+		request_t *r = list_entry(pos, request_t, link);
+
+		ack_if_due(e, r, now);
+		if (r->state == REQUEST_STOPPED) {
+			if (now - r->stopped_at > e->conf.path_gone)
+				request_free(e, r);
+		} else if (now >= r->deadline || waiting_due(e, r, now)) {
+			g_array_append_val(due, r->rid);
+		}
+	}
+	return due;
+}
+
+static void decide(entry_t *e, request_t *r, ms_t now)
+{
+	if (now >= r->deadline) {
+		if (r->state == REQUEST_SENT)
+			answer_expired(e, r, now);
+		else if (r->state != REQUEST_STOPPED)
+			request_end(e, r, CODE_EXPIRED_WAITING,
+				    pick_retry(e, r->s.service));
+		return;
+	}
+	if (r->state != REQUEST_WAITING)
+		return;
+	if (now >= r->rest_at)
+		r->rest_at = 0;
+	if (r->deadline - now <= e->conf.widen_before)
+		r->widened = true;
+	offers_fill(e, r, now);
+}
+
+/* Decides what is due: expiries, offers, acknowledgements, lost paths. */
+void entry_tick(entry_t *e, ms_t now)
+{
+	GArray *due;
+
+	sidecars_lose(e, now);
+	due = collect_due(e, now);
+	for (guint i = 0; i < due->len; i++) {
+		request_t *r = request_find(e, g_array_index(due, rid_t, i));
+
+		if (r)
+			decide(e, r, now);
+	}
+	g_array_unref(due);
+}
