--- /dev/null
+++ b/test/base.c
@@ -0,0 +1,108 @@
+/* Lists, result codes, counters, backoff. */
+#include <check.h>
+#include <string.h>
+#include "base/fns.h"
+
+typedef struct item {
+	int n;
+	list_t link;
+} item_t;
+
+START_TEST(list_keeps_order)
+{
+	item_t a = { .n = 1 };
+	item_t b = { .n = 2 };
+	list_t head;
+
+	list_init(&head);
+	list_add_tail(&head, &a.link);
+	list_add_tail(&head, &b.link);
+	ck_assert_uint_eq(list_len(&head), 2);
+	ck_assert_int_eq(list_entry(head.next, item_t, link)->n, 1);
+	list_del(&a.link);
+	list_del(&a.link);
+	ck_assert_int_eq(list_entry(head.next, item_t, link)->n, 2);
+	list_del(&b.link);
+	ck_assert(list_empty(&head));
+}
+END_TEST
+
+typedef struct code_case {
+	code_t code;
+	const char *name;
+	bool not_run;
+	int status;
+} code_case_t;
+
+static const code_case_t code_cases[] = {
+	{ CODE_OK, "ok", false, 200 },
+	{ CODE_BAD_REQUEST, "bad-request", true, 400 },
+	{ CODE_SHED, "shed", true, 503 },
+	{ CODE_CALLER_GONE, "caller-gone", true, 499 },
+	{ CODE_PATH_LOST, "path-lost", false, 502 },
+	{ CODE_BAD_ANSWER, "bad-answer", false, 502 },
+	{ CODE_STALE_FENCE, "stale-fence", false, 409 },
+	{ (code_t)999, "unknown-code", false, 500 },
+};
+
+START_TEST(code_meaning)
+{
+	const code_case_t *c = &code_cases[_i];
+
+	ck_assert_str_eq(code_name(c->code), c->name);
+	ck_assert(code_not_run(c->code) == c->not_run);
+	ck_assert_int_eq(code_http_status(c->code), c->status);
+}
+END_TEST
+
+START_TEST(counters_print_each_once)
+{
+	counters_t *cs = counters_new();
+	GString *out = g_string_new(NULL);
+
+	counter_get(cs, "requests_total", "tier=\"0\"")->value = 3;
+	counter_get(cs, "requests_total", "tier=\"0\"")->value++;
+	gauge_get(cs, "waiting", NULL)->value = 1;
+	counters_print(cs, out);
+	ck_assert_str_eq(out->str, "requests_total{tier=\"0\"} 4\nwaiting 1\n");
+	g_string_free(out, TRUE);
+	counters_free(cs);
+}
+END_TEST
+
+START_TEST(backoff_doubles_to_its_bound)
+{
+	GRand *rand = g_rand_new_with_seed(1);
+	ms_t top[] = { 100, 200, 400, 800, 1000, 1000 };
+	backoff_t b;
+
+	backoff_init(&b, 100, 1000);
+	for (size_t i = 0; i < G_N_ELEMENTS(top); i++) {
+		ms_t wait = backoff_next(&b, rand);
+
+		ck_assert_int_ge(wait, 1);
+		ck_assert_int_le(wait, top[i] + 1);
+	}
+	backoff_reset(&b);
+	ck_assert_int_le(backoff_next(&b, rand), 101);
+	g_rand_free(rand);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *s = suite_create("base");
+	TCase *t = tcase_create("base");
+	SRunner *r = srunner_create(s);
+	int failed;
+
+	tcase_add_test(t, list_keeps_order);
+	tcase_add_loop_test(t, code_meaning, 0, G_N_ELEMENTS(code_cases));
+	tcase_add_test(t, counters_print_each_once);
+	tcase_add_test(t, backoff_doubles_to_its_bound);
+	suite_add_tcase(s, t);
+	srunner_run_all(r, CK_NORMAL);
+	failed = srunner_ntests_failed(r);
+	srunner_free(r);
+	return failed != 0;
+}
--- /dev/null
+++ b/test/prop_wire.cc
@@ -0,0 +1,140 @@
+/* Properties of frames and messages: round trips, and any bytes at all. */
+#include <rapidcheck.h>
+#include <cstring>
+#include <string>
+#include <vector>
+extern "C" {
+#include "wire/fns.h"
+}
+
+static str_t of(const std::string &s)
+{
+	return str_t{ s.data(), s.size() };
+}
+
+static std::string frame(const msg_t &m)
+{
+	GByteArray *b = g_byte_array_new();
+	msg_encode(&m, b);
+	std::string out(reinterpret_cast<char *>(b->data), b->len);
+	g_byte_array_free(b, TRUE);
+	return out;
+}
+
+/* A body comes out as it went in, however the stream was cut into reads. */
+static bool body_round_trip()
+{
+	return rc::check("body survives any cut of the stream", [] {
+		const auto body = *rc::gen::arbitrary<std::string>();
+		const auto path = *rc::gen::arbitrary<std::string>();
+		const auto inc = *rc::gen::arbitrary<uint64_t>();
+		const auto step = *rc::gen::inRange<size_t>(1, 40);
+		msg_t in;
+		std::memset(&in, 0, sizeof(in));
+		in.type = MSG_BODY;
+		in.u.body.rid = rid_t{ inc, ~inc };
+		in.u.body.path = of(path);
+		in.u.body.body = of(body);
+		const std::string bytes = frame(in) + frame(in);
+		framer_t f;
+		decoder_t d = { nullptr };
+		int seen = 0;
+		framer_init(&f, WIRE_FRAME_MAX);
+		for (size_t at = 0; at < bytes.size(); at += step) {
+			str_t p;
+			framer_add(&f, bytes.data() + at,
+				   std::min(step, bytes.size() - at));
+			while (framer_next(&f, &p) == CODE_OK) {
+				msg_t out;
+				RC_ASSERT(msg_decode(&d, p.p, p.n, &out) ==
+					  CODE_OK);
+				RC_ASSERT(str_eq(out.u.body.body, of(body)));
+				RC_ASSERT(str_eq(out.u.body.path, of(path)));
+				RC_ASSERT(rid_equal(&out.u.body.rid,
+						    &in.u.body.rid));
+				seen++;
+			}
+		}
+		RC_ASSERT(seen == 2);
+		framer_clear(&f);
+		decoder_clear(&d);
+	});
+}
+
+/* A payload with one byte changed, or cut short, never crashes the decoder. */
+static bool garbled()
+{
+	return rc::check("garbled payloads get a code", [] {
+		msg_t in;
+		std::memset(&in, 0, sizeof(in));
+		in.type = static_cast<msg_type_t>(
+			*rc::gen::inRange<int>(MSG_HELLO, MSG_TYPE_END));
+		std::string bytes = frame(in).substr(WIRE_HEADER_SIZE);
+		const auto at = *rc::gen::inRange<size_t>(0, bytes.size());
+		bytes[at] = static_cast<char>(*rc::gen::inRange(0, 256));
+		bytes.resize(*rc::gen::inRange<size_t>(0, bytes.size() + 1));
+		decoder_t d = { nullptr };
+		msg_t out;
+		const code_t code =
+			msg_decode(&d, bytes.data(), bytes.size(), &out);
+		RC_ASSERT(code == CODE_OK || (code >= 301 && code <= 305));
+		decoder_clear(&d);
+	});
+}
+
+/* Random bytes never crash it either, nor does a wrong length. */
+static bool noise()
+{
+	return rc::check("noise gets a code", [] {
+		const auto s = *rc::gen::arbitrary<std::string>();
+		decoder_t d = { nullptr };
+		framer_t f;
+		str_t p;
+		msg_t out;
+		code_t code;
+		framer_init(&f, 64);
+		framer_add(&f, s.data(), s.size());
+		while ((code = framer_next(&f, &p)) == CODE_OK)
+			msg_decode(&d, p.p, p.n, &out);
+		RC_ASSERT(code == CODE_TRUNCATED ||
+			  code == CODE_FRAME_TOO_LARGE);
+		framer_clear(&f);
+		decoder_clear(&d);
+	});
+}
+
+/* Facts keep their order and values. */
+static bool facts_round_trip()
+{
+	return rc::check("facts come out as they went in", [] {
+		const auto keys =
+			*rc::gen::arbitrary<std::vector<std::string>>();
+		std::vector<fact_kv_t> kv;
+		for (const auto &k : keys)
+			kv.push_back(fact_kv_t{ of(k), k.size() * 7 });
+		msg_t in;
+		std::memset(&in, 0, sizeof(in));
+		in.type = MSG_FACTS;
+		in.u.facts.n = kv.size();
+		in.u.facts.kv = kv.data();
+		const std::string b = frame(in).substr(WIRE_HEADER_SIZE);
+		decoder_t d = { nullptr };
+		msg_t out;
+		RC_ASSERT(msg_decode(&d, b.data(), b.size(), &out) == CODE_OK);
+		RC_ASSERT(out.u.facts.n == kv.size());
+		for (size_t i = 0; i < kv.size(); i++) {
+			RC_ASSERT(str_eq(out.u.facts.kv[i].key, kv[i].key));
+			RC_ASSERT(out.u.facts.kv[i].value == kv[i].value);
+		}
+		decoder_clear(&d);
+	});
+}
+
+int main()
+{
+	bool ok = body_round_trip();
+	ok = garbled() && ok;
+	ok = noise() && ok;
+	ok = facts_round_trip() && ok;
+	return ok ? 0 : 1;
+}
