--- a/lib/entry/answer.c
+++ b/lib/entry/answer.c
@@ -32,6 +32,7 @@
 
 	m.u.resume.rid = r->rid;
 	m.u.resume.from = r->got_head ? r->next : 0;
+	r->resumes++;
 	e->resumes->value++;
 	e->ops.send(e->ctx, r->sidecar->inc, &m);
 }
--- a/lib/entry/pick.c
+++ b/lib/entry/pick.c
@@ -119,11 +119,14 @@
 /* Tells whether s, as last reported, is not much busier than the others. */
 bool pick_not_much_worse(const GPtrArray *from, const sidecar_t *s)
 {
-	double sum = 0;
+	double others = 0;
 
-	for (guint i = 0; i < from->len; i++)
-		sum += load_of(from->pdata[i]);
-	return load_of(s) <= LOAD_WORSE * (sum / from->len) + load_slack;
+	for (guint i = 0; i < from->len; i++) {
+		if (from->pdata[i] != s)
+			others += load_of(from->pdata[i]);
+	}
+	others /= MAX(from->len - 1, 1);
+	return load_of(s) <= LOAD_WORSE * others + load_slack;
 }
 
 /*
