--- a/Makefile
+++ b/Makefile
@@ -5,6 +5,8 @@
 	$(wildcard test/standin/*/)
 SRC = $(shell git ls-files '*.c' '*.h' '*.cc')
 CSRC = $(shell git ls-files '*.c')
+SCRIPTS = .ci/run mk/tidy $(shell git ls-files test bench | \
+	xargs grep -l '^\#!/bin/.*sh')
 
 all:
 	@for d in $(DIRS); do $(MAKE) --no-print-directory -C $$d B=$(B) || exit 1; done
@@ -30,6 +32,7 @@
 	bench/capacity build/rel
 
 lint:
+	shellcheck $(SCRIPTS)
 	clang-format --dry-run -Werror $(SRC)
 	cppcheck --quiet --std=c11 --error-exitcode=1 --inline-suppr \
 		--enable=warning,portability --suppress=missingIncludeSystem \
