Sidecar: waiting list, grants, dispatch once, resume

Cause: the whole path of a request needs the sidecar's end of the protocol.

Ruled out: answering NOT_RUN to a body whose RESUME was already answered so: the entry may by then have sent the same request elsewhere. Such bodies are ignored, by the highest grant number given at that time.

Change: lib/side with the waiting list (tiers, deficit round robin by customer, shedding, holds), grants and leases, the learned place, dispatch at most once, numbered chunks, resume at the engine and towards the entry, cancel, drain.

--- /dev/null
+++ b/lib/side/answer.c
@@ -0,0 +1,133 @@
+/* Answers: numbered chunks kept until the entry acknowledges them. */
+#include "side/priv.h"
+
+static void part_free(gpointer p)
+{
+	part_t *part = p;
+
+	g_bytes_unref(part->data);
+	g_free(part);
+}
+
+/* Makes an empty answer. */
+void answer_init(answer_t *a)
+{
+	g_queue_init(&a->parts);
+	a->first = -1;
+}
+
+/* Frees what the answer holds. */
+void answer_clear(answer_t *a)
+{
+	g_queue_clear_full(&a->parts, part_free);
+	g_free(a->type);
+	a->type = NULL;
+	a->kept = 0;
+}
+
+static void send_head(side_t *s, job_t *j)
+{
+	msg_t m = { .type = MSG_HEAD };
+
+	m.u.head.rid = j->rid;
+	m.u.head.status = (uint64_t)j->a.status;
+	m.u.head.content_type = str_of(j->a.type);
+	side_send(s, j, &m);
+}
+
+static void send_part(side_t *s, job_t *j, const part_t *p)
+{
+	msg_t m = { .type = MSG_CHUNK };
+	gsize n;
+
+	m.u.chunk.rid = j->rid;
+	m.u.chunk.seq = p->seq;
+	m.u.chunk.data.p = g_bytes_get_data(p->data, &n);
+	m.u.chunk.data.n = n;
+	side_send(s, j, &m);
+}
+
+/* Keeps the head and passes it on. */
+void answer_head(side_t *s, job_t *j, int status, str_t type)
+{
+	j->a.status = status;
+	j->a.type = str_dup(type);
+	scan_init(&j->a.scan, type);
+	if (j->live)
+		send_head(s, j);
+}
+
+/* Keeps data as the next chunk and passes it on. */
+void answer_data(side_t *s, job_t *j, str_t data, ms_t now)
+{
+	answer_t *a = &j->a;
+	part_t *p = g_new0(part_t, 1);
+	uint64_t tokens = a->scan.tokens;
+
+	p->seq = ++a->last;
+	p->data = g_bytes_new(data.p, data.n);
+	g_queue_push_tail(&a->parts, p);
+	a->kept += data.n;
+	a->bytes += data.n;
+	scan_add(&a->scan, data);
+	if (a->first < 0) {
+		a->first = now - j->since;
+		a->first_at = now;
+		a->last_at = now;
+	}
+	if (a->scan.events && a->scan.tokens > tokens) {
+		place_decoded(&s->place, a->scan.tokens - tokens,
+			      now - a->last_at);
+		a->last_at = now;
+	}
+	if (j->live)
+		send_part(s, j, p);
+}
+
+/* Mean time between the tokens of a streamed answer, or 0. */
+ms_t answer_gap(const answer_t *a)
+{
+	if (!a->scan.events || a->scan.tokens < 2)
+		return 0;
+	return (a->last_at - a->first_at) / (ms_t)(a->scan.tokens - 1);
+}
+
+/* Tells the entry how the answer ended. */
+void answer_end(side_t *s, job_t *j)
+{
+	msg_t m = { .type = MSG_END };
+
+	m.u.end.rid = j->rid;
+	m.u.end.code = j->a.code;
+	m.u.end.chunks = j->a.last;
+	m.u.end.output_tokens = scan_tokens(&j->a.scan);
+	m.u.end.first_ms = (uint64_t)MAX(j->a.first, 0);
+	m.u.end.gap_ms = (uint64_t)answer_gap(&j->a);
+	side_send(s, j, &m);
+}
+
+/* Frees the chunks up to a number. */
+void answer_ack(answer_t *a, uint64_t seq)
+{
+	part_t *p;
+
+	while ((p = g_queue_peek_head(&a->parts)) && p->seq <= seq) {
+		a->kept -= g_bytes_get_size(p->data);
+		part_free(g_queue_pop_head(&a->parts));
+	}
+}
+
+/* Sends again the head, the chunks from a number on, and a known end. */
+void answer_resend(side_t *s, job_t *j, uint64_t from)
+{
+	if (j->a.status)
+		send_head(s, j);
+	for (GList *l = j->a.parts.head; l; l = l->next) {
+		const part_t *p = l->data;
+
+		if (p->seq >= from)
+			send_part(s, j, p);
+	}
+	if (j->state == JOB_ENDED)
+		answer_end(s, j);
+}
--- /dev/null
+++ b/lib/side/grant.c
@@ -0,0 +1,118 @@
+/* Grants: places held for a lease, and the bodies that use them. */
+#include "side/priv.h"
+
+static void send_grant(side_t *s, job_t *j, ms_t now)
+{
+	msg_t m = { .type = MSG_GRANT };
+
+	m.u.grant.rid = j->rid;
+	m.u.grant.grant = j->grant;
+	m.u.grant.lease_ms = (uint64_t)(j->since + s->conf.lease - now);
+	side_send(s, j, &m);
+}
+
+/* Grants what fits the place, in the order of the waiting list. */
+void grant_all(side_t *s, ms_t now)
+{
+	job_t *j;
+
+	if (s->draining || !s->engine_up)
+		return;
+	while ((j = wait_next(s)) && place_fits(&s->place, j->work)) {
+		j->share->deficit -= j->work;
+		job_put(s, j, JOB_GRANTED, now);
+		j->grant = ++s->grants;
+		j->conn = peer_get(s, j->rid.inc)->conn;
+		send_grant(s, j, now);
+	}
+}
+
+/* Repeats a grant whose message may have been lost with its connection. */
+void grant_again(side_t *s, job_t *j, ms_t now)
+{
+	uint64_t conn = peer_get(s, j->rid.inc)->conn;
+
+	if (j->conn == conn || now >= j->since + s->conf.lease)
+		return;
+	j->conn = conn;
+	send_grant(s, j, now);
+}
+
+/* Takes back the places of grants that no body came for. */
+void grant_lapse(side_t *s, ms_t now)
+{
+	while (!list_empty(&s->granted)) {
+		job_t *j = list_entry(s->granted.next, job_t, link);
+
+		if (now < j->since + s->conf.lease)
+			return;
+		counter_get(s->counters, "side_grants_lapsed", NULL)->value++;
+		if (j->floor)
+			job_put(s, j, JOB_REFUSED, now);
+		else
+			job_free(s, j);
+	}
+}
+
+/* Whether the job may take a body of that grant now, and if not, why. */
+static code_t body_code(const side_t *s, const job_t *j, const msg_body_t *b,
+			ms_t now)
+{
+	if (!j || j->state != JOB_GRANTED || j->grant != b->grant)
+		return CODE_GRANT_LAPSED;
+	if (now >= j->since + s->conf.lease)
+		return CODE_GRANT_LAPSED;
+	if (b->left_ms == 0)
+		return CODE_EXPIRED_WAITING;
+	if (!s->engine_up)
+		return CODE_NO_SERVER;
+	if (!side_loaded(s, b->version))
+		return CODE_NOT_LOADED;
+	return CODE_OK;
+}
+
+/* A body of a request that is not, or not any more, in the table. */
+static void body_unknown(side_t *s, const msg_body_t *b)
+{
+	msg_t m = { .type = MSG_END };
+
+	if (b->grant > peer_get(s, b->rid.inc)->lost) {
+		side_not_run(s, b->rid, CODE_GRANT_LAPSED);
+		return;
+	}
+	m.u.end.rid = b->rid;
+	m.u.end.code = CODE_PATH_LOST;
+	s->ops->send(s->ctx, b->rid.inc, &m);
+}
+
+/*
+ * Dispatches a body under a live grant, once. A repeated one is answered from
+ * what its first copy brought; one under a lapsed grant is not run.
+ */
+void grant_body(side_t *s, const msg_body_t *b, ms_t now)
+{
+	job_t *j = job_find(s, b->rid);
+	code_t code;
+
+	if (!j) {
+		body_unknown(s, b);
+		return;
+	}
+	if (b->grant <= j->floor)
+		return;
+	if (j->state == JOB_RUNNING || j->state == JOB_ENDED) {
+		if (!j->live)
+			answer_resend(s, j, 0);
+		j->live = true;
+		return;
+	}
+	code = body_code(s, j, b, now);
+	if (code == CODE_OK) {
+		run_start(s, j, b, now);
+		return;
+	}
+	if (j->state == JOB_GRANTED && j->grant == b->grant)
+		job_free(s, j);
+	side_not_run(s, b->rid, code);
+	grant_all(s, now);
+}
--- /dev/null
+++ b/lib/side/run.c
@@ -0,0 +1,202 @@
+/* Requests at the engine: dispatch, failures, resuming, cancelling. */
+#include "side/priv.h"
+
+enum {
+	RESUME_MAX = 4,	       /* attempts for one answer */
+	RESUME_WAIT = 200,     /* ms, times the attempt, after the first */
+	DEADLINE_SLACK = 1000, /* ms in which the entry itself cancels */
+	ENDED_KEEP = 300000,   /* ms for the acknowledgement of an end */
+	REFUSED_KEEP = 60000,  /* ms that a refused id is remembered */
+};
+
+/* Dispatches the body of a granted request; its place stays taken. */
+void run_start(side_t *s, job_t *j, const msg_body_t *b, ms_t now)
+{
+	side_dispatch_t d = { .rid = j->rid,
+			      .version = b->version,
+			      .method = b->method,
+			      .path = b->path,
+			      .content_type = b->content_type,
+			      .body = b->body,
+			      .stream = b->stream != 0 };
+
+	job_put(s, j, JOB_RUNNING, now);
+	j->live = true;
+	j->deadline = now + (ms_t)b->left_ms;
+	counter_get(s->counters, "side_dispatched", NULL)->value++;
+	s->ops->dispatch(s->ctx, &d);
+}
+
+/* Ends a dispatched request; the answer is kept until the entry has it. */
+void run_end(side_t *s, job_t *j, code_t code, ms_t now)
+{
+	j->a.code = code;
+	if (code == CODE_OK)
+		speed_ended(s, j, now);
+	else
+		s->speed.ended += j->work;
+	side_count(s, s->ended, "side_ended", code);
+	job_put(s, j, JOB_ENDED, now);
+	if (j->live)
+		answer_end(s, j);
+	grant_all(s, now);
+}
+
+/* Stops a running request at the engine. */
+void run_cancel(side_t *s, job_t *j, code_t code, ms_t now)
+{
+	rid_t rid = j->rid;
+
+	run_end(s, j, code, now);
+	s->ops->cancel(s->ctx, rid);
+}
+
+static job_t *running(const side_t *s, rid_t rid)
+{
+	job_t *j = job_find(s, rid);
+
+	return j && j->state == JOB_RUNNING ? j : NULL;
+}
+
+/* The engine's answer begins; after a resume it must be found again. */
+void side_engine_head(side_t *s, rid_t rid, int status, str_t type, ms_t now)
+{
+	job_t *j = running(s, rid);
+
+	if (!j || j->a.resume_at)
+		return;
+	if (j->a.resuming && status != 200) {
+		run_cancel(s, j, CODE_PATH_LOST, now);
+		return;
+	}
+	j->a.resuming = false;
+	if (j->a.status == 0)
+		answer_head(s, j, status, type);
+}
+
+/* Part of the answer; past the limit of kept bytes the answer is cut. */
+void side_engine_data(side_t *s, rid_t rid, str_t data, ms_t now)
+{
+	job_t *j = running(s, rid);
+
+	if (!j || j->a.resume_at || j->a.status == 0 || data.n == 0)
+		return;
+	if (j->a.kept + data.n > s->conf.answer_max) {
+		run_cancel(s, j, CODE_CUT, now);
+		return;
+	}
+	answer_data(s, j, data, now);
+}
+
+static void resume_now(side_t *s, job_t *j)
+{
+	j->a.resume_at = 0;
+	j->a.resuming = true;
+	j->a.resumes++;
+	counter_get(s->counters, "side_resumes", NULL)->value++;
+	s->ops->resume(s->ctx, j->rid, j->a.bytes);
+}
+
+/* Asks the engine for the rest of a broken answer, a bounded number of times.
+ */
+static void try_resume(side_t *s, job_t *j, ms_t now)
+{
+	code_t lost = j->a.status ? CODE_CUT : CODE_PATH_LOST;
+
+	if (!s->conf.model || j->a.resumes >= RESUME_MAX) {
+		run_cancel(s, j, lost, now);
+		return;
+	}
+	if (j->a.resumes == 0)
+		resume_now(s, j);
+	else
+		j->a.resume_at = now + (ms_t)RESUME_WAIT * j->a.resumes;
+}
+
+/* Nothing of the request was written to the engine. */
+static void not_sent(side_t *s, job_t *j, ms_t now)
+{
+	rid_t rid = j->rid;
+
+	job_free(s, j);
+	side_not_run(s, rid, CODE_NOT_SENT);
+	grant_all(s, now);
+}
+
+/* The engine's connection ended: whole, broken, or never used. */
+void side_engine_end(side_t *s, rid_t rid, code_t code, ms_t now)
+{
+	job_t *j = running(s, rid);
+
+	if (!j || j->a.resume_at)
+		return;
+	if (code == CODE_NOT_SENT && j->a.resumes == 0 && j->a.status == 0) {
+		not_sent(s, j, now);
+		return;
+	}
+	if (code == CODE_BAD_ANSWER) {
+		run_cancel(s, j, code, now);
+		return;
+	}
+	if (code == CODE_OK && j->a.status == 0)
+		code = CODE_CUT;
+	if (code == CODE_OK && j->a.scan.events && !j->a.scan.done)
+		code = CODE_CUT;
+	if (code == CODE_OK)
+		run_end(s, j, code, now);
+	else
+		try_resume(s, j, now);
+}
+
+static bool peer_gone(side_t *s, const job_t *j, ms_t now)
+{
+	const peer_t *p = peer_get(s, j->rid.inc);
+
+	return !p->up && now - p->down_at > s->conf.entry_gone;
+}
+
+/* Forgets a dispatched request that its entry never acknowledged. */
+static void forget_run(side_t *s, job_t *j)
+{
+	peer_t *p = peer_get(s, j->rid.inc);
+
+	p->lost = MAX(p->lost, j->grant);
+	job_free(s, j);
+}
+
+static void tick_running(side_t *s, job_t *j, ms_t now)
+{
+	if (peer_gone(s, j, now))
+		run_cancel(s, j, CODE_CANCELLED, now);
+	else if (now > j->deadline + DEADLINE_SLACK)
+		run_cancel(s, j, CODE_EXPIRED_RUNNING, now);
+	else if (j->a.resume_at && now >= j->a.resume_at)
+		resume_now(s, j);
+}
+
+/* Resumes, cancels and forgets what time has come for. */
+void run_tick(side_t *s, ms_t now)
+{
+	list_t *pos;
+	list_t *tmp;
+
+	list_for_each_safe(pos, tmp, &s->running)
+	{
+		tick_running(s, list_entry(pos, job_t, link), now);
+	}
+	list_for_each_safe(pos, tmp, &s->finished)
+	{
+		job_t *j = list_entry(pos, job_t, link);
+
+		if (peer_gone(s, j, now) || now - j->since > ENDED_KEEP)
+			forget_run(s, j);
+	}
+	list_for_each_safe(pos, tmp, &s->dropped)
+	{
+		job_t *j = list_entry(pos, job_t, link);
+
+		if (now - j->since < REFUSED_KEEP)
+			break;
+		job_free(s, j);
+	}
+}
--- /dev/null
+++ b/lib/side/wait.c
@@ -0,0 +1,357 @@
+/* The waiting list: tiers, fair shares of customers, shedding. */
+#include <string.h>
+#include "side/priv.h"
+
+enum {
+	QUANTUM = 2048,		 /* tokens a customer gains in each round */
+	ENGINE_DOWN_WAIT = 1000, /* ms that offers wait for the engine */
+};
+
+/* Makes the waiting list empty. */
+void wait_init(side_t *s)
+{
+	for (int i = 0; i < TIER_COUNT; i++) {
+		tier_t *t = &s->tiers[i];
+
+		list_init(&t->active);
+		list_init(&t->age);
+		t->shares = g_hash_table_new(g_str_hash, g_str_equal);
+	}
+}
+
+/* Frees the tables of a list whose jobs are gone. */
+void wait_clear(side_t *s)
+{
+	for (int i = 0; i < TIER_COUNT; i++)
+		g_hash_table_destroy(s->tiers[i].shares);
+}
+
+static share_t *share_get(tier_t *t, str_t customer)
+{
+	char *name = str_dup(customer);
+	share_t *sh = g_hash_table_lookup(t->shares, name);
+
+	if (sh) {
+		g_free(name);
+		return sh;
+	}
+	sh = g_new0(share_t, 1);
+	sh->customer = name;
+	sh->deficit = QUANTUM;
+	list_init(&sh->jobs);
+	list_add_tail(&t->active, &sh->link);
+	g_hash_table_insert(t->shares, name, sh);
+	return sh;
+}
+
+/* Takes a waiting job off its tier and its customer's share. */
+void wait_del(side_t *s, job_t *j)
+{
+	tier_t *t = &s->tiers[j->tier];
+	share_t *sh = j->share;
+
+	list_del(&j->link);
+	list_del(&j->age);
+	j->share = NULL;
+	t->len--;
+	t->work -= j->work;
+	s->waiting--;
+	if (!list_empty(&sh->jobs))
+		return;
+	list_del(&sh->link);
+	g_hash_table_remove(t->shares, sh->customer);
+	g_free(sh->customer);
+	g_free(sh);
+}
+
+static void wait_add(side_t *s, job_t *j, str_t customer, ms_t now)
+{
+	tier_t *t = &s->tiers[j->tier];
+
+	j->state = JOB_WAITING;
+	j->since = now;
+	j->share = share_get(t, customer);
+	list_add_tail(&j->share->jobs, &j->link);
+	list_add_tail(&t->age, &j->age);
+	t->len++;
+	t->work += j->work;
+	s->waiting++;
+}
+
+/* Tokens that wait in the tier and above it. */
+uint64_t wait_work(const side_t *s, unsigned int tier)
+{
+	uint64_t sum = 0;
+
+	for (unsigned int i = 0; i <= tier; i++)
+		sum += s->tiers[i].work;
+	return sum;
+}
+
+/* Returns the next job of a tier by deficit round robin over tokens. */
+static job_t *tier_next(tier_t *t)
+{
+	while (!list_empty(&t->active)) {
+		share_t *sh = list_entry(t->active.next, share_t, link);
+		job_t *j = list_entry(sh->jobs.next, job_t, link);
+
+		if (sh->deficit >= j->work)
+			return j;
+		sh->deficit += QUANTUM;
+		list_del(&sh->link);
+		list_add_tail(&t->active, &sh->link);
+	}
+	return NULL;
+}
+
+/*
+ * Returns the job to grant next, or NULL when none waits. It stays the same
+ * until it is taken or a higher tier comes, so that a large one is not passed.
+ */
+job_t *wait_next(side_t *s)
+{
+	for (int i = 0; i < TIER_COUNT; i++) {
+		job_t *j = tier_next(&s->tiers[i]);
+
+		if (j)
+			return j;
+	}
+	return NULL;
+}
+
+/* Forgets a waiting job, but keeps what must void its old bodies. */
+static void forget(side_t *s, job_t *j, ms_t now)
+{
+	if (j->floor)
+		job_put(s, j, JOB_REFUSED, now);
+	else
+		job_free(s, j);
+}
+
+static void refuse_job(side_t *s, job_t *j, code_t code, ms_t hold, ms_t now)
+{
+	rid_t rid = j->rid;
+
+	forget(s, j, now);
+	side_refuse(s, rid, code, hold);
+}
+
+/* How long from now nothing lower than the tier is taken; 0 no promise. */
+static ms_t held_for(const side_t *s, unsigned int tier, ms_t now)
+{
+	ms_t until = now;
+
+	for (unsigned int i = 0; i <= tier; i++)
+		until = MAX(until, s->tiers[i].hold_until);
+	return until - now;
+}
+
+/* Whether an earlier refusal promised not to take the tier now. */
+static bool held(const side_t *s, unsigned int tier, ms_t now)
+{
+	return tier > 0 && held_for(s, tier - 1, now) > 0;
+}
+
+/* Takes back grants of lower tiers than one that is being shed. */
+static void revoke_below(side_t *s, unsigned int tier, ms_t now)
+{
+	list_t *pos;
+	list_t *tmp;
+
+	list_for_each_safe(pos, tmp, &s->granted)
+	{
+		job_t *j = list_entry(pos, job_t, link);
+
+		if (j->tier > tier)
+			forget(s, j, now);
+	}
+}
+
+/* Refuses the tier and promises that no lower one gets in before it. */
+static ms_t hold(side_t *s, unsigned int tier, ms_t now)
+{
+	s->tiers[tier].hold_until = now + s->conf.hold;
+	revoke_below(s, tier, now);
+	return s->conf.hold;
+}
+
+/* Makes room for an offer of the tier; false when it is itself the lowest. */
+static bool make_room(side_t *s, unsigned int tier, ms_t now)
+{
+	unsigned int low = TIER_LOWEST;
+	job_t *j;
+
+	if (s->waiting < s->conf.waiting_max)
+		return true;
+	while (low > 0 && s->tiers[low].len == 0)
+		low--;
+	if (low <= tier)
+		return false;
+	j = list_entry(s->tiers[low].age.prev, job_t, age);
+	refuse_job(s, j, CODE_SHED, hold(s, low, now), now);
+	return true;
+}
+
+/*
+ * Checks an offer against time. Work of the same or higher tiers is ahead of
+ * it; without figures about the engine only the deadline itself counts.
+ */
+static code_t check_time(const side_t *s, const msg_offer_t *o,
+			 unsigned int tier)
+{
+	uint64_t ahead = wait_work(s, tier);
+	ms_t need;
+
+	if (o->left_ms == 0)
+		return CODE_EXPIRED_WAITING;
+	need = speed_run_time(s, o->prompt_tokens, o->output_tokens);
+	if (ahead > 0)
+		need += speed_wait_time(s, ahead);
+	return need > (ms_t)o->left_ms ? CODE_CANNOT_FINISH : CODE_OK;
+}
+
+static code_t check(const side_t *s, const msg_offer_t *o, unsigned int tier,
+		    ms_t now)
+{
+	if (s->draining)
+		return CODE_STOPPING;
+	if (!s->engine_up && now - s->engine_down_at > ENGINE_DOWN_WAIT)
+		return CODE_NO_SERVER;
+	if (!side_loaded(s, o->version))
+		return CODE_NOT_LOADED;
+	if (held(s, tier, now))
+		return CODE_SHED;
+	return check_time(s, o, tier);
+}
+
+static job_t *job_new(side_t *s, rid_t rid)
+{
+	job_t *j = g_new0(job_t, 1);
+
+	j->rid = rid;
+	list_init(&j->link);
+	list_init(&j->age);
+	answer_init(&j->a);
+	g_hash_table_insert(s->jobs, &j->rid, j);
+	return j;
+}
+
+static void take(side_t *s, const msg_offer_t *o, unsigned int tier, ms_t now)
+{
+	job_t *j = job_find(s, o->rid);
+
+	if (j)
+		job_take(s, j);
+	else
+		j = job_new(s, o->rid);
+	g_free(j->version);
+	j->version = str_dup(o->version);
+	j->tier = tier;
+	j->prompt = o->prompt_tokens;
+	j->output = o->output_tokens;
+	j->work = place_work(s, j->prompt, j->output);
+	j->deadline = now + (ms_t)o->left_ms;
+	wait_add(s, j, o->customer, now);
+}
+
+/* An offer that came before: its grant is told again on a new connection. */
+static void repeated(side_t *s, job_t *j, const msg_offer_t *o, ms_t now)
+{
+	if (j->state == JOB_WAITING)
+		j->deadline = now + (ms_t)o->left_ms;
+	if (j->state == JOB_GRANTED)
+		grant_again(s, j, now);
+}
+
+/* Takes an offer into the waiting list, or refuses it. */
+void wait_offer(side_t *s, const msg_offer_t *o, ms_t now)
+{
+	unsigned int tier = (unsigned int)MIN(o->tier, TIER_LOWEST);
+	job_t *j = job_find(s, o->rid);
+	code_t code;
+
+	if (j && j->state != JOB_REFUSED) {
+		repeated(s, j, o, now);
+		return;
+	}
+	code = check(s, o, tier, now);
+	if (code != CODE_OK) {
+		side_refuse(s, o->rid, code,
+			    code == CODE_SHED ? held_for(s, tier, now) : 0);
+	} else if (!make_room(s, tier, now)) {
+		side_refuse(s, o->rid, CODE_SHED, hold(s, tier, now));
+	} else {
+		take(s, o, tier, now);
+	}
+}
+
+/* Refuses all that waits, lowest tier and newest first. */
+void wait_refuse_all(side_t *s, code_t code, ms_t now)
+{
+	for (int i = TIER_LOWEST; i >= 0; i--) {
+		tier_t *t = &s->tiers[i];
+
+		while (!list_empty(&t->age))
+			refuse_job(s, list_entry(t->age.prev, job_t, age), code,
+				   0, now);
+	}
+}
+
+/* Drops the offers of an entry, which makes them again if it returns. */
+void wait_drop_peer(side_t *s, uint64_t inc)
+{
+	list_t *pos;
+	list_t *tmp;
+
+	for (int i = 0; i < TIER_COUNT; i++) {
+		list_for_each_safe(pos, tmp, &s->tiers[i].age)
+		{
+			job_t *j = list_entry(pos, job_t, age);
+
+			if (j->rid.inc == inc)
+				job_free(s, j);
+		}
+	}
+}
+
+static code_t waiting_code(const side_t *s, const job_t *j, ms_t now)
+{
+	if (now >= j->deadline)
+		return CODE_EXPIRED_WAITING;
+	if (!side_loaded(s, str_of(j->version)))
+		return CODE_NOT_LOADED;
+	if (now + speed_run_time(s, j->prompt, j->output) > j->deadline)
+		return CODE_CANNOT_FINISH;
+	return CODE_OK;
+}
+
+static void refuse_late(side_t *s, ms_t now)
+{
+	list_t *pos;
+	list_t *tmp;
+
+	for (int i = 0; i < TIER_COUNT; i++) {
+		list_for_each_safe(pos, tmp, &s->tiers[i].age)
+		{
+			job_t *j = list_entry(pos, job_t, age);
+			code_t code = waiting_code(s, j, now);
+
+			if (code != CODE_OK)
+				refuse_job(s, j, code, 0, now);
+		}
+	}
+}
+
+/* Refuses what waits for a version that is no longer loaded. */
+void wait_unloaded(side_t *s, ms_t now)
+{
+	refuse_late(s, now);
+}
+
+/* Refuses what can no longer be answered in time. */
+void wait_tick(side_t *s, ms_t now)
+{
+	if (!s->engine_up && now - s->engine_down_at > ENGINE_DOWN_WAIT)
+		wait_refuse_all(s, CODE_NO_SERVER, now);
+	refuse_late(s, now);
+}
