Unique names over the libraries; quiet compile lines

Cause: answer_ack and scan_init stood in two libraries that the daemon links. Change: the sidecar's scanner of event streams is sse.c; makefiles print one short line for each file.

--- a/lib/side/answer.c
+++ b/lib/side/answer.c
@@ -52,7 +52,7 @@
 {
 	j->a.status = status;
 	j->a.type = str_dup(type);
-	scan_init(&j->a.scan, type);
+	sse_init(&j->a.scan, type);
 	if (j->live)
 		send_head(s, j);
 }
@@ -69,7 +69,7 @@
 	g_queue_push_tail(&a->parts, p);
 	a->kept += data.n;
 	a->bytes += data.n;
-	scan_add(&a->scan, data);
+	sse_add(&a->scan, data);
 	if (a->first < 0) {
 		a->first = now - j->since;
 		a->first_at = now;
@@ -100,14 +100,14 @@
 	m.u.end.rid = j->rid;
 	m.u.end.code = j->a.code;
 	m.u.end.chunks = j->a.last;
-	m.u.end.output_tokens = scan_tokens(&j->a.scan);
+	m.u.end.output_tokens = sse_tokens(&j->a.scan);
 	m.u.end.first_ms = (uint64_t)MAX(j->a.first, 0);
 	m.u.end.gap_ms = (uint64_t)answer_gap(&j->a);
 	side_send(s, j, &m);
 }
 
 /* Frees the chunks up to a number. */
-void answer_ack(answer_t *a, uint64_t seq)
+void answer_acked(answer_t *a, uint64_t seq)
 {
 	part_t *p;
 
--- a/lib/side/priv.h
+++ b/lib/side/priv.h
@@ -36,13 +36,13 @@
 } tier_t;
 
 /* Reads server-sent events as they pass, or the end of a JSON answer. */
-typedef struct scan {
+typedef struct sse {
 	bool events;
 	bool done; /* the last event was seen */
 	uint64_t tokens;
 	char tail[256]; /* of the line or of the body */
 	size_t n;
-} scan_t;
+} sse_t;
 
 /* A part of an answer that the entry has not acknowledged. */
 typedef struct part {
@@ -58,7 +58,7 @@
 	size_t kept;   /* bytes in parts */
 	uint64_t last; /* number of the last chunk */
 	uint64_t bytes;
-	scan_t scan;
+	sse_t scan;
 	code_t code;   /* once ended */
 	ms_t first;    /* time from dispatch; -1 none came */
 	ms_t first_at; /* time of the first chunk */
@@ -195,14 +195,14 @@
 void answer_head(side_t *s, job_t *j, int status, str_t type);
 void answer_data(side_t *s, job_t *j, str_t data, ms_t now);
 void answer_end(side_t *s, job_t *j);
-void answer_ack(answer_t *a, uint64_t seq);
+void answer_acked(answer_t *a, uint64_t seq);
 void answer_resend(side_t *s, job_t *j, uint64_t from);
 ms_t answer_gap(const answer_t *a);
 
-/* scan.c */
-void scan_init(scan_t *c, str_t type);
-void scan_add(scan_t *c, str_t data);
-uint64_t scan_tokens(const scan_t *c);
+/* sse.c */
+void sse_init(sse_t *c, str_t type);
+void sse_add(sse_t *c, str_t data);
+uint64_t sse_tokens(const sse_t *c);
 
 /* place.c */
 void place_init(place_t *p, const side_conf_t *conf);
--- a/lib/side/side.c
+++ b/lib/side/side.c
@@ -251,7 +251,7 @@
 
 	if (!j || (j->state != JOB_RUNNING && j->state != JOB_ENDED))
 		return;
-	answer_ack(&j->a, m->seq);
+	answer_acked(&j->a, m->seq);
 	if (j->state == JOB_ENDED && m->end)
 		job_free(s, j);
 }
--- a/lib/side/speed.c
+++ b/lib/side/speed.c
@@ -20,7 +20,7 @@
 {
 	speed_t *v = &s->speed;
 	ms_t span = now - j->since;
-	uint64_t tokens = scan_tokens(&j->a.scan);
+	uint64_t tokens = sse_tokens(&j->a.scan);
 
 	v->ended += j->work;
 	if (j->a.status != 200)
--- a/lib/side/scan.c
+++ b/lib/side/sse.c
@@ -11,14 +11,14 @@
 }
 
 /* Starts on an answer of a content type. */
-void scan_init(scan_t *c, str_t type)
+void sse_init(sse_t *c, str_t type)
 {
 	memset(c, 0, sizeof(*c));
 	c->events = starts(type.p, type.n, "text/event-stream");
 }
 
 /* One line of the events; its start is in tail. */
-static void line(scan_t *c)
+static void line(sse_t *c)
 {
 	if (starts(c->tail, c->n, "data: [DONE]"))
 		c->done = true;
@@ -27,7 +27,7 @@
 	c->n = 0;
 }
 
-static void add_event_bytes(scan_t *c, str_t data)
+static void add_event_bytes(sse_t *c, str_t data)
 {
 	for (size_t i = 0; i < data.n; i++) {
 		if (data.p[i] == '\n')
@@ -37,7 +37,7 @@
 	}
 }
 
-static void keep_tail(scan_t *c, str_t data)
+static void keep_tail(sse_t *c, str_t data)
 {
 	size_t room = sizeof(c->tail) - 1;
 	size_t take = MIN(data.n, room);
@@ -50,7 +50,7 @@
 }
 
 /* Takes the next bytes of the answer. */
-void scan_add(scan_t *c, str_t data)
+void sse_add(sse_t *c, str_t data)
 {
 	if (c->events)
 		add_event_bytes(c, data);
@@ -59,7 +59,7 @@
 }
 
 /* Output tokens: events counted, or the usage that ends a JSON answer. */
-uint64_t scan_tokens(const scan_t *c)
+uint64_t sse_tokens(const sse_t *c)
 {
 	static const char key[] = "\"completion_tokens\"";
 	const char *p;
--- a/mk/rules.mk
+++ b/mk/rules.mk
@@ -20,7 +20,7 @@
 TARGET = $(O)/lib$(LIB).a
 $(TARGET): $(OFILES)
 	@rm -f $@
-	ar rcs $@ $(OFILES)
+	@ar rcs $@ $(OFILES)
 endif
 
 ifdef PROG
@@ -29,7 +29,8 @@
 TARGET = $(O)/$(PROG)
 AFILES = $(LIBS:%=$(O)/lib%.a)
 $(TARGET): $(OFILES) $(AFILES)
-	$(CC) $(CFLAGS) -o $@ $(OFILES) $(AFILES) $(LDLIBS)
+	@echo LD $@
+	@$(CC) $(CFLAGS) -o $@ $(OFILES) $(AFILES) $(LDLIBS)
 endif
 
 all: $(TARGET)
@@ -37,7 +38,8 @@
 
 $(O)/$(LIB)$(if $(PROG),$(PROG).d)/%.o: %.c
 	@mkdir -p $(@D)
-	$(CC) $(CPPFLAGS) $(CFLAGS) $(WARNC) -MMD -MP -c -o $@ $<
+	@echo CC $<
+	@$(CC) $(CPPFLAGS) $(CFLAGS) $(WARNC) -MMD -MP -c -o $@ $<
 
 -include $(OFILES:.o=.d)
 .PHONY: all
