Entry: sidecars without an engine

Cause: a sidecar refuses with no-server once its engine has been down for a time; the entry asked it again at once, message after message. Change: such a sidecar is asked again after 500 ms, and a request that every sidecar refuses so ends as no-server.

--- a/lib/entry/offer.c
+++ b/lib/entry/offer.c
@@ -73,15 +73,21 @@
 	return o;
 }
 
+static void refuse(offer_t *o, code_t code, ms_t until, ms_t retry)
+{
+	o->refused = true;
+	o->code = code;
+	o->hold_until = until;
+	o->retry = retry;
+}
+
 /* The sidecar did not run the request: no offer there for a moment. */
 void offer_pause(request_t *r, sidecar_t *s, ms_t now)
 {
 	offer_t *o = offer_new(r, s);
 
-	o->refused = true;
-	o->code = CODE_NOT_SENT;
 	o->sent_at = now;
-	o->hold_until = now + NOT_RUN_PAUSE;
+	refuse(o, CODE_NOT_SENT, now + NOT_RUN_PAUSE, NOT_RUN_PAUSE);
 }
 
 /*
@@ -96,13 +102,15 @@
 	if (!o)
 		o = offer_new(r, s);
 	o->sent_at = now;
-	o->refused = refuses_until > now;
-	if (o->refused) {
-		o->code = CODE_SHED;
-		o->hold_until = refuses_until;
-		o->retry = refuses_until - now;
+	if (refuses_until > now) {
+		refuse(o, CODE_SHED, refuses_until, refuses_until - now);
+		return;
+	}
+	if (s->no_engine_until > now) {
+		refuse(o, CODE_NO_SERVER, s->no_engine_until, RETRY_DEFAULT);
 		return;
 	}
+	o->refused = false;
 	r->out++;
 	r->lonely_since = -1;
 	send_offer(e, r, s, now);
@@ -329,9 +337,27 @@
 }
 
 /*
- * A sidecar refused or evicted an offer. Its hold is counted from the sending
- * of the offer, since the time of the refusal there is not known here.
+ * A hold is counted from the sending of the offer, since the time of the
+ * refusal at the sidecar is not known here.
  */
+static void take_refusal(request_t *r, offer_t *o, const msg_refuse_t *m,
+			 ms_t now)
+{
+	sidecar_t *s = o->sidecar;
+	ms_t until = now + NOT_RUN_PAUSE;
+
+	if (m->code == CODE_SHED) {
+		until = o->sent_at + (ms_t)MIN(m->hold_ms, INT32_MAX);
+		note_hold(s, r->s.tier, until);
+	} else if (m->code == CODE_NO_SERVER) {
+		until = now + NO_ENGINE_PAUSE;
+		s->no_engine_until = until;
+	}
+	r->out--;
+	refuse(o, (code_t)m->code, until, (ms_t)MIN(m->retry_ms, INT32_MAX));
+}
+
+/* A sidecar refused an offer, at once or after it waited there. */
 void offer_refused(entry_t *e, sidecar_t *s, const msg_refuse_t *m, ms_t now)
 {
 	request_t *r = request_find(e, m->rid);
@@ -342,15 +368,8 @@
 		sidecar_leave(e, s);
 	else if (m->code == CODE_NOT_LOADED)
 		sidecar_forget_state(e, s);
-	else if (o && !o->refused) {
-		o->refused = true;
-		r->out--;
-		o->code = (code_t)m->code;
-		o->hold_until = o->sent_at + (ms_t)MIN(m->hold_ms, INT32_MAX);
-		o->retry = (ms_t)MIN(m->retry_ms, INT32_MAX);
-		if (m->code == CODE_SHED)
-			note_hold(s, r->s.tier, o->hold_until);
-	}
+	else if (o && !o->refused)
+		take_refusal(r, o, m, now);
 	if (!r || r->state != REQUEST_WAITING)
 		return;
 	r->rest_at = 0;
--- a/lib/entry/priv.h
+++ b/lib/entry/priv.h
@@ -9,6 +9,7 @@
 	RESUMES_MAX = 4,       /* resumes of one answer without progress */
 	RETRY_DEFAULT = 1000,  /* ms, when no sidecar gave an estimate */
 	NOT_RUN_PAUSE = 50,    /* ms without an offer to who did not run it */
+	NO_ENGINE_PAUSE = 500, /* ms without an offer to who has no engine */
 };
 
 typedef struct request request_t;
@@ -85,7 +86,8 @@
 	double failures;
 	ms_t rated_at;
 	ms_t aside_until;
-	unsigned int asides; /* in a row */
+	ms_t no_engine_until; /* it said that its engine is down */
+	unsigned int asides;  /* in a row */
 };
 
 /* Requests of one service that are not sent yet, newest last. */
--- a/lib/entry/shed.c
+++ b/lib/entry/shed.c
@@ -21,6 +21,16 @@
 	return o && (o->code == CODE_CANNOT_FINISH || o->hold_until > now);
 }
 
+/* Of two refusals, the one that tells the caller more. */
+static code_t graver(code_t a, code_t b)
+{
+	if (a == CODE_SHED || b == CODE_SHED)
+		return CODE_SHED;
+	if (a == CODE_NO_SERVER)
+		return b;
+	return b == CODE_NO_SERVER ? a : CODE_CANNOT_FINISH;
+}
+
 /*
  * Ends a request that every live sidecar has refused while all the refusals
  * hold, so that no lower tier waits or is granted at any of them. Returns
@@ -28,7 +38,7 @@
  */
 bool shed_if_refused(entry_t *e, request_t *r, const GPtrArray *live, ms_t now)
 {
-	code_t code = CODE_CANNOT_FINISH;
+	code_t code = CODE_NO_SERVER;
 	ms_t retry = -1;
 
 	for (guint i = 0; i < live->len; i++) {
@@ -36,8 +46,7 @@
 
 		if (!holds(o, now) || o->code == CODE_NOT_SENT)
 			return false;
-		if (o->code != CODE_CANNOT_FINISH)
-			code = CODE_SHED;
+		code = graver(code, o->code);
 		if (retry < 0 || o->retry < retry)
 			retry = o->retry;
 	}
