--- a/lib/entry/offer.c
+++ b/lib/entry/offer.c
@@ -193,6 +193,29 @@
 		set_version(e, r, r->picked);
 }
 
+/*
+ * When a sidecar that refused is asked again. A widened request does so before
+ * the hold lapses, so that nothing lower gets in between.
+ */
+static ms_t again_at(const request_t *r, const offer_t *o)
+{
+	if (!o->refused || o->code == CODE_CANNOT_FINISH)
+		return INT64_MAX;
+	if (!r->widened)
+		return o->hold_until;
+	return MAX(o->hold_until - AGAIN_BEFORE, o->sent_at + AGAIN_BEFORE);
+}
+
+static ms_t first_again_at(const request_t *r)
+{
+	ms_t first = INT64_MAX;
+
+	for (list_t *p = r->offers.next; p != &r->offers; p = p->next)
+		first = MIN(first,
+			    again_at(r, list_entry(p, offer_t, by_request)));
+	return first;
+}
+
 /* Leaves the sidecars that were not asked, or whose hold has lapsed. */
 static GPtrArray *not_asked(const request_t *r, const GPtrArray *live,
 			    bool lapsed, ms_t now)
@@ -201,11 +224,8 @@
 
 	for (guint i = 0; i < live->len; i++) {
 		const offer_t *o = find_offer(r, live->pdata[i]);
-		bool again = o && lapsed && o->refused &&
-			     o->code != CODE_CANNOT_FINISH &&
-			     o->hold_until <= now;
 
-		if (!o || again)
+		if (!o || (lapsed && again_at(r, o) <= now))
 			g_ptr_array_add(left, live->pdata[i]);
 	}
 	return left;
@@ -264,11 +284,12 @@
 		fill_from(e, r, left, now);
 		g_ptr_array_unref(left);
 	}
-	if (!none && r->out == 0) {
+	if (!none && (r->out == 0 || r->widened)) {
 		left = not_asked(r, live, true, now);
 		fill_from(e, r, left, now);
 		g_ptr_array_unref(left);
 	}
+	r->again_at = first_again_at(r);
 	if (none)
 		wait_for_server(e, r, now);
 	else if (r->out == 0)
--- a/lib/entry/priv.h
+++ b/lib/entry/priv.h
@@ -9,6 +9,7 @@
 	RESUMES_MAX = 4,       /* resumes of one answer without progress */
 	RETRY_DEFAULT = 1000,  /* ms, when no sidecar gave an estimate */
 	NOT_RUN_PAUSE = 50,    /* ms without an offer to who did not run it */
+	AGAIN_BEFORE = 50,     /* ms before a hold lapses */
 	NO_ENGINE_PAUSE = 500, /* ms without an offer to who has no engine */
 };
 
@@ -51,6 +52,7 @@
 	ms_t rest_at;	   /* end of the head start */
 	ms_t lonely_since; /* no sidecar to offer to; -1 there is one */
 	ms_t stopped_at;
+	ms_t again_at;	  /* first refusal to ask again after */
 	unsigned int out; /* offers without an answer */
 	uint64_t filled;  /* entry.changes when last filled */
 	bool widened;
--- a/lib/entry/sidecar.c
+++ b/lib/entry/sidecar.c
@@ -145,6 +145,17 @@
 	}
 }
 
+static void withdraw_all(entry_t *e, sidecar_t *s)
+{
+	list_t *pos;
+	list_t *tmp;
+
+	list_for_each_safe(pos, tmp, &s->offers)
+	{
+		offer_drop(e, list_entry(pos, offer_t, by_sidecar), true);
+	}
+}
+
 static void set_aside(entry_t *e, sidecar_t *s, ms_t now)
 {
 	ms_t span = ASIDE_MIN << MIN(s->asides, 4);
@@ -152,6 +163,7 @@
 	s->asides++;
 	s->aside_until = now + MIN(span, ASIDE_MAX);
 	e->changes++;
+	withdraw_all(e, s);
 	e->set_aside->value++;
 }
 
--- a/lib/entry/tick.c
+++ b/lib/entry/tick.c
@@ -9,7 +9,9 @@
 		return true;
 	if (r->rest_at > 0 && now >= r->rest_at)
 		return true;
-	return !r->widened && r->deadline - now <= e->conf.widen_before;
+	if (r->widened)
+		return now >= r->again_at;
+	return r->deadline - now <= e->conf.widen_before;
 }
 
 static void ack_if_due(entry_t *e, request_t *r, ms_t now)
--- a/test/entry.c
+++ b/test/entry.c
@@ -425,6 +425,8 @@
 	  "o1.1 | o2.1 w1.1" },
 	{ "widens before the deadline", UP2 "U3 S3 R0 T7999 T1",
 	  "o2.1 o3.1 | o1.1" },
+	{ "asks again before a hold lapses, once widened",
+	  UP2 "R0 T8000 X1.1.206.9000 T949 T1", "o1.1 o2.1 | o1.1" },
 	{ "head start of the prefix", UP2 "R0p T19 T1", "o1.1 | o2.1" },
 	{ "a refusal ends the head start", UP2 "R0p X1.1.206.99",
 	  "o1.1 | o2.1" },
--- a/test/rig/node.c
+++ b/test/rig/node.c
@@ -107,11 +107,21 @@
 	.note = entry_note,
 };
 
+static void note_cannot_finish(const node_t *n, rid_t rid)
+{
+	rig_request_t *r = g_hash_table_lookup(n->rig->by_rid, &rid);
+
+	if (r)
+		r->cannot_finish |= UINT64_C(1) << n->i;
+}
+
 static void side_send_msg(void *ctx, uint64_t inc, const msg_t *m)
 {
 	node_t *n = ctx;
 	unsigned int entry = entry_by_inc(n->rig, inc);
 
+	if (m->type == MSG_REFUSE && m->u.refuse.code == CODE_CANNOT_FINISH)
+		note_cannot_finish(n, m->u.refuse.rid);
 	if (entry < n->rig->conf.entries)
 		link_send(n->rig, entry, n->i, END_ENTRY, m);
 }
@@ -139,6 +149,7 @@
 	} else {
 		r->dispatches++;
 		r->dispatched_at = n->rig->now;
+		r->side = n->i;
 		engine_add(n->engine, d->rid, body, n->rig->now);
 		node_engine_plan(n);
 	}
--- a/test/rig/priv.h
+++ b/test/rig/priv.h
@@ -78,6 +78,7 @@
 	node_t *sides;
 	rig_link_t *links;
 	GPtrArray *requests;
+	GHashTable *by_rid;
 	decoder_t decoder;
 };
 
--- a/test/rig/rig.c
+++ b/test/rig/rig.c
@@ -29,6 +29,7 @@
 	rig->now = 1000;
 	rig->heap = g_ptr_array_new();
 	rig->requests = g_ptr_array_new();
+	rig->by_rid = g_hash_table_new(rid_hash, rid_equal);
 	rig->links = g_new0(rig_link_t, (gsize)conf->entries * conf->sidecars);
 	rig->entries = nodes_new(rig, conf->entries, END_ENTRY, "entry");
 	rig->sides = nodes_new(rig, conf->sidecars, END_SIDE, "side");
@@ -50,6 +51,7 @@
 		g_free(r);
 	}
 	g_ptr_array_unref(rig->requests);
+	g_hash_table_destroy(rig->by_rid);
 }
 
 static void nodes_free(node_t *all, unsigned int count)
@@ -169,6 +171,7 @@
 	s.deadline = r->deadline;
 	r->rid = entry_submit(n->entry, &s, GUINT_TO_POINTER(r->number),
 			      rig->now);
+	g_hash_table_insert(rig->by_rid, &r->rid, r);
 	g_free(body);
 	return r;
 }
--- a/test/rig/rig.h
+++ b/test/rig/rig.h
@@ -87,8 +87,10 @@
 	ms_t ended_at;
 	unsigned int dispatches;
 	ms_t dispatched_at;
-	uint64_t computed; /* prompt tokens */
-	GString *got;	   /* data passed on; NULL when not kept */
+	unsigned int side;	/* it was dispatched at */
+	uint64_t cannot_finish; /* a bit for each sidecar that said so */
+	uint64_t computed;	/* prompt tokens */
+	GString *got;		/* data passed on; NULL when not kept */
 	size_t got_bytes;
 } rig_request_t;
 
