Facts and version moves

Cause: requests need a version, and a new one must be watched and taken back without the log.

Ruled out: the offset of the confirm as the id of a move. Two moves of one confirm share it, and a process that starts at a later revision does not know it. Histograms of times: too many registers for their use.

Change: registers merged by maximum with a change number; moves with the id hashed from service, versions and time; stages of 2 (or as declared), 10, 50, 95 percent and the end; evidence for each entry, route and server; Fisher's exact test for failures, a comparison of logarithms server by server for times; under suspicion half of the traffic stays with the old version.

A gate without a least number of requests of the new version let a move with 10 of them on: found by no_stage_passes_without_evidence, mended here.

--- a/lib/move/dat.h
+++ b/lib/move/dat.h
@@ -13,11 +13,12 @@
 	const char *service;
 	const char *version;
 	const char *route;
-	code_t code;	 /* how it ended */
-	int status;	 /* the backend server's HTTP status; 0 none came */
-	ms_t first;	 /* dispatch to first chunk; -1 none came */
-	ms_t gap;	 /* mean time between tokens; -1 unknown */
-	uint64_t tokens; /* prompt and output: the size of the work */
+	code_t code;	    /* how it ended */
+	int status;	    /* the backend server's HTTP status; 0 none came */
+	ms_t first;	    /* dispatch to first chunk; -1 none came */
+	ms_t gap;	    /* mean time between tokens; -1 unknown */
+	uint64_t tokens;    /* prompt and output: the size of the work */
+	const char *server; /* name of its sidecar; NULL unknown */
 } sample_t;
 
 typedef enum move_state {
@@ -29,7 +30,7 @@
 
 /* How a move ended, as kept in the log; the first record of an op counts. */
 typedef struct move_result {
-	uint64_t op; /* log offset of the confirm that began the move */
+	uint64_t op; /* move_id of the move */
 	char *service;
 	char *version;
 	move_state_t state; /* MOVE_DONE or MOVE_REVERSED */
--- /dev/null
+++ b/lib/move/evidence.c
@@ -0,0 +1,288 @@
+/* Evidence: own counters into registers, and all registers summed. */
+#include <inttypes.h>
+#include <math.h>
+#include <string.h>
+#include "move/priv.h"
+
+enum {
+	LOG_UNIT = 16,	  /* steps of a doubling */
+	LOG_RANGE = 20,	  /* doublings; what lies outside is clipped */
+	SIZE_LEAST = 256, /* tokens; smaller work takes as long */
+	SLOT = 2000,	  /* ms; one breakdown fails requests in two at most */
+};
+
+static const char *const metric_names[METRICS] = { "n",	 "f",  "tn", "t",
+						   "tq", "gn", "g",  "gq" };
+
+/* Frees a route_seen_t. */
+void route_free(gpointer p)
+{
+	route_seen_t *r = p;
+
+	g_free(r->name);
+	g_free(r);
+}
+
+/* Frees an own_t. */
+void own_free(gpointer p)
+{
+	own_t *o = p;
+
+	g_free(o->prefix);
+	g_free(o);
+}
+
+static route_seen_t *route_get(move_t *v, const char *name)
+{
+	route_seen_t *r = g_hash_table_lookup(v->routes, name);
+
+	if (r)
+		return r;
+	r = g_new0(route_seen_t, 1);
+	r->name = g_strdup(name);
+	r->failed_slot[MOVE_OLD] = -1;
+	r->failed_slot[MOVE_NEW] = -1;
+	g_hash_table_insert(v->routes, r->name, r);
+	return r;
+}
+
+static own_t *own_get(moves_t *m, move_t *v, side_of_move_t side,
+		      const sample_t *s)
+{
+	const char *server = s->server ? s->server : "";
+	unsigned int row =
+		(unsigned int)(hash64(server, strlen(server), 0) % SERVERS);
+	char key[KEY_SIZE];
+	own_t *o;
+
+	g_snprintf(key, sizeof(key),
+		   "ev/%" G_GUINT64_FORMAT "/%" PRIx64 "/%d/%u/%s", v->id,
+		   m->inc, (int)side, row, s->route ? s->route : "");
+	o = g_hash_table_lookup(v->own, key);
+	if (o)
+		return o;
+	o = g_new0(own_t, 1);
+	o->prefix = g_strdup(key);
+	g_hash_table_insert(v->own, o->prefix, o);
+	return o;
+}
+
+/* Adds the logarithm of a time to three counters: number, sum, squares. */
+static void add_log(cell_t *c, metric_t k, double value)
+{
+	double doublings = log2(MAX(value, 1e-6)) + LOG_RANGE / 2.0;
+
+	doublings = CLAMP(doublings, 0, LOG_RANGE);
+	c->v[k]++;
+	c->v[k + 1] += (uint64_t)lround(doublings * LOG_UNIT);
+	c->v[k + 2] += (uint64_t)lround(doublings * doublings * LOG_UNIT);
+}
+
+/* Whether the request says something of the version that ran it. */
+static bool counts(const sample_t *s)
+{
+	return !code_not_run(s->code) && s->code != CODE_CANCELLED;
+}
+
+static bool failed(const sample_t *s)
+{
+	return s->code != CODE_OK || s->status >= 500;
+}
+
+/* Adds a request to this entry's counters. */
+void evidence_note(moves_t *m, move_t *v, side_of_move_t side,
+		   const sample_t *s)
+{
+	cell_t *c;
+
+	if (!counts(s))
+		return;
+	c = &own_get(m, v, side, s)->cell;
+	c->v[M_REQUESTS]++;
+	if (failed(s)) {
+		c->v[M_FAILURES]++;
+		return;
+	}
+	if (s->first >= 0)
+		add_log(c, M_FIRST_N,
+			(double)MAX(s->first, 1) /
+				(double)(s->tokens + SIZE_LEAST));
+	if (s->gap >= 0)
+		add_log(c, M_GAP_N, (double)MAX(s->gap, 1));
+}
+
+/* Puts this entry's changed counters into registers. */
+void evidence_flush(moves_t *m, move_t *v)
+{
+	GHashTableIter it;
+	gpointer p;
+	char key[KEY_SIZE + 8];
+
+	g_hash_table_iter_init(&it, v->own);
+	while (g_hash_table_iter_next(&it, NULL, &p)) {
+		own_t *o = p;
+
+		for (int k = 0; k < METRICS; k++) {
+			if (o->cell.v[k] == o->told.v[k])
+				continue;
+			g_snprintf(key, sizeof(key), "%s/%s", o->prefix,
+				   metric_names[k]);
+			facts_set(m->facts, key, o->cell.v[k]);
+		}
+		o->told = o->cell;
+	}
+}
+
+static int metric_of(const char *name)
+{
+	for (int k = 0; k < METRICS; k++) {
+		if (!strcmp(metric_names[k], name))
+			return k;
+	}
+	return -1;
+}
+
+/*
+ * Finds the sum that a register belongs to, by its name
+ * ev/ID/INC/SIDE/ROW/ROUTE/METRIC. NULL for another name or an unknown move.
+ */
+static uint64_t *sum_of(moves_t *m, const char *key)
+{
+	char **part = g_strsplit(key, "/", 6);
+	char *last = part[0] && g_strv_length(part) == 6 ? strrchr(part[5], '/')
+							 : NULL;
+	uint64_t *sum = NULL;
+
+	if (last) {
+		move_t *v = move_find(m, g_ascii_strtoull(part[1], NULL, 10));
+		uint64_t side = g_ascii_strtoull(part[3], NULL, 10);
+		uint64_t row = g_ascii_strtoull(part[4], NULL, 10);
+		int k = metric_of(last + 1);
+
+		*last = '\0';
+		if (v && k >= 0 && side < MOVE_SIDES && row < SERVERS)
+			sum = &route_get(v, part[5])
+				       ->total[side]
+				       .servers[row]
+				       .v[k];
+	}
+	g_strfreev(part);
+	return sum;
+}
+
+static void read_one(moves_t *m, const fact_kv_t *kv)
+{
+	reg_t *r = g_hash_table_lookup(m->regs, kv->key.p);
+
+	if (!r) {
+		uint64_t *sum = sum_of(m, kv->key.p);
+
+		if (!sum)
+			return;
+		r = g_new0(reg_t, 1);
+		r->sum = sum;
+		g_hash_table_insert(m->regs, g_strdup(kv->key.p), r);
+	}
+	*r->sum += kv->value - r->value;
+	r->value = kv->value;
+}
+
+/* Adds to the sums what has changed in the registers. */
+void evidence_read(moves_t *m)
+{
+	fact_kv_t kv[64];
+	size_t n;
+
+	do {
+		n = facts_since(m->facts, m->seen, kv, G_N_ELEMENTS(kv),
+				&m->seen);
+		for (size_t i = 0; i < n; i++) {
+			if (!strncmp(kv[i].key.p, "ev/", 3))
+				read_one(m, &kv[i]);
+		}
+	} while (n == G_N_ELEMENTS(kv));
+}
+
+/* Starts summing again from nothing, as moves have come or gone. */
+void evidence_again(moves_t *m)
+{
+	GHashTableIter moves;
+	GHashTableIter routes;
+	gpointer v;
+	gpointer p;
+
+	g_hash_table_remove_all(m->regs);
+	m->seen = 0;
+	g_hash_table_iter_init(&moves, m->all);
+	while (g_hash_table_iter_next(&moves, NULL, &v)) {
+		g_hash_table_iter_init(&routes, ((move_t *)v)->routes);
+		while (g_hash_table_iter_next(&routes, NULL, &p)) {
+			route_seen_t *r = p;
+
+			for (int i = 0; i < MOVE_SIDES; i++)
+				memset(r->total[i].servers, 0,
+				       sizeof(r->total[i].servers));
+		}
+	}
+}
+
+/* A counter over all servers, less what it was at since if that is given. */
+uint64_t tally_sum(const tally_t *t, const tally_t *since, metric_t k)
+{
+	uint64_t sum = 0;
+
+	for (int i = 0; i < SERVERS; i++)
+		sum += t->servers[i].v[k] -
+		       (since ? since->servers[i].v[k] : 0);
+	return sum;
+}
+
+/* Counts the spans of time in which a version failed at all. */
+static void look_slots(route_seen_t *r, ms_t now)
+{
+	for (int i = 0; i < MOVE_SIDES; i++) {
+		uint64_t f = tally_sum(&r->total[i], NULL, M_FAILURES);
+
+		if (f > r->failures[i] && r->failed_slot[i] != now / SLOT) {
+			r->failed_slot[i] = now / SLOT;
+			r->total[i].failed_slots++;
+		}
+		r->failures[i] = f;
+	}
+}
+
+/* Looks at the sums at a point in time, and keeps a snapshot now and then. */
+void evidence_look(move_t *v, ms_t now)
+{
+	bool keep = now - v->snapshot_at >= SNAPSHOT_EVERY;
+	GHashTableIter it;
+	gpointer p;
+
+	g_hash_table_iter_init(&it, v->routes);
+	while (g_hash_table_iter_next(&it, NULL, &p)) {
+		route_seen_t *r = p;
+
+		look_slots(r, now);
+		if (keep)
+			memcpy(r->past[v->snapshots % SNAPSHOTS], r->total,
+			       sizeof(r->total));
+	}
+	if (keep) {
+		v->snapshots++;
+		v->snapshot_at = now;
+	}
+}
+
+/* Marks the start of a stage. */
+void evidence_stage(move_t *v)
+{
+	GHashTableIter it;
+	gpointer p;
+
+	g_hash_table_iter_init(&it, v->routes);
+	while (g_hash_table_iter_next(&it, NULL, &p)) {
+		route_seen_t *r = p;
+
+		memcpy(r->stage, r->total, sizeof(r->total));
+	}
+}
--- a/lib/move/fns.h
+++ b/lib/move/fns.h
@@ -21,6 +21,9 @@
 size_t facts_drop(facts_t *f, const char *prefix);
 size_t facts_len(const facts_t *f);
 
+/* pick.c: the id of a move follows from what the intent says of it. */
+uint64_t move_id(const version_t *v);
+
 /* move.c; inc is this entry's incarnation. */
 moves_t *moves_new(facts_t *facts, uint64_t inc, const moves_ops_t *ops,
 		   void *ctx);
--- /dev/null
+++ b/lib/move/move.c
@@ -0,0 +1,484 @@
+/* Version moves: their stages, and how they end. */
+#include <string.h>
+#include "move/priv.h"
+
+enum {
+	LOOK_EVERY = 1000,    /* ms */
+	TELL_EVERY = 5000,    /* ms between calls of ended */
+	SETTLE = 3000,	      /* ms in which a late alarm can stop the end */
+	SPANS_SUM = 810,      /* s of all stages at their usual pace */
+	PERCENT_OF_TIME = 80, /* of the time left, for all stages */
+};
+
+static void move_free(gpointer p)
+{
+	move_t *v = p;
+
+	g_hash_table_destroy(v->routes);
+	g_hash_table_destroy(v->own);
+	g_free(v->service);
+	g_free(v->version[MOVE_OLD]);
+	g_free(v->version[MOVE_NEW]);
+	g_free(v->evidence);
+	g_free(v);
+}
+
+static void moving_free(gpointer p)
+{
+	moving_t *g = p;
+
+	g_free(g->service);
+	g_free(g->version);
+	g_free(g);
+}
+
+static GHashTable *table_of_moves(void)
+{
+	return g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
+				     move_free);
+}
+
+/* Returns moves that know no service yet. */
+moves_t *moves_new(facts_t *facts, uint64_t inc, const moves_ops_t *ops,
+		   void *ctx)
+{
+	moves_t *m = g_new0(moves_t, 1);
+
+	m->facts = facts;
+	m->inc = inc;
+	m->ops = ops;
+	m->ctx = ctx;
+	m->rand = g_rand_new_with_seed((guint32)(inc ^ (inc >> 32)));
+	m->all = table_of_moves();
+	m->services = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+					    moving_free);
+	m->regs =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	return m;
+}
+
+/* Frees the moves; the facts stay. */
+void moves_free(moves_t *m)
+{
+	g_hash_table_destroy(m->services);
+	g_hash_table_destroy(m->regs);
+	g_hash_table_destroy(m->all);
+	g_rand_free(m->rand);
+	g_free(m);
+}
+
+/* Returns the move of that id, or NULL. */
+move_t *move_find(const moves_t *m, uint64_t id)
+{
+	return g_hash_table_lookup(m->all, &id);
+}
+
+/* Unix time in seconds, counted on from the last moves_set. */
+int64_t moves_unix(const moves_t *m, ms_t now)
+{
+	return m->set_unix + (now - m->set_at) / 1000;
+}
+
+/* State of a move: its result in the log, else what the registers say. */
+move_state_t move_state(const move_t *v)
+{
+	if (v->result_known)
+		return v->result;
+	if (v->bad)
+		return MOVE_REVERSED;
+	if (v->stage >= STAGE_DONE)
+		return MOVE_DONE;
+	return v->stage == STAGE_WATCH ? MOVE_WATCHING : MOVE_RUNNING;
+}
+
+/* Value of one of the registers of a move, "stage" or "bad". */
+uint64_t move_fact(const moves_t *m, const char *what, uint64_t id)
+{
+	char key[64];
+
+	g_snprintf(key, sizeof(key), "%s/%" G_GUINT64_FORMAT, what, id);
+	return facts_get(m->facts, key);
+}
+
+static void fact_put(moves_t *m, const char *what, uint64_t id, uint64_t value)
+{
+	char key[64];
+
+	g_snprintf(key, sizeof(key), "%s/%" G_GUINT64_FORMAT, what, id);
+	facts_set(m->facts, key, value);
+}
+
+/* How much faster than usual the stages must be to end in time, 0 to 1. */
+static double pace_of(const version_t *d, int64_t unix_now)
+{
+	double left = (double)(d->by - unix_now);
+
+	if (d->by == 0)
+		return 1;
+	return CLAMP(left * PERCENT_OF_TIME / 100 / SPANS_SUM, 0, 1);
+}
+
+static move_t *move_new(moves_t *m, const version_t *d, ms_t now)
+{
+	move_t *v = g_new0(move_t, 1);
+
+	v->id = move_id(d);
+	v->service = g_strdup(d->service);
+	v->version[MOVE_OLD] = g_strdup(d->replaces);
+	v->version[MOVE_NEW] = g_strdup(d->name);
+	v->by = d->by;
+	v->first_percent = d->first_percent ? d->first_percent : 2;
+	v->pace = pace_of(d, m->set_unix);
+	v->stage = MIN(move_fact(m, "stage", v->id), STAGE_DONE);
+	v->stage_at = now;
+	v->bad = move_fact(m, "bad", v->id) != 0;
+	v->offset = 1 - g_rand_double(m->rand);
+	v->routes = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+					  route_free);
+	v->own = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, own_free);
+	v->snapshot_at = now;
+	v->recent_at = now;
+	v->tell_at = now;
+	return v;
+}
+
+static const move_result_t *result_of(const GPtrArray *results, uint64_t id)
+{
+	for (guint i = 0; results && i < results->len; i++) {
+		const move_result_t *r = g_ptr_array_index(results, i);
+
+		if (r->op == id)
+			return r;
+	}
+	return NULL;
+}
+
+/* Makes or keeps the moves of an intent, and forgets all others. */
+static void set_moves(moves_t *m, const intent_t *in, const GPtrArray *results,
+		      ms_t now)
+{
+	GHashTable *old = m->all;
+
+	m->all = table_of_moves();
+	for (guint i = 0; i < in->versions->len; i++) {
+		const version_t *d = g_ptr_array_index(in->versions, i);
+		const move_result_t *r;
+		uint64_t id;
+		move_t *v;
+
+		if (!d->replaces)
+			continue;
+		id = move_id(d);
+		v = g_hash_table_lookup(old, &id);
+		if (v)
+			g_hash_table_steal(old, &id);
+		else
+			v = move_new(m, d, now);
+		r = result_of(results, id);
+		v->result_known = r != NULL;
+		v->result = r ? r->state : MOVE_RUNNING;
+		g_hash_table_replace(m->all, &v->id, v);
+	}
+	g_hash_table_destroy(old);
+}
+
+/* The next move of the service away from the version; NULL: none. */
+static move_t *move_from(const moves_t *m, const intent_t *in,
+			 const char *service, const char *version)
+{
+	move_t *found = NULL;
+
+	for (guint i = 0; i < in->versions->len; i++) {
+		const version_t *d = g_ptr_array_index(in->versions, i);
+		uint64_t id;
+		move_t *v;
+
+		if (!d->replaces || strcmp(d->service, service) != 0 ||
+		    strcmp(d->replaces, version) != 0)
+			continue;
+		id = move_id(d);
+		v = move_find(m, id);
+		if (!v->result_known)
+			return v;
+		if (v->result == MOVE_DONE)
+			found = v;
+	}
+	return found;
+}
+
+/* Follows the moves that are done from the version without a predecessor. */
+static void set_service(moves_t *m, const intent_t *in, const version_t *first)
+{
+	moving_t *g;
+	const char *version = first->name;
+	move_t *v = move_from(m, in, first->service, version);
+	guint steps = in->versions->len;
+
+	if (g_hash_table_lookup(m->services, first->service))
+		return;
+	while (v && v->result_known && steps-- > 0) {
+		version = v->version[MOVE_NEW];
+		v = move_from(m, in, first->service, version);
+	}
+	g = g_new0(moving_t, 1);
+	g->service = g_strdup(first->service);
+	g->version = g_strdup(version);
+	g->move = v && !v->result_known ? v : NULL;
+	g_hash_table_insert(m->services, g->service, g);
+}
+
+/* Forgets the evidence of a move that the log says is over. */
+static void drop_evidence(moves_t *m)
+{
+	GHashTableIter it;
+	gpointer p;
+	char prefix[64];
+
+	g_hash_table_iter_init(&it, m->all);
+	while (g_hash_table_iter_next(&it, NULL, &p)) {
+		const move_t *v = p;
+
+		if (!v->result_known)
+			continue;
+		g_snprintf(prefix, sizeof(prefix), "ev/%" G_GUINT64_FORMAT "/",
+			   v->id);
+		facts_drop(m->facts, prefix);
+	}
+}
+
+/*
+ * Takes a newly accepted intent; results are of move_result_t and end their
+ * moves for ever. unix_now is in seconds. May be called again with the same.
+ */
+void moves_set(moves_t *m, const intent_t *in, uint64_t offset,
+	       const GPtrArray *results, ms_t now, int64_t unix_now)
+{
+	(void)offset;
+	m->set_at = now;
+	m->set_unix = unix_now;
+	set_moves(m, in, results, now);
+	evidence_again(m);
+	g_hash_table_remove_all(m->services);
+	for (guint i = 0; i < in->versions->len; i++) {
+		const version_t *d = g_ptr_array_index(in->versions, i);
+
+		if (!d->replaces)
+			set_service(m, in, d);
+	}
+	drop_evidence(m);
+	evidence_read(m);
+}
+
+/* Whether the version was found bad or its move reversed. */
+bool moves_is_bad(const moves_t *m, const char *service, const char *version)
+{
+	GHashTableIter it;
+	gpointer p;
+
+	g_hash_table_iter_init(&it, m->all);
+	while (g_hash_table_iter_next(&it, NULL, &p)) {
+		const move_t *v = p;
+
+		if (!strcmp(v->service, service) &&
+		    !strcmp(v->version[MOVE_NEW], version) &&
+		    move_state(v) == MOVE_REVERSED)
+			return true;
+	}
+	return false;
+}
+
+/* Takes what a finished request says of its version. */
+void moves_note(moves_t *m, const sample_t *s, ms_t now)
+{
+	const moving_t *g = g_hash_table_lookup(m->services, s->service);
+	move_t *v = g ? g->move : NULL;
+
+	if (!v || !s->version)
+		return;
+	for (int side = 0; side < MOVE_SIDES; side++) {
+		if (strcmp(s->version, v->version[side]) != 0)
+			continue;
+		move_returned(v, (side_of_move_t)side);
+		evidence_note(m, v, (side_of_move_t)side, s);
+	}
+	move_age(v, now);
+}
+
+/* Reads the registers of a move that other entries may have raised. */
+static void follow(moves_t *m, move_t *v, ms_t now)
+{
+	uint64_t stage = MIN(move_fact(m, "stage", v->id), STAGE_DONE);
+
+	v->bad = move_fact(m, "bad", v->id) != 0;
+	if (stage <= v->stage)
+		return;
+	v->stage = stage;
+	v->stage_at = now;
+	evidence_stage(v);
+}
+
+static void say_evidence(move_t *v, const char *route, const char *why,
+			 bool late)
+{
+	uint64_t n[MOVE_SIDES] = { 0, 0 };
+	uint64_t f[MOVE_SIDES] = { 0, 0 };
+	GHashTableIter it;
+	gpointer p;
+
+	g_hash_table_iter_init(&it, v->routes);
+	while (g_hash_table_iter_next(&it, NULL, &p)) {
+		const route_seen_t *r = p;
+
+		for (int i = 0; i < MOVE_SIDES; i++) {
+			n[i] += tally_sum(&r->total[i], NULL, M_REQUESTS);
+			f[i] += tally_sum(&r->total[i], NULL, M_FAILURES);
+		}
+	}
+	g_free(v->evidence);
+	v->evidence = g_strdup_printf(
+		"stage=%" G_GUINT64_FORMAT " why=%s route=%s late=%d "
+		"new_requests=%" G_GUINT64_FORMAT
+		" new_failures=%" G_GUINT64_FORMAT
+		" old_requests=%" G_GUINT64_FORMAT
+		" old_failures=%" G_GUINT64_FORMAT,
+		v->stage, *why ? why : "none", *route ? route : "none",
+		(int)late, n[MOVE_NEW], f[MOVE_NEW], n[MOVE_OLD], f[MOVE_OLD]);
+}
+
+static bool is_late(const moves_t *m, const move_t *v, ms_t now)
+{
+	return v->by && moves_unix(m, now) > v->by;
+}
+
+/* Judges the evidence; raises the stage or the register of bad versions. */
+static void decide(moves_t *m, move_t *v, ms_t now)
+{
+	const char *route = "";
+	const char *why = "";
+	verdict_t verdict = gate_judge(v, &route, &why);
+
+	say_evidence(v, route, why, is_late(m, v, now));
+	v->suspect = verdict == VERDICT_SUSPECT;
+	if (verdict == VERDICT_BAD) {
+		fact_put(m, "bad", v->id, 1);
+	} else if (verdict == VERDICT_FINE &&
+		   now - v->stage_at >= gate_span(v) &&
+		   gate_evidence(v, v->stage == STAGE_WATCH)) {
+		fact_put(m, "stage", v->id, v->stage + 1);
+	}
+	follow(m, v, now);
+}
+
+/* Tells how the move ended, again and again until its result is set. */
+static void tell(moves_t *m, move_t *v, ms_t now)
+{
+	move_result_t r = { .op = v->id,
+			    .service = v->service,
+			    .version = v->version[MOVE_NEW],
+			    .state = move_state(v),
+			    .evidence = v->evidence };
+
+	if (r.state == MOVE_DONE && now - v->stage_at < SETTLE)
+		return;
+	if (now < v->tell_at)
+		return;
+	v->tell_at =
+		now + TELL_EVERY + g_rand_int_range(m->rand, 0, TELL_EVERY);
+	if (!v->evidence)
+		say_evidence(v, "", "", is_late(m, v, now));
+	r.evidence = v->evidence;
+	m->ops->ended(m->ctx, &r);
+}
+
+static void tick_move(moves_t *m, move_t *v, bool look, ms_t now)
+{
+	move_state_t state;
+
+	if (v->result_known)
+		return;
+	if (look) {
+		evidence_flush(m, v);
+		evidence_read(m);
+	}
+	follow(m, v, now);
+	state = move_state(v);
+	if (look && (state == MOVE_RUNNING || state == MOVE_WATCHING)) {
+		evidence_look(v, now);
+		decide(m, v, now);
+	}
+	state = move_state(v);
+	if (state == MOVE_DONE || state == MOVE_REVERSED)
+		tell(m, v, now);
+	move_age(v, now);
+}
+
+/* Judges the moves about once a second; registers are followed at each call. */
+void moves_tick(moves_t *m, ms_t now)
+{
+	bool look = now >= m->look_at;
+	GHashTableIter it;
+	gpointer p;
+
+	g_hash_table_iter_init(&it, m->services);
+	while (g_hash_table_iter_next(&it, NULL, &p)) {
+		const moving_t *g = p;
+
+		if (g->move)
+			tick_move(m, g->move, look, now);
+	}
+	if (look)
+		m->look_at = now + LOOK_EVERY;
+}
+
+static const char *state_name(move_state_t s)
+{
+	static const char *const names[] = { "running", "watching", "done",
+					     "reversed" };
+
+	return names[s];
+}
+
+/* Prints each move on a line of key=value pairs. */
+void moves_print(const moves_t *m, GString *out)
+{
+	GHashTableIter it;
+	gpointer p;
+
+	g_hash_table_iter_init(&it, m->all);
+	while (g_hash_table_iter_next(&it, NULL, &p)) {
+		const move_t *v = p;
+
+		g_string_append_printf(
+			out,
+			"move id=%" G_GUINT64_FORMAT
+			" service=%s from=%s to=%s state=%s suspect=%d %s\n",
+			v->id, v->service, v->version[MOVE_OLD],
+			v->version[MOVE_NEW], state_name(move_state(v)),
+			(int)v->suspect, v->evidence ? v->evidence : "");
+	}
+}
+
+/*
+ * Versions of the service that a backend server should have loaded, oldest
+ * first: the one in place and the one that is moving in. Free the array with
+ * g_ptr_array_free, which frees the names as well.
+ */
+GPtrArray *moves_wanted(const intent_t *in, const char *service,
+			const GPtrArray *results)
+{
+	static const moves_ops_t none;
+	facts_t *facts = facts_new();
+	moves_t *m = moves_new(facts, 0, &none, NULL);
+	GPtrArray *out = g_ptr_array_new_with_free_func(g_free);
+	const moving_t *g;
+
+	moves_set(m, in, 0, results, 0, 0);
+	g = g_hash_table_lookup(m->services, service);
+	if (g)
+		g_ptr_array_add(out, g_strdup(g->version));
+	if (g && g->move)
+		g_ptr_array_add(out, g_strdup(g->move->version[MOVE_NEW]));
+	moves_free(m);
+	facts_free(facts);
+	return out;
+}
--- /dev/null
+++ b/lib/move/priv.h
@@ -0,0 +1,160 @@
+/* Tables of version moves, shared by the files of lib/move. */
+#ifndef MOVE_PRIV_H
+#define MOVE_PRIV_H
+
+#include "move/fns.h"
+
+enum {
+	SERVERS = 64,	/* rows of a route, by hash of the server's name */
+	SNAPSHOTS = 13, /* of the evidence, one each SNAPSHOT_EVERY */
+	SNAPSHOT_EVERY = 5000, /* ms */
+	STAGE_WATCH = 3,
+	STAGE_DONE = 4,
+	KEY_SIZE = 512, /* bytes of a register's name */
+};
+
+/* Which of the two versions of a move. */
+typedef enum side_of_move {
+	MOVE_OLD,
+	MOVE_NEW,
+	MOVE_SIDES,
+} side_of_move_t;
+
+typedef enum metric {
+	M_REQUESTS,
+	M_FAILURES,
+	M_FIRST_N,  /* times to the first chunk */
+	M_FIRST,    /* sum of their logarithms, in 1/LOG_UNIT of a doubling */
+	M_FIRST_SQ, /* sum of the squares, in whole doublings */
+	M_GAP_N,
+	M_GAP,
+	M_GAP_SQ,
+	METRICS,
+} metric_t;
+
+/* Counters of one version on one route at one server. */
+typedef struct cell {
+	uint64_t v[METRICS];
+} cell_t;
+
+/* Sums over all entries for one version on one route. */
+typedef struct tally {
+	cell_t servers[SERVERS];
+	uint64_t failed_slots; /* spans of SLOT with a failure */
+} tally_t;
+
+/* A route of the moving service and what was seen on it. */
+typedef struct route_seen {
+	char *name;
+	tally_t total[MOVE_SIDES];
+	tally_t stage[MOVE_SIDES]; /* total at the stage's start */
+	tally_t past[SNAPSHOTS][MOVE_SIDES];
+	uint64_t failures[MOVE_SIDES]; /* at the last look */
+	ms_t failed_slot[MOVE_SIDES];  /* number of the last with a failure */
+} route_seen_t;
+
+/* What one route says of the new version against the old one. */
+typedef enum verdict {
+	VERDICT_FINE,
+	VERDICT_SUSPECT,
+	VERDICT_BAD,
+} verdict_t;
+
+/* Counters of this entry, before they go into registers. */
+typedef struct own {
+	char *prefix;
+	cell_t cell;
+	cell_t told;
+} own_t;
+
+typedef struct move {
+	uint64_t id;
+	char *service;
+	char *version[MOVE_SIDES];
+	int64_t by; /* unix seconds; 0 none */
+	uint64_t first_percent;
+	double pace; /* of the stages' spans, 1 or less to meet by */
+	uint64_t stage;
+	ms_t stage_at;
+	bool bad;
+	bool suspect;
+	bool result_known;
+	move_state_t result;
+	ms_t tell_at; /* when to call ended next */
+	char *evidence;
+	GHashTable *routes; /* of route_seen_t */
+	GHashTable *own;    /* of own_t */
+	size_t snapshots;   /* taken so far */
+	ms_t snapshot_at;
+	ms_t flush_at;
+	double due;    /* requests that the new version should have had */
+	double given;  /* requests that it had */
+	double offset; /* random part of the next one's turn */
+	uint64_t open[MOVE_SIDES];   /* picked and not noted */
+	uint64_t recent[MOVE_SIDES]; /* picked since recent_at */
+	uint64_t before[MOVE_SIDES]; /* in the span before that */
+	ms_t recent_at;
+} move_t;
+
+/* A service, the version in place, and the move away from it. */
+typedef struct moving {
+	char *service;
+	char *version;
+	move_t *move; /* NULL: none */
+} moving_t;
+
+/* A register of evidence and where it is summed. */
+typedef struct reg {
+	uint64_t *sum;
+	uint64_t value;
+} reg_t;
+
+struct moves {
+	facts_t *facts;
+	uint64_t inc;
+	const moves_ops_t *ops;
+	void *ctx;
+	GRand *rand;
+	GHashTable *all;      /* of move_t, by id */
+	GHashTable *services; /* of moving_t, by name */
+	GHashTable *regs;     /* of reg_t, by the register's name */
+	uint64_t seen;	      /* change of facts that is summed up to */
+	ms_t set_at;
+	int64_t set_unix;
+	ms_t look_at;
+};
+
+/* move.c */
+move_t *move_find(const moves_t *m, uint64_t id);
+int64_t moves_unix(const moves_t *m, ms_t now);
+move_state_t move_state(const move_t *v);
+uint64_t move_fact(const moves_t *m, const char *what, uint64_t id);
+
+/* pick.c */
+double move_share(const moves_t *m, const move_t *v, ms_t now);
+void move_returned(move_t *v, side_of_move_t side);
+void move_age(move_t *v, ms_t now);
+
+/* evidence.c */
+void route_free(gpointer p);
+void own_free(gpointer p);
+void evidence_note(moves_t *m, move_t *v, side_of_move_t side,
+		   const sample_t *s);
+void evidence_flush(moves_t *m, move_t *v);
+void evidence_read(moves_t *m);
+void evidence_again(moves_t *m);
+void evidence_look(move_t *v, ms_t now);
+void evidence_stage(move_t *v);
+uint64_t tally_sum(const tally_t *t, const tally_t *since, metric_t k);
+
+/* gate.c */
+verdict_t gate_judge(const move_t *v, const char **route, const char **why);
+bool gate_evidence(const move_t *v, bool all);
+ms_t gate_span(const move_t *v);
+
+/* stat.c */
+double stat_failures(uint64_t f1, uint64_t n1, uint64_t f0, uint64_t n0);
+double stat_slower(const cell_t *new_cells, const cell_t *old_cells, metric_t k,
+		   int skip, double *doublings);
+
+#endif
--- /dev/null
+++ b/test/move.c
@@ -0,0 +1,345 @@
+/* Moves: which version is picked, how stages pass, how a move ends. */
+#include <check.h>
+#include <math.h>
+#include <string.h>
+#include "move/priv.h"
+
+enum {
+	VERSIONS = 4,
+};
+
+static version_t versions[VERSIONS] = {
+	{ .service = "helper", .name = "v1" },
+	{ .service = "helper", .name = "v2", .replaces = "v1" },
+	{ .service = "helper", .name = "v3", .replaces = "v2", .by = 5000 },
+	{ .service = "stock", .name = "s1" },
+};
+
+typedef struct rig {
+	intent_t in;
+	GPtrArray *results;
+	facts_t *facts;
+	moves_t *m;
+	ms_t now;
+	move_result_t last; /* of ended; strings are not kept */
+	unsigned int ended;
+	unsigned int bad_every; /* a failure of v2 each so many; 0 none */
+	ms_t slow;		/* added to v2's first chunk */
+	const char *new_server; /* NULL: as for v1 */
+	uint64_t seq;
+	unsigned int picked_new;
+} rig_t;
+
+static void on_ended(void *ctx, const move_result_t *r)
+{
+	rig_t *rig = ctx;
+
+	rig->last = *r;
+	rig->ended++;
+}
+
+static const moves_ops_t ops = { on_ended };
+
+static void rig_init(rig_t *r)
+{
+	memset(r, 0, sizeof(*r));
+	r->in.versions = g_ptr_array_new();
+	for (int i = 0; i < VERSIONS; i++)
+		g_ptr_array_add(r->in.versions, &versions[i]);
+	r->results = g_ptr_array_new();
+	r->facts = facts_new();
+	r->m = moves_new(r->facts, 1, &ops, r);
+	moves_set(r->m, &r->in, 10, r->results, 0, 1000);
+}
+
+static void rig_clear(rig_t *r)
+{
+	moves_free(r->m);
+	facts_free(r->facts);
+	g_ptr_array_free(r->results, TRUE);
+	g_ptr_array_free(r->in.versions, TRUE);
+}
+
+static void one_request(rig_t *r)
+{
+	const char *version = moves_pick(r->m, "helper", r->now);
+	bool is_new = !strcmp(version, "v2");
+	sample_t s = { .service = "helper",
+		       .version = version,
+		       .route = r->seq % 3 ? "chat" : "lesson",
+		       .code = CODE_OK,
+		       .status = 200,
+		       .first = 100 + (ms_t)(r->seq * 7 % 50),
+		       .gap = 20 + (ms_t)(r->seq * 5 % 11),
+		       .tokens = 300,
+		       .server = r->seq % 2 ? "side-1" : "side-2" };
+
+	r->seq++;
+	if (is_new) {
+		r->picked_new++;
+		s.first += r->slow;
+		if (r->bad_every && r->picked_new % r->bad_every == 0)
+			s.status = 500;
+		if (r->new_server)
+			s.server = r->new_server;
+	}
+	moves_note(r->m, &s, r->now);
+}
+
+/* Requests at a rate a second for some seconds. */
+static void run(rig_t *r, unsigned int rate, unsigned int seconds)
+{
+	for (unsigned int i = 0; i < seconds * 10; i++) {
+		for (unsigned int k = 0; k < rate / 10; k++)
+			one_request(r);
+		r->now += 100;
+		moves_tick(r->m, r->now);
+	}
+}
+
+START_TEST(one_version_is_always_picked)
+{
+	rig_t r;
+
+	rig_init(&r);
+	ck_assert_str_eq(moves_pick(r.m, "stock", 0), "s1");
+	ck_assert_ptr_null(moves_pick(r.m, "unknown", 0));
+	rig_clear(&r);
+}
+END_TEST
+
+START_TEST(the_first_stage_is_small)
+{
+	rig_t r;
+
+	rig_init(&r);
+	run(&r, 100, 20);
+	ck_assert_uint_ge(r.picked_new, 30);
+	ck_assert_uint_le(r.picked_new, 41);
+	rig_clear(&r);
+}
+END_TEST
+
+START_TEST(a_good_version_is_done)
+{
+	rig_t r;
+
+	rig_init(&r);
+	run(&r, 100, 1000);
+	ck_assert_uint_ge(r.ended, 1);
+	ck_assert_int_eq(r.last.state, MOVE_DONE);
+	ck_assert(!moves_is_bad(r.m, "helper", "v2"));
+	ck_assert_str_eq(moves_pick(r.m, "helper", r.now), "v2");
+	rig_clear(&r);
+}
+END_TEST
+
+START_TEST(no_stage_passes_without_evidence)
+{
+	rig_t r;
+
+	rig_init(&r);
+	run(&r, 0, 2000);
+	run(&r, 10, 50);
+	ck_assert_uint_eq(r.ended, 0);
+	ck_assert_uint_le(r.picked_new, 12);
+	rig_clear(&r);
+}
+END_TEST
+
+typedef struct bad_case {
+	const char *name;
+	unsigned int bad_every;
+	ms_t slow;
+	const char *server;
+	bool reversed;
+	unsigned int picked_most;
+} bad_case_t;
+
+static const bad_case_t bad_cases[] = {
+	{ "all fail", 1, 0, NULL, true, 15 },
+	{ "a third fails", 3, 0, NULL, true, 45 },
+	{ "three times as slow", 0, 200, NULL, true, 60 },
+	{ "three times as slow on hardware of its own", 0, 200, "side-3", false,
+	  1000000 },
+	{ "ten times as slow on hardware of its own", 0, 900, "side-3", true,
+	  60 },
+};
+
+START_TEST(a_bad_version_is_taken_back)
+{
+	const bad_case_t *c = &bad_cases[_i];
+	rig_t r;
+
+	rig_init(&r);
+	r.bad_every = c->bad_every;
+	r.slow = c->slow;
+	r.new_server = c->server;
+	run(&r, 100, 60);
+	ck_assert_msg(moves_is_bad(r.m, "helper", "v2") == c->reversed, "%s",
+		      c->name);
+	ck_assert_msg(r.picked_new <= c->picked_most, "%s: %u", c->name,
+		      r.picked_new);
+	if (c->reversed) {
+		ck_assert_int_eq(r.last.state, MOVE_REVERSED);
+		ck_assert_str_eq(moves_pick(r.m, "helper", r.now), "v1");
+	}
+	rig_clear(&r);
+}
+END_TEST
+
+START_TEST(one_broken_server_condemns_nothing)
+{
+	rig_t r;
+
+	rig_init(&r);
+	run(&r, 100, 100); /* past the first stage */
+	r.new_server = "side-2";
+	r.bad_every = 2;
+	run(&r, 100, 1);
+	r.bad_every = 0;
+	r.new_server = NULL;
+	run(&r, 100, 100);
+	ck_assert(!moves_is_bad(r.m, "helper", "v2"));
+	rig_clear(&r);
+}
+END_TEST
+
+START_TEST(a_register_of_a_peer_stops_the_version_at_once)
+{
+	rig_t r;
+	char key[64];
+
+	rig_init(&r);
+	g_snprintf(key, sizeof(key), "stage/%" G_GUINT64_FORMAT,
+		   move_id(&versions[1]));
+	facts_set(r.facts, key, 3);
+	moves_tick(r.m, 1);
+	ck_assert_str_eq(moves_fallback(r.m, "helper", "v1"), "v2");
+	ck_assert_str_eq(moves_fallback(r.m, "helper", "v2"), "v1");
+	g_snprintf(key, sizeof(key), "bad/%" G_GUINT64_FORMAT,
+		   move_id(&versions[1]));
+	facts_set(r.facts, key, 1);
+	for (int i = 0; i < 100; i++)
+		ck_assert_str_eq(moves_pick(r.m, "helper", 2), "v1");
+	ck_assert_ptr_null(moves_fallback(r.m, "helper", "v1"));
+	rig_clear(&r);
+}
+END_TEST
+
+typedef struct result_case {
+	const char *name;
+	int states[2]; /* of v2 and v3; -1 none */
+	const char *picked;
+	const char *wanted;
+} result_case_t;
+
+static const result_case_t result_cases[] = {
+	{ "nothing ended", { -1, -1 }, NULL, "v1,v2" },
+	{ "v2 reversed", { MOVE_REVERSED, -1 }, "v1", "v1" },
+	{ "v2 done", { MOVE_DONE, -1 }, NULL, "v2,v3" },
+	{ "v2 done, v3 reversed", { MOVE_DONE, MOVE_REVERSED }, "v2", "v2" },
+	{ "both done", { MOVE_DONE, MOVE_DONE }, "v3", "v3" },
+	{ "a result of a later move", { -1, MOVE_DONE }, NULL, "v1,v2" },
+};
+
+static char *joined(const GPtrArray *a)
+{
+	GString *s = g_string_new(NULL);
+
+	for (guint i = 0; i < a->len; i++)
+		g_string_append_printf(s, "%s%s", i ? "," : "",
+				       (char *)g_ptr_array_index(a, i));
+	return g_string_free(s, FALSE);
+}
+
+START_TEST(results_end_moves)
+{
+	const result_case_t *c = &result_cases[_i];
+	move_result_t results[2];
+	GPtrArray *wanted;
+	char *text;
+	rig_t r;
+
+	rig_init(&r);
+	for (int i = 0; i < 2; i++) {
+		results[i].op = move_id(&versions[i + 1]);
+		results[i].state = (move_state_t)c->states[i];
+		if (c->states[i] >= 0)
+			g_ptr_array_add(r.results, &results[i]);
+	}
+	moves_set(r.m, &r.in, 20, r.results, 0, 1000);
+	for (int i = 0; c->picked && i < 100; i++)
+		ck_assert_msg(!strcmp(moves_pick(r.m, "helper", 0), c->picked),
+			      "%s", c->name);
+	wanted = moves_wanted(&r.in, "helper", r.results);
+	text = joined(wanted);
+	ck_assert_msg(!strcmp(text, c->wanted), "%s: %s", c->name, text);
+	g_free(text);
+	g_ptr_array_free(wanted, TRUE);
+	rig_clear(&r);
+}
+END_TEST
+
+START_TEST(an_unrelated_revision_changes_no_move)
+{
+	rig_t r;
+
+	rig_init(&r);
+	run(&r, 100, 120);
+	ck_assert_int_eq(move_find(r.m, move_id(&versions[1]))->stage, 2);
+	moves_set(r.m, &r.in, 20, r.results, r.now, 1120);
+	run(&r, 100, 1);
+	ck_assert_int_eq(move_find(r.m, move_id(&versions[1]))->stage, 2);
+	ck_assert_uint_eq(facts_sum(r.facts, "ev/") > 0, true);
+	rig_clear(&r);
+}
+END_TEST
+
+typedef struct tail_case {
+	uint64_t f1, n1, f0, n0;
+	double p;
+} tail_case_t;
+
+/* Computed by hand from the hypergeometric distribution. */
+static const tail_case_t tails[] = {
+	{ 0, 10, 0, 10, 1 },  { 1, 1, 0, 1, 0.5 }, { 2, 2, 0, 2, 1.0 / 6 },
+	{ 3, 3, 0, 3, 0.05 }, { 2, 3, 1, 3, 0.5 }, { 1, 10, 2, 10, 1 },
+};
+
+START_TEST(exact_test_of_failures)
+{
+	const tail_case_t *c = &tails[_i];
+	double p = stat_failures(c->f1, c->n1, c->f0, c->n0);
+
+	ck_assert_msg(fabs(p - c->p) < 1e-9, "case %d: %g", _i, p);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *suite = suite_create("move");
+	TCase *t = tcase_create("move");
+	SRunner *sr;
+	int failed;
+
+	tcase_set_timeout(t, 60);
+	tcase_add_test(t, one_version_is_always_picked);
+	tcase_add_test(t, the_first_stage_is_small);
+	tcase_add_test(t, a_good_version_is_done);
+	tcase_add_test(t, no_stage_passes_without_evidence);
+	tcase_add_loop_test(t, a_bad_version_is_taken_back, 0,
+			    G_N_ELEMENTS(bad_cases));
+	tcase_add_test(t, one_broken_server_condemns_nothing);
+	tcase_add_test(t, a_register_of_a_peer_stops_the_version_at_once);
+	tcase_add_loop_test(t, results_end_moves, 0,
+			    G_N_ELEMENTS(result_cases));
+	tcase_add_test(t, an_unrelated_revision_changes_no_move);
+	tcase_add_loop_test(t, exact_test_of_failures, 0, G_N_ELEMENTS(tails));
+	suite_add_tcase(suite, t);
+	sr = srunner_create(suite);
+	srunner_run_all(sr, CK_NORMAL);
+	failed = srunner_ntests_failed(sr);
+	srunner_free(sr);
+	return failed != 0;
+}
