--- a/lib/net/conn.c
+++ b/lib/net/conn.c
@@ -84,6 +84,7 @@
 {
 	if (c->state == CONN_CLOSED)
 		return;
+	c->was = c->state;
 	c->state = CONN_CLOSED;
 	if (c->is_dirty)
 		list_del(&c->dirty);
@@ -198,7 +199,7 @@
 	c->theirs.role = copy_str(h->role);
 	c->theirs.name = copy_str(h->name);
 	c->theirs.data_center = copy_str(h->data_center);
-	c->theirs.nonce = copy_str(h->nonce);
+	c->theirs.nonce.p = g_memdup2(h->nonce.p, h->nonce.n);
 	c->state = CONN_AUTH;
 	send_auth(c);
 	return CODE_OK;
--- a/lib/net/conn.h
+++ b/lib/net/conn.h
@@ -56,7 +56,8 @@
 	uv_connect_t connecting;
 	uv_write_t write;
 	conn_state_t state;
-	code_t doomed; /* to be closed by the next conn_flush; 0 no */
+	conn_state_t was; /* before it was closed */
+	code_t doomed;	  /* to be closed by the next conn_flush; 0 no */
 	framer_t in;
 	decoder_t decoder;
 	GByteArray *out;     /* encoded, not yet given to the system */
--- a/lib/net/peers.c
+++ b/lib/net/peers.c
@@ -119,6 +119,8 @@
 	list_del(&c->link);
 	list_init(&c->link);
 	count_closed(ps, code);
+	log_line(LOG_DEBUG, "peer-closed", "target=%s state=%d code=%s",
+		 c->want_name ? c->want_name : "", c->was, code_name(code));
 	plan_retry(ps, c);
 	if (g_hash_table_lookup(ps->by_inc, &c->theirs.inc) != c)
 		return;
--- a/test/httpc.c
+++ b/test/httpc.c
@@ -216,7 +216,7 @@
 	server_start(&s, &loop, c, &call.to);
 	h = httpc_new(&loop, counters);
 	httpc_call(h, &call, &ops, &r);
-	run_until(&loop, &r.ends, 20 * SILENT_MS);
+	run_until(&loop, &r.ends, SILENT_MS * 20L);
 	ck_assert_msg(r.ends == 1, "%s: ends %d", c->name, r.ends);
 	ck_assert_msg(r.code == c->want, "%s: %s", c->name, code_name(r.code));
 	ck_assert_msg(r.status == c->status, "%s: %d", c->name, r.status);
