Daemon: entry and sidecar roles over HTTP and peers, first whole path

A caller's request goes through offer, grant and dispatch to a backend server and back, streamed or gathered. State is still the intent file; claims are refused as not to be had until the log is wired in.

--- /dev/null
+++ b/cmd/chestnuthinged/daemon.c
@@ -0,0 +1,200 @@
+/* One process: its parts, their common clock, and its graceful end. */
+#include <inttypes.h>
+#include "fns.h"
+
+enum {
+	TICK = 10,	  /* ms */
+	RETRY_BASE = 50,  /* ms */
+	RETRY_MAX = 2000, /* ms */
+	QUEUE_FRAMES = 4, /* largest frames waiting for one peer */
+};
+
+static void on_request(void *ctx, reply_t *r)
+{
+	daemon_t *d = ctx;
+
+	if (admin_handle(d, r))
+		return;
+	if (d->entry)
+		entryd_handle(d->entry, r);
+	else
+		reply_refuse(r, CODE_NO_SERVICE, "a sidecar takes no calls", 0);
+}
+
+static void on_up(void *ctx, const msg_hello_t *who)
+{
+	daemon_t *d = ctx;
+
+	if (d->entry)
+		entryd_up(d->entry, who, clock_now());
+	else
+		sided_up(d->side, who->inc, clock_now());
+}
+
+static void on_down(void *ctx, uint64_t inc)
+{
+	daemon_t *d = ctx;
+
+	if (d->entry)
+		entryd_down(d->entry, inc, clock_now());
+	else
+		sided_down(d->side, inc, clock_now());
+}
+
+static void on_recv(void *ctx, uint64_t inc, const msg_t *m)
+{
+	daemon_t *d = ctx;
+
+	if (d->entry)
+		entryd_recv(d->entry, inc, m, clock_now());
+	else
+		sided_recv(d->side, inc, m, clock_now());
+}
+
+static bool is_idle(const daemon_t *d)
+{
+	if (d->entry)
+		return entryd_idle(d->entry) && web_idle(&d->web);
+	return sided_idle(d->side);
+}
+
+static void on_peers_closed(void *ctx)
+{
+	daemon_t *d = ctx;
+
+	d->peers = NULL;
+}
+
+/* Closes every handle, so that the loop ends. */
+static void end(daemon_t *d)
+{
+	d->ended = true;
+	uv_close((uv_handle_t *)&d->tick, NULL);
+	signals_close(d);
+	web_close(&d->web);
+	peers_close(d->peers, on_peers_closed, d);
+}
+
+static void on_tick(uv_timer_t *t)
+{
+	daemon_t *d = t->data;
+	ms_t now = clock_now();
+
+	state_tick(d->state, now);
+	if (d->entry)
+		entryd_tick(d->entry, now);
+	else
+		sided_tick(d->side, now);
+	if (d->stopping && !d->ended && is_idle(d))
+		end(d);
+}
+
+static void make_peers(daemon_t *d)
+{
+	static const peers_ops_t ops = { on_up, on_down, on_recv };
+	const settings_t *set = d->set;
+	peers_conf_t conf = { .role = set->role,
+			      .name = set->name,
+			      .data_center = set->data_center,
+			      .inc = d->inc,
+			      .key = { (char *)set->key, set->key_len },
+			      .frame_max = set->frame_max,
+			      .queue_max = set->frame_max * QUEUE_FRAMES,
+			      .heartbeat = set->heartbeat,
+			      .silent = set->silent,
+			      .retry_base = RETRY_BASE,
+			      .retry_max = RETRY_MAX };
+
+	d->peers = peers_new(&d->loop, &conf, &ops, d, d->counters);
+	for (size_t i = 0; set->role == ROLE_ENTRY && i < set->npeers; i++)
+		peers_connect(d->peers, set->peers[i].name,
+			      &set->peers[i].addr);
+}
+
+static bool listen_all(daemon_t *d, GError **err)
+{
+	const settings_t *set = d->set;
+
+	if (web_start(&d->web, &d->loop, set, on_request, d, d->counters)) {
+		g_set_error(err, code_quark(), CODE_UNREACHABLE,
+			    "cannot listen on %s port %u for HTTP",
+			    set->http.ip, set->http.port);
+		return false;
+	}
+	if (set->role == ROLE_SIDECAR && peers_listen(d->peers, &set->wire)) {
+		g_set_error(err, code_quark(), CODE_UNREACHABLE,
+			    "cannot listen on %s port %u for entries",
+			    set->wire.ip, set->wire.port);
+		return false;
+	}
+	return true;
+}
+
+/* Makes the process; it owns set. NULL when it cannot start whole. */
+daemon_t *daemon_new(settings_t *set, GError **err)
+{
+	daemon_t *d = g_new0(daemon_t, 1);
+
+	d->set = set;
+	d->inc = random_u64();
+	d->counters = counters_new();
+	d->stats.all = d->counters;
+	uv_loop_init(&d->loop);
+	d->state = state_new(d, err);
+	if (!d->state)
+		return NULL;
+	d->http = httpc_new(&d->loop, d->counters);
+	make_peers(d);
+	if (set->role == ROLE_ENTRY)
+		d->entry = entryd_new(d);
+	else
+		d->side = sided_new(d);
+	if (!listen_all(d, err))
+		return NULL;
+	if (d->entry && state_intent(d->state))
+		entryd_intent(d->entry, state_intent(d->state));
+	uv_timer_init(&d->loop, &d->tick);
+	d->tick.data = d;
+	uv_timer_start(&d->tick, on_tick, TICK, TICK);
+	signals_start(d);
+	return d;
+}
+
+/* Runs until the process has ended its work after a signal. */
+void daemon_run(daemon_t *d)
+{
+	log_line(LOG_INFO, "start", "name=%s role=%s inc=%" PRIx64,
+		 d->set->name, d->entry ? "entry" : "sidecar", d->inc);
+	uv_run(&d->loop, UV_RUN_DEFAULT);
+	log_line(LOG_INFO, "stop", "name=%s", d->set->name);
+}
+
+/* Takes no new work; the process ends once what runs has ended. */
+void daemon_stop(daemon_t *d)
+{
+	ms_t now = clock_now();
+
+	d->stopping = true;
+	if (d->entry)
+		entryd_drain(d->entry, now);
+	else
+		sided_drain(d->side, now);
+}
+
+/* Frees everything after the run. */
+void daemon_free(daemon_t *d)
+{
+	if (d->entry)
+		entryd_free(d->entry);
+	if (d->side)
+		sided_free(d->side);
+	httpc_free(d->http);
+	uv_run(&d->loop, UV_RUN_DEFAULT);
+	web_dispose(&d->web);
+	uv_run(&d->loop, UV_RUN_DEFAULT);
+	uv_loop_close(&d->loop);
+	state_free(d->state);
+	counters_free(d->counters);
+	settings_free(d->set);
+	g_free(d);
+}
--- /dev/null
+++ b/cmd/chestnuthinged/dat.h
@@ -0,0 +1,132 @@
+/* Types of the daemon: one process in the role of an entry or a sidecar. */
+#ifndef DAEMON_DAT_H
+#define DAEMON_DAT_H
+
+#include <h2o.h>
+#include "entry/fns.h"
+#include "move/fns.h"
+#include "net/fns.h"
+#include "side/fns.h"
+
+typedef struct daemon daemon_t;
+typedef struct web web_t;
+typedef struct reply reply_t;
+typedef struct entryd entryd_t;
+typedef struct sided sided_t;
+typedef struct backend backend_t;
+typedef struct state state_t;
+typedef struct stats stats_t;
+
+/* The longest deadline that a caller may ask for. */
+enum {
+	DEADLINE_MOST = 3600 * 1000, /* ms */
+	RETRY_AFTER_LEAST = 1000,    /* ms */
+};
+
+/* How a request ended, as the header Chestnuthinge-Outcome names it. */
+typedef enum outcome_kind {
+	OUTCOME_ANSWERED,
+	OUTCOME_NOT_RUN,
+	OUTCOME_UNKNOWN,
+} outcome_kind_t;
+
+/* An open HTTP request of a caller. It lives as long as h2o's request. */
+struct reply {
+	h2o_generator_t generator;
+	list_t link; /* of all open replies */
+	web_t *web;
+	h2o_req_t *req;
+	bool streamed; /* pass data on as it comes */
+	bool started;  /* the head is out */
+	bool ended;    /* nothing more may be sent */
+	bool busy;     /* h2o has not yet taken the last data */
+	bool finish;   /* end the answer once data is out */
+	bool broken;   /* break the answer off once h2o is not busy */
+	bool too_slow; /* the caller does not read */
+	int status;
+	char *content_type;
+	GByteArray *data;    /* waiting to be sent */
+	GByteArray *sending; /* owned by h2o while busy */
+	size_t data_max;     /* bytes */
+	/* The caller is gone or too slow; told once, before the end only. */
+	void (*gone)(void *ctx, reply_t *r);
+	void *ctx;
+	/* For the entry. */
+	rid_t rid;
+	char *service;
+	bool model;
+	int tier;
+	ms_t began;
+	ms_t first; /* when the first data came; -1 not yet */
+	ms_t last;
+	uint64_t parts;
+	ms_t first_target;
+	ms_t gap_target;
+};
+
+/* Serves HTTP on one address. */
+struct web {
+	uv_loop_t *loop;
+	h2o_globalconf_t config;
+	h2o_context_t context;
+	h2o_accept_ctx_t accept;
+	uv_tcp_t listener;
+	uv_timer_t sweep;
+	list_t replies;
+	size_t connections;
+	size_t connections_max;
+	size_t header_max; /* bytes */
+	size_t answer_max; /* bytes */
+	bool listening;
+	void (*handle)(void *ctx, reply_t *r);
+	void *ctx;
+	counter_t *refused;
+};
+
+/* Counters of requests by service, tier and code. */
+struct stats {
+	counters_t *all;
+};
+
+/* A chat request, as far as the scheduler needs to know it. */
+typedef struct chat {
+	char *model;
+	bool stream;
+	uint64_t max_tokens;	/* 0: none given */
+	uint64_t prompt_tokens; /* estimated */
+	uint64_t prefix;	/* hash of the prompt's start */
+} chat_t;
+
+/* A checked request and the strings that it points to. */
+typedef struct call {
+	submit_t submit;
+	const service_t *service;
+	char *path;
+	char *method;
+	char *content_type;
+	char *key;
+	code_t code; /* why it is refused; CODE_OK not */
+	ms_t retry;
+	const char *message;
+} call_t;
+
+struct daemon {
+	settings_t *set;
+	uv_loop_t loop;
+	counters_t *counters;
+	stats_t stats;
+	uint64_t inc;
+	httpc_t *http;
+	peers_t *peers;
+	web_t web;
+	state_t *state;
+	entryd_t *entry; /* NULL for a sidecar */
+	sided_t *side;	 /* NULL for an entry */
+	uv_timer_t tick;
+	uv_signal_t term;
+	uv_signal_t intr;
+	bool stopping;
+	bool ended;
+};
+
+#endif
--- a/cmd/chestnuthinged/main.c
+++ b/cmd/chestnuthinged/main.c
@@ -1,9 +1,105 @@
-/* The program's start. */
-#include "base/fns.h"
+/* Options of the daemon. */
+#include <stdlib.h>
+#include "fns.h"
 
-/* Runs the program; the exit code is that of the command. */
-int main(int argc, char **argv)
+enum {
+	EXIT_BAD_START = 1,
+	EXIT_USAGE = 2,
+};
+
+static const char version[] = "0.1";
+
+typedef struct options {
+	char *conf;
+	gboolean check;
+	gboolean version;
+} options_t;
+
+static bool parse_options(options_t *o, int argc, char **argv)
+{
+	GOptionEntry entries[] = {
+		{ "conf", 'c', 0, G_OPTION_ARG_FILENAME, &o->conf,
+		  "Settings file", "FILE" },
+		{ "check", 0, 0, G_OPTION_ARG_NONE, &o->check,
+		  "Check settings and intent, then exit", NULL },
+		{ "version", 0, 0, G_OPTION_ARG_NONE, &o->version,
+		  "Print the version, then exit", NULL },
+		{ 0 },
+	};
+	GOptionContext *ctx = g_option_context_new(NULL);
+	GError *err = NULL;
+	bool ok;
+
+	g_option_context_set_summary(
+		ctx, "Runs an entry or a sidecar of the request scheduler.");
+	g_option_context_add_main_entries(ctx, entries, NULL);
+	ok = g_option_context_parse(ctx, &argc, &argv, &err);
+	if (!ok)
+		fprintf(stderr, "chestnuthinged: %s\n", err->message);
+	else if (argc > 1 || (!o->conf && !o->version)) {
+		fprintf(stderr, "chestnuthinged: -c FILE is needed\n");
+		ok = false;
+	}
+	g_clear_error(&err);
+	g_option_context_free(ctx);
+	return ok;
+}
+
+static int fail(GError *err)
+{
+	fprintf(stderr, "chestnuthinged: %s\n", err->message);
+	g_error_free(err);
+	return EXIT_BAD_START;
+}
+
+static int check(settings_t *set)
 {
-	log_line(LOG_INFO, "start", "args=%d program=%s", argc, argv[0]);
+	GError *err = NULL;
+	intent_t *in = NULL;
+
+	if (set->intent_file)
+		in = intent_load(set->intent_file, &err);
+	settings_free(set);
+	if (err)
+		return fail(err);
+	if (in)
+		intent_free(in);
+	return 0;
+}
+
+static int run(const options_t *o)
+{
+	GError *err = NULL;
+	settings_t *set = settings_load(o->conf, &err);
+	daemon_t *d;
+
+	if (!set)
+		return fail(err);
+	if (o->check)
+		return check(set);
+	log_open(stderr, set->log_level);
+	d = daemon_new(set, &err);
+	if (!d)
+		return fail(err);
+	daemon_run(d);
+	daemon_free(d);
 	return 0;
 }
+
+/* Runs the daemon. */
+int main(int argc, char **argv)
+{
+	options_t o = { 0 };
+	int code = EXIT_USAGE;
+
+	if (parse_options(&o, argc, argv)) {
+		if (o.version) {
+			printf("chestnuthinged %s\n", version);
+			code = 0;
+		} else {
+			code = run(&o);
+		}
+	}
+	g_free(o.conf);
+	return code;
+}
--- /dev/null
+++ b/cmd/chestnuthinged/sided.c
@@ -0,0 +1,184 @@
+/* The role of a sidecar: offers in, answers of its backend server out. */
+#include <string.h>
+#include "fns.h"
+
+enum {
+	LEASE = 1000,	      /* ms, of a grant */
+	HOLD = 1000,	      /* ms, of a refusal */
+	GONE_SILENCES = 5,    /* times the silence: the entry is gone */
+	PLACE_START = 8000,   /* tokens of work */
+	PLACE_MAX = 2000000,  /* tokens of work */
+	TOKEN_GAP = 100,      /* ms, for a service without a target */
+	ENGINE_SILENT = 2000, /* ms */
+};
+
+struct sided {
+	daemon_t *d;
+	side_t *side;
+	backend_t *backend;
+	GArray *entries;  /* incarnations that are up */
+	char *told;	  /* versions in the last state sent */
+	uint64_t leaving; /* as in the last state sent */
+	ms_t next_state;
+};
+
+static void on_send(void *ctx, uint64_t entry_inc, const msg_t *m)
+{
+	sided_t *s = ctx;
+
+	peers_send(s->d->peers, entry_inc, m);
+}
+
+static void on_dispatch(void *ctx, const side_dispatch_t *req)
+{
+	sided_t *s = ctx;
+
+	backend_dispatch(s->backend, req);
+}
+
+static void on_resume(void *ctx, rid_t rid, uint64_t from)
+{
+	sided_t *s = ctx;
+
+	backend_resume(s->backend, rid, from);
+}
+
+static void on_cancel(void *ctx, rid_t rid)
+{
+	sided_t *s = ctx;
+
+	backend_cancel(s->backend, rid);
+}
+
+static ms_t token_gap(const daemon_t *d)
+{
+	const intent_t *in = state_intent(d->state);
+	const service_t *service;
+
+	service = in ? intent_service(in, d->set->service) : NULL;
+	return service && service->token_gap ? service->token_gap : TOKEN_GAP;
+}
+
+/* Makes the role from the settings. */
+sided_t *sided_new(daemon_t *d)
+{
+	static const side_ops_t ops = { on_send, on_dispatch, on_resume,
+					on_cancel };
+	sided_t *s = g_new0(sided_t, 1);
+	side_conf_t conf = { .name = d->set->name,
+			     .service = d->set->service,
+			     .model = d->set->backend_is_model,
+			     .seed = random_u64(),
+			     .waiting_max = d->set->waiting_max,
+			     .answer_max = d->set->answer_max,
+			     .token_gap = token_gap(d),
+			     .lease = LEASE,
+			     .hold = HOLD,
+			     .entry_gone = d->set->silent * GONE_SILENCES,
+			     .engine_silent = ENGINE_SILENT,
+			     .place_start = PLACE_START,
+			     .place_max = PLACE_MAX };
+
+	s->d = d;
+	s->entries = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	s->told = g_strdup("");
+	s->side = side_new(&conf, &ops, s, d->counters);
+	s->backend = backend_new(d, s->side);
+	return s;
+}
+
+/* Frees the role and drops what runs. */
+void sided_free(sided_t *s)
+{
+	backend_free(s->backend);
+	side_free(s->side);
+	g_array_free(s->entries, TRUE);
+	g_free(s->told);
+	g_free(s);
+}
+
+/* An entry is up: it needs the state before it can choose this sidecar. */
+void sided_up(sided_t *s, uint64_t inc, ms_t now)
+{
+	msg_t m = { .type = MSG_STATE };
+
+	g_array_append_val(s->entries, inc);
+	side_entry_up(s->side, inc, now);
+	side_state(s->side, &m.u.state);
+	peers_send(s->d->peers, inc, &m);
+}
+
+/* The connection to an entry is down. */
+void sided_down(sided_t *s, uint64_t inc, ms_t now)
+{
+	for (guint i = 0; i < s->entries->len; i++) {
+		if (g_array_index(s->entries, uint64_t, i) == inc) {
+			g_array_remove_index_fast(s->entries, i);
+			break;
+		}
+	}
+	side_entry_down(s->side, inc, now);
+}
+
+/* Takes a message of an entry. */
+void sided_recv(sided_t *s, uint64_t inc, const msg_t *m, ms_t now)
+{
+	side_recv(s->side, inc, m, now);
+}
+
+/* Tells all entries the state, at each heartbeat and when it changes. */
+static void tell_state(sided_t *s, ms_t now)
+{
+	msg_t m = { .type = MSG_STATE };
+	bool changed;
+
+	side_state(s->side, &m.u.state);
+	changed = !str_eq(m.u.state.versions, str_of(s->told)) ||
+		  m.u.state.leaving != s->leaving;
+	if (!changed && now < s->next_state)
+		return;
+	s->next_state = now + s->d->set->heartbeat;
+	s->leaving = m.u.state.leaving;
+	g_free(s->told);
+	s->told = str_dup(m.u.state.versions);
+	for (guint i = 0; i < s->entries->len; i++)
+		peers_send(s->d->peers, g_array_index(s->entries, uint64_t, i),
+			   &m);
+}
+
+/* Runs what depends on time. */
+void sided_tick(sided_t *s, ms_t now)
+{
+	backend_tick(s->backend, now);
+	side_tick(s->side, now);
+	tell_state(s, now);
+}
+
+/* Grants nothing more, and says so at once. */
+void sided_drain(sided_t *s, ms_t now)
+{
+	side_drain(s->side, now);
+	tell_state(s, now);
+}
+
+/* Tells whether nothing is left in progress. */
+bool sided_idle(const sided_t *s)
+{
+	return side_idle(s->side);
+}
+
+/* Appends the state in one line. */
+void sided_print(const sided_t *s, GString *out)
+{
+	msg_state_t st;
+
+	side_state(s->side, &st);
+	g_string_append_printf(
+		out,
+		"backend service=%s up=%d versions=%s limit=%" G_GUINT64_FORMAT
+		" used=%" G_GUINT64_FORMAT " waiting=%" G_GUINT64_FORMAT
+		" speed=%" G_GUINT64_FORMAT " leaving=%d\n",
+		s->d->set->service, backend_up(s->backend),
+		backend_versions(s->backend), st.limit, st.used, st.waiting,
+		st.speed, (int)st.leaving);
+}
--- a/lib/net/fns.h
+++ b/lib/net/fns.h
@@ -19,6 +19,7 @@
 httpc_t *httpc_new(uv_loop_t *loop, counters_t *counters);
 httpc_req_t *httpc_call(httpc_t *c, const httpc_call_t *call,
 			const httpc_ops_t *ops, void *ctx);
+void httpc_set_silent(httpc_req_t *r, ms_t silent);
 void httpc_cancel(httpc_req_t *r);
 void httpc_free(httpc_t *c);
 
--- a/lib/net/httpc.c
+++ b/lib/net/httpc.c
@@ -298,6 +298,12 @@
 	return r;
 }
 
+/* Changes how long the call may be silent; 0 for ever. */
+void httpc_set_silent(httpc_req_t *r, ms_t silent)
+{
+	r->silent = silent;
+}
+
 /* Drops a call; nothing is told of it any more. Not to be used after its end.
  */
 void httpc_cancel(httpc_req_t *r)
