--- a/test/standin/lib/dat.h
+++ b/test/standin/lib/dat.h
@@ -49,6 +49,30 @@
 	GHashTable *fields;
 } event_t;
 
+/* Event lines of callers, backend servers and scripts, in any order. */
+typedef struct history {
+	GPtrArray *events;	/* of event_t */
+	GHashTable *dispatches; /* GPtrArray of event_t by request id */
+} history_t;
+
+/* What one invariant's check found. */
+typedef struct verdict {
+	const char *name;
+	size_t histories;  /* cases looked at */
+	size_t violations; /* of those */
+	GString *detail;   /* a line for each violation */
+} verdict_t;
+
+enum {
+	INVARIANT_COUNT = 8,
+	/*
+	 * Time between a decision and the dispatch event that a decision
+	 * before it may still cause.
+	 */
+	DECISION_WINDOW_MS = 1000,
+	LEAVING_WINDOW_MS = 3000, /* "after a few seconds" */
+};
+
 enum {
 	ANSWER_TOKENS_MIN = 2, /* the marker and the end */
 };
--- a/test/standin/lib/fns.h
+++ b/test/standin/lib/fns.h
@@ -34,4 +34,14 @@
 		      GString *so_far);
 bool answer_valid(const char *text, const char *marker);
 
+/* history.c */
+history_t *history_new(void);
+void history_add(history_t *h, const char *line);
+bool history_read(history_t *h, const char *path);
+void history_free(history_t *h);
+
+/* invariant.c */
+void invariants_check(const history_t *h, verdict_t out[INVARIANT_COUNT]);
+void verdicts_clear(verdict_t v[INVARIANT_COUNT]);
+
 #endif
--- a/test/standin/plain/main.c
+++ b/test/standin/plain/main.c
@@ -61,13 +61,15 @@
 	c->plain = p;
 	c->r = r;
 	c->id = hs_header(r, "chestnuthinge-request-id");
+	if (c->id == NULL)
+		c->id = g_strdup("-");
 	c->key = hs_header(r, "idempotency-key");
 	char *version = hs_header(r, "chestnuthinge-version");
 	char *path = str_dup(r->path);
 	char *method = str_dup(r->method);
 	event_write("dispatch", "id=%s version=%s key=%s path=%s server=%s",
-		    c->id ? c->id : "-", version ? version : "-",
-		    c->key ? c->key : "-", path, p->conf.name);
+		    c->id, version ? version : "-", c->key ? c->key : "-", path,
+		    p->conf.name);
 	if (c->key != NULL) {
 		gpointer n = g_hash_table_lookup(p->runs, c->key);
 		g_hash_table_replace(p->runs, g_strdup(c->key),
