Callers' driver tells a truncated answer from a whole one

The library's client takes a close between two chunks for the end; the driver also requires that bytes came with the end.

--- a/test/standin/load/call.c
+++ b/test/standin/load/call.c
@@ -16,6 +16,18 @@
 	load_next(l);
 }
 
+/*
+ * Tells whether the body that ended is whole. The library also reports a good
+ * end when the connection closes between two chunks; no byte came with it then.
+ */
+static bool is_whole(const request_t *q, const char *err,
+		     const h2o_socket_t *sock)
+{
+	if (err != h2o_http1client_error_is_eos)
+		return false;
+	return q->chunked ? sock->bytes_read > 0 : q->measured;
+}
+
 /* Takes part of the answer's body. */
 static int on_body(h2o_http1client_t *client, const char *err)
 {
@@ -27,7 +39,7 @@
 	h2o_buffer_consume(&client->sock->input, in->size);
 	if (err == NULL && q->answer->len < ANSWER_MAX_BYTES)
 		return 0;
-	q->whole = err == h2o_http1client_error_is_eos;
+	q->whole = is_whole(q, err, client->sock);
 	call_end(q);
 	return err == NULL ? -1 : 0;
 }
@@ -58,6 +70,10 @@
 	}
 	q->status = status;
 	for (size_t i = 0; i < n; i++) {
+		q->chunked |=
+			headers[i].name == &H2O_TOKEN_TRANSFER_ENCODING->buf;
+		q->measured |=
+			headers[i].name == &H2O_TOKEN_CONTENT_LENGTH->buf;
 		take(&headers[i], "chestnuthinge-request-id", &q->id);
 		take(&headers[i], "chestnuthinge-outcome", &q->outcome);
 		take(&headers[i], "chestnuthinge-version", &q->version);
--- a/test/standin/load/dat.h
+++ b/test/standin/load/dat.h
@@ -63,7 +63,9 @@
 	char *text; /* the request as sent */
 	h2o_iovec_t buf;
 	GString *answer;
-	int status; /* 0: none came */
+	int status;    /* 0: none came */
+	bool chunked;  /* the answer's body is in chunks */
+	bool measured; /* it has a Content-Length */
 	bool whole;
 	char *id;
 	char *outcome;
--- a/test/standin/relay/main.c
+++ b/test/standin/relay/main.c
@@ -46,7 +46,8 @@
 static void on_alloc(uv_handle_t *h, size_t hint, uv_buf_t *buf)
 {
 	(void)h;
-	*buf = uv_buf_init(g_malloc(hint), (unsigned int)hint);
+	buf->base = g_malloc(hint);
+	buf->len = hint;
 }
 
 /* Passes on bytes, or drops them; a dropped close leaves the other end open. */
