--- a/test/checker.c
+++ b/test/checker.c
@@ -59,28 +59,28 @@
 	{ "higher tier shed, lower waiting one runs",
 	  "request n=1 id=a-1 service=m tier=0 outcome=not-run code=206 "
 	  "start=0 end=100\n"
-	  "request n=2 id=a-2 service=m tier=3 outcome=answered code=0 "
+	  "request n=2 id=a-2 service=m tier=3 outcome=answered whole=1 "
 	  "start=50 end=9000\n"
 	  "dispatch t=5000 id=a-2\n",
 	  "tier-order", 1 },
 	{ "the lower one was granted before",
 	  "request n=1 id=a-1 service=m tier=0 outcome=not-run code=206 "
 	  "start=0 end=100\n"
-	  "request n=2 id=a-2 service=m tier=3 outcome=answered code=0 "
+	  "request n=2 id=a-2 service=m tier=3 outcome=answered whole=1 "
 	  "start=50 end=9000\n"
 	  "dispatch t=150 id=a-2\n",
 	  NULL, 0 },
 	{ "the lower one came after",
 	  "request n=1 id=a-1 service=m tier=0 outcome=not-run code=206 "
 	  "start=0 end=100\n"
-	  "request n=2 id=a-2 service=m tier=3 outcome=answered code=0 "
+	  "request n=2 id=a-2 service=m tier=3 outcome=answered whole=1 "
 	  "start=200 end=9000\n"
 	  "dispatch t=5000 id=a-2\n",
 	  NULL, 0 },
 	{ "another service's lower tier",
 	  "request n=1 id=a-1 service=m tier=0 outcome=not-run code=206 "
 	  "start=0 end=100\n"
-	  "request n=2 id=a-2 service=p tier=3 outcome=answered code=0 "
+	  "request n=2 id=a-2 service=p tier=3 outcome=answered whole=1 "
 	  "start=50 end=9000\n"
 	  "dispatch t=5000 id=a-2\n",
 	  NULL, 0 },
