ledger: config stream, plans and claims

Cause: what must be agreed goes through the log, and every process and the tool must read it alike, although the log forgets, answers late and has outages.

Ruled out: accepting a forced confirm (for a log that has forgotten the accepted revision) on any base, since its second record would take back what was accepted in between; deciding claims by the age of records, since ages differ between readers; one holder a key, since owners that judge the window differently may then both run; leaving a claim in place whose request never ran, since the caller's honest repeat would get 409 for the whole window.

Change: a confirm is accepted when its base is the accepted offset, a forced one when no confirm at all came from its base on. Before a carry makes the state certain, records are held. A peer's newer configuration is in force at once, but the log alone decides. A claim wins when, at its own place in the log, no unreleased claim bars it; owners release claims that did not lead to a run (claims_release is new: call it when a settled request ends not run). intent [fleet] log_retention_s is new; claims may count for half of it.

--- a/lib/conf/check.c
+++ b/lib/conf/check.c
@@ -172,10 +172,23 @@
 	return true;
 }
 
+/*
+ * A process that starts reads claims back from the log, so they must be there
+ * for longer than they count.
+ */
+static bool window_check(scan_t *s, const intent_t *in)
+{
+	if (2 * in->claim_window_s <= in->log_retention_s)
+		return true;
+	return scan_fail_at(s, in, CODE_OUT_OF_RANGE,
+			    "[fleet] claim_window_s: expected at most half of "
+			    "log_retention_s");
+}
+
 /* Checks all references, and fills the index of customers by key. */
 bool intent_check(scan_t *s, const intent_t *in)
 {
-	bool ok = true;
+	bool ok = window_check(s, in);
 
 	for (guint i = 0; ok && i < in->services->len; i++)
 		ok = service_check(s, in, in->services->pdata[i]);
--- a/lib/conf/dat.h
+++ b/lib/conf/dat.h
@@ -105,12 +105,13 @@
 
 /* All that operators declare. Tables in the order of the text. */
 typedef struct intent {
-	GPtrArray *services;	 /* of service_t */
-	GPtrArray *routes;	 /* of route_t */
-	GPtrArray *customers;	 /* of customer_t */
-	GPtrArray *versions;	 /* of version_t */
-	uint64_t claim_window_s; /* how long an Idempotency-Key is held */
-	GHashTable *by_key;	 /* customers by the 32 bytes of key_sha256 */
+	GPtrArray *services;	  /* of service_t */
+	GPtrArray *routes;	  /* of route_t */
+	GPtrArray *customers;	  /* of customer_t */
+	GPtrArray *versions;	  /* of version_t */
+	uint64_t claim_window_s;  /* how long an Idempotency-Key is held */
+	uint64_t log_retention_s; /* how long the log keeps records at least */
+	GHashTable *by_key;	  /* customers by the 32 bytes of key_sha256 */
 } intent_t;
 
 #endif
--- a/lib/conf/intent.c
+++ b/lib/conf/intent.c
@@ -8,6 +8,7 @@
 	RATE_MAX = 1000000000,	     /* a second */
 	WEIGHT_MAX = 1000,
 	CLAIM_WINDOW_MAX = 7 * 86400, /* seconds */
+	RETENTION_MAX = 366 * 86400,  /* seconds */
 };
 
 static const char *const kind_names[] = { "model", "plain", NULL };
@@ -21,6 +22,8 @@
 static const field_t fleet_fields[] = {
 	{ "claim_window_s", FIELD_COUNT, INTENT(claim_window_s), false, 1,
 	  CLAIM_WINDOW_MAX, NULL },
+	{ "log_retention_s", FIELD_COUNT, INTENT(log_retention_s), false, 2,
+	  RETENTION_MAX, NULL },
 };
 
 static const field_t service_fields[] = {
@@ -226,6 +229,7 @@
 	in->customers = g_ptr_array_new_with_free_func(customer_free);
 	in->versions = g_ptr_array_new_with_free_func(version_free);
 	in->claim_window_s = 3600;
+	in->log_retention_s = 86400;
 	in->by_key = g_hash_table_new(digest_hash, digest_equal);
 	return in;
 }
--- a/lib/ledger/dat.h
+++ b/lib/ledger/dat.h
@@ -23,6 +23,11 @@
 	void (*rejected)(void *ctx, const char *op, code_t code);
 	/* The first result of a move. */
 	void (*result)(void *ctx, const move_result_t *r);
+	/*
+	 * An operator asks that a host be drained. It is meant for the process
+	 * that runs there now: one that started after this offset ignores it.
+	 */
+	void (*drain)(void *ctx, const char *host, uint64_t offset);
 } ledger_ops_t;
 
 typedef struct claims_ops {
--- a/lib/ledger/fns.h
+++ b/lib/ledger/fns.h
@@ -15,14 +15,21 @@
 /* A peer's configuration; older offsets than the accepted change nothing. */
 code_t ledger_from_peer(ledger_t *l, uint64_t offset, str_t text);
 const revision_t *ledger_revision(const ledger_t *l);
+const revision_t *ledger_log_revision(const ledger_t *l);
 const GPtrArray *ledger_results(const ledger_t *l); /* of move_result_t */
+bool ledger_certain(const ledger_t *l);
+uint64_t ledger_as_of(const ledger_t *l);
 
 /* plan.c: a plan is text that confirm sends back whole. */
 char *plan_make(const revision_t *base, const char *text, const char *name,
 		int64_t unix_now, GError **err);
+char *plan_make_forced(uint64_t next, const char *text, const char *name,
+		       int64_t unix_now, GError **err);
 char *plan_record(const char *plan, GError **err); /* the confirm record */
+char *plan_op(const char *plan); /* its operation id; NULL: not a plan */
 char *result_record(const move_result_t *r);
 char *carry_record(const ledger_t *l);
+char *drain_record(const char *host);
 
 /* claim.c: claims of idempotency keys, batched. */
 claims_t *claims_new(const claims_ops_t *ops, void *ctx, ms_t batch,
@@ -34,6 +41,9 @@
 void claims_record(claims_t *c, uint64_t offset, str_t data, ms_t now);
 void claims_caught_up(claims_t *c, uint64_t next, ms_t now);
 void claims_reachable(claims_t *c, bool yes, ms_t now);
+/* The request of a settled claim ended not run: its key is free again. */
+void claims_release(claims_t *c, rid_t rid, ms_t now);
+void claims_window(claims_t *c, ms_t window);
 void claims_tick(claims_t *c, ms_t now);
 
 #endif
--- a/test/conf.c
+++ b/test/conf.c
@@ -93,6 +93,9 @@
 static const bad_case_t bad_intents[] = {
 	{ "claim window", "[fleet]\nclaim_window_s = 0\n", CODE_OUT_OF_RANGE,
 	  "claim_window_s" },
+	{ "claims outlive the log",
+	  "[fleet]\nclaim_window_s = 51\nlog_retention_s = 101\n",
+	  CODE_OUT_OF_RANGE, "f.ini:1: [fleet] claim_window_s" },
 	{ "no kind", "[service a]\n", CODE_MISSING_KEY, "f.ini:1:" },
 	{ "unnamed", "[service]\n", CODE_SYNTAX, "[service NAME]" },
 	{ "bad name", "[service a/b]\n", CODE_BAD_TYPE, "[service a/b]" },
