--- a/lib/platform/dat.h
+++ b/lib/platform/dat.h
@@ -7,6 +7,14 @@
 typedef struct logc logc_t;
 typedef struct hostsc hostsc_t;
 
+/*
+ * A request whose answer is collected whole. done comes once, unless
+ * fetch_cancel came first; status is 0 when no head came. Codes as in
+ * httpc_ops_t, and CODE_TOO_LARGE.
+ */
+typedef struct fetch fetch_t;
+typedef void (*fetch_done_t)(void *ctx, code_t code, int status, str_t body);
+
 /* One record of a stream. */
 typedef struct log_record {
 	uint64_t offset;
--- a/lib/platform/fns.h
+++ b/lib/platform/fns.h
@@ -5,6 +5,21 @@
 #include "net/fns.h"
 #include "platform/dat.h"
 
+/* fetch.c */
+fetch_t *fetch_start(httpc_t *http, const addr_t *to, const char *method,
+		     const char *path, str_t body, fetch_done_t done,
+		     void *ctx);
+void fetch_cancel(fetch_t *f);
+
+/* page.c: a page of records as the log answers it. */
+typedef struct log_page log_page_t;
+log_page_t *log_page_parse(str_t body);
+uint64_t log_page_first(const log_page_t *p);
+uint64_t log_page_next(const log_page_t *p);
+const GArray *log_page_records(const log_page_t *p); /* of log_record_t */
+void log_page_free(log_page_t *p);
+bool log_offset_parse(str_t body, uint64_t *offset);
+
 /* logc.c: requests time out after 2 s; reading backs off with jitter. */
 logc_t *logc_new(uv_loop_t *loop, httpc_t *http, const addr_t *platform,
 		 const char *ns, const char *stream, ms_t poll);
--- a/lib/platform/stub.c
+++ /dev/null
@@ -1,2 +0,0 @@
-/* Placeholder until the library has its first file. */
-#include "platform/fns.h"
