Pass the Idempotency-Key on to the plain service

Cause: msg_body had no field for it, so a service that checks keys could not. Ruled out: keeping the key at the sidecar only; the service is what must see it. Change: field key at the end of msg_body and in side_dispatch_t; header sent.

--- a/cmd/chestnuthinged/backend.c
+++ b/cmd/chestnuthinged/backend.c
@@ -104,6 +104,9 @@
 		g_string_append_printf(headers, "Content-Type: %.*s\r\n",
 				       (int)req->content_type.n,
 				       req->content_type.p);
+	if (req->key.n > 0)
+		g_string_append_printf(headers, "Idempotency-Key: %.*s\r\n",
+				       (int)req->key.n, req->key.p);
 	call.headers = headers->str;
 	start_run(b, req->rid, &call);
 	g_string_free(headers, TRUE);
--- a/lib/entry/offer.c
+++ b/lib/entry/offer.c
@@ -299,6 +299,7 @@
 	b->route = str_of(r->s.route);
 	b->stream = r->s.stream;
 	b->body = r->s.body;
+	b->key = str_of(r->s.key);
 	e->ops.send(e->ctx, r->sidecar->inc, &m);
 }
 
--- a/lib/entry/priv.h
+++ b/lib/entry/priv.h
@@ -43,7 +43,7 @@
 	rid_t rid;
 	void *user;
 	request_state_t state;
-	submit_t s;    /* strings owned, s.key freed once claimed */
+	submit_t s;    /* strings owned */
 	char *picked;  /* version that pick_version gave; NULL any */
 	char *version; /* version in use; NULL not chosen yet */
 	char *server;  /* sidecar's name once sent */
--- a/lib/side/dat.h
+++ b/lib/side/dat.h
@@ -31,6 +31,7 @@
 	str_t path;
 	str_t content_type;
 	str_t body;
+	str_t key; /* Idempotency-Key; empty when there is none */
 	bool stream;
 } side_dispatch_t;
 
--- a/lib/side/run.c
+++ b/lib/side/run.c
@@ -18,6 +18,7 @@
 			      .path = b->path,
 			      .content_type = b->content_type,
 			      .body = b->body,
+			      .key = b->key,
 			      .stream = b->stream != 0 };
 
 	job_put(s, j, JOB_RUNNING, now);
--- a/lib/wire/codec.c
+++ b/lib/wire/codec.c
@@ -70,7 +70,7 @@
 			 U64(body, max_output), STR(body, version),
 			 STR(body, method), STR(body, path),
 			 STR(body, content_type), STR(body, route),
-			 U64(body, stream), STR(body, body) } },
+			 U64(body, stream), STR(body, body), STR(body, key) } },
 	[MSG_NOT_RUN] = { "not-run", { RID(not_run), U64(not_run, code) } },
 	[MSG_HEAD] = { "head",
 		       { RID(head), U64(head, status),
--- a/lib/wire/dat.h
+++ b/lib/wire/dat.h
@@ -140,6 +140,7 @@
 	str_t route;
 	uint64_t stream; /* 1: the caller wants server-sent events */
 	str_t body;
+	str_t key; /* Idempotency-Key; empty when there is none */
 } msg_body_t;
 
 /* The request was not run here: no byte of it reached the engine. */
