--- a/cmd/chestnuthinged/daemon.c
+++ b/cmd/chestnuthinged/daemon.c
@@ -63,9 +63,10 @@
 	daemon_t *d = ctx;
 
 	d->peers = NULL;
+	uv_stop(&d->loop);
 }
 
-/* Closes every handle, so that the loop ends. */
+/* Closes what is open towards others; the loop stops after that. */
 static void end(daemon_t *d)
 {
 	d->ended = true;
@@ -181,18 +182,24 @@
 		sided_drain(d->side, now);
 }
 
-/* Frees everything after the run. */
+/*
+ * Frees everything after the run. Callers' idle connections are left to the
+ * system, which closes them with the process.
+ */
 void daemon_free(daemon_t *d)
 {
+	bool connected = d->web.connections > 0;
+
 	if (d->entry)
 		entryd_free(d->entry);
 	if (d->side)
 		sided_free(d->side);
 	httpc_free(d->http);
-	uv_run(&d->loop, UV_RUN_DEFAULT);
-	web_dispose(&d->web);
-	uv_run(&d->loop, UV_RUN_DEFAULT);
-	uv_loop_close(&d->loop);
+	if (!connected) {
+		web_dispose(&d->web);
+		uv_run(&d->loop, UV_RUN_DEFAULT);
+		uv_loop_close(&d->loop);
+	}
 	state_free(d->state);
 	counters_free(d->counters);
 	settings_free(d->set);
--- a/cmd/chestnuthinged/web.c
+++ b/cmd/chestnuthinged/web.c
@@ -187,11 +187,10 @@
 	return list_empty(&w->replies);
 }
 
-/* Closes idle connections and every handle; the loop must still run. */
+/* Closes the server's own handles; the loop must still run. */
 void web_close(web_t *w)
 {
 	web_stop_listening(w);
-	h2o_context_request_shutdown(&w->context);
 	uv_close((uv_handle_t *)&w->sweep, NULL);
 }
 
