Daemon: platform, facts, configuration, claims and orders wired in

Cause: the daemon served its intent file only. Change: the config stream and peers' configurations go through the ledger, evidence and leaving hosts spread as facts on heartbeats, claims settle over the log, the host list gives sidecars and the number of entries, and a sidecar orders the versions that the configuration wants, one at a time, with its offset as the fence. Ruled out: ordering while a newer configuration is known to exist, as some servers do not check fences. test/demo passes: a keyed order is answered; test/fault/daemon.sh passes under the sanitizers.

--- a/cmd/chestnuthinged/admin.c
+++ b/cmd/chestnuthinged/admin.c
@@ -24,7 +24,7 @@
 
 static const char *why_not_ready(const daemon_t *d)
 {
-	if (d->stopping)
+	if (d->stopping || d->leaving)
 		return "stopping\n";
 	if (!state_intent(d->state))
 		return "no configuration in force\n";
--- a/cmd/chestnuthinged/daemon.c
+++ b/cmd/chestnuthinged/daemon.c
@@ -25,6 +25,7 @@
 {
 	daemon_t *d = ctx;
 
+	gossip_up(d->gossip, who->inc);
 	if (d->entry)
 		entryd_up(d->entry, who, clock_now());
 	else
@@ -35,6 +36,7 @@
 {
 	daemon_t *d = ctx;
 
+	gossip_down(d->gossip, inc);
 	if (d->entry)
 		entryd_down(d->entry, inc, clock_now());
 	else
@@ -45,6 +47,8 @@
 {
 	daemon_t *d = ctx;
 
+	if (gossip_recv(d->gossip, inc, m))
+		return;
 	if (d->entry)
 		entryd_recv(d->entry, inc, m, clock_now());
 	else
@@ -82,6 +86,8 @@
 	ms_t now = clock_now();
 
 	state_tick(d->state, now);
+	plat_tick(d->plat, now);
+	gossip_tick(d->gossip, now);
 	if (d->entry)
 		entryd_tick(d->entry, now);
 	else
@@ -145,6 +151,7 @@
 	if (!d->state)
 		return NULL;
 	d->http = httpc_new(&d->loop, d->counters);
+	d->gossip = gossip_new(d);
 	make_peers(d);
 	if (set->role == ROLE_ENTRY)
 		d->entry = entryd_new(d);
@@ -152,8 +159,8 @@
 		d->side = sided_new(d);
 	if (!listen_all(d, err))
 		return NULL;
-	if (d->entry && state_intent(d->state))
-		entryd_intent(d->entry, state_intent(d->state));
+	d->plat = plat_new(d);
+	state_start(d->state);
 	uv_timer_init(&d->loop, &d->tick);
 	d->tick.data = d;
 	uv_timer_start(&d->tick, on_tick, TICK, TICK);
@@ -170,16 +177,27 @@
 	log_line(LOG_INFO, "stop", "name=%s", d->set->name);
 }
 
+/* The host is leaving: says so, and a sidecar grants nothing more. */
+void daemon_leave(daemon_t *d)
+{
+	if (d->leaving)
+		return;
+	d->leaving = true;
+	log_line(LOG_INFO, "leaving", "name=%s", d->set->name);
+	gossip_leave(d->gossip);
+	if (d->side)
+		sided_drain(d->side, clock_now());
+}
+
 /* Takes no new work; the process ends once what runs has ended. */
 void daemon_stop(daemon_t *d)
 {
-	ms_t now = clock_now();
-
+	if (d->stopping)
+		return;
 	d->stopping = true;
+	daemon_leave(d);
 	if (d->entry)
-		entryd_drain(d->entry, now);
-	else
-		sided_drain(d->side, now);
+		entryd_drain(d->entry, clock_now());
 }
 
 /*
@@ -194,6 +212,8 @@
 		entryd_free(d->entry);
 	if (d->side)
 		sided_free(d->side);
+	plat_free(d->plat);
+	gossip_free(d->gossip);
 	httpc_free(d->http);
 	if (!connected) {
 		web_dispose(&d->web);
--- a/cmd/chestnuthinged/dat.h
+++ b/cmd/chestnuthinged/dat.h
@@ -4,8 +4,10 @@
 
 #include <h2o.h>
 #include "entry/fns.h"
+#include "ledger/fns.h"
 #include "move/fns.h"
 #include "net/fns.h"
+#include "platform/fns.h"
 #include "side/fns.h"
 
 typedef struct daemon daemon_t;
@@ -15,8 +17,14 @@
 typedef struct sided sided_t;
 typedef struct backend backend_t;
 typedef struct state state_t;
+typedef struct plat plat_t;
+typedef struct gossip gossip_t;
+typedef struct orders orders_t;
 typedef struct stats stats_t;
 
+/* The fact that tells the furthest accepted offset of the config stream. */
+#define CONF_FACT "conf"
+
 /* The longest deadline that a caller may ask for. */
 enum {
 	DEADLINE_MOST = 3600 * 1000, /* ms */
@@ -120,12 +128,15 @@
 	peers_t *peers;
 	web_t web;
 	state_t *state;
+	plat_t *plat;
+	gossip_t *gossip;
 	entryd_t *entry; /* NULL for a sidecar */
 	sided_t *side;	 /* NULL for an entry */
 	uv_timer_t tick;
 	uv_signal_t term;
 	uv_signal_t intr;
-	bool stopping;
+	bool leaving;  /* grants or takes nothing new, but stays */
+	bool stopping; /* ends once its work is done */
 	bool ended;
 };
 
--- a/cmd/chestnuthinged/entryd.c
+++ b/cmd/chestnuthinged/entryd.c
@@ -17,7 +17,7 @@
 	limits_t *limits;
 	reply_t *submitting; /* its end may come inside entry_submit */
 	size_t running;
-	size_t sidecars;
+	GHashTable *sidecars; /* names of those up, by incarnation */
 	counter_t *running_gauge;
 	counter_t *sidecars_gauge;
 };
@@ -98,6 +98,8 @@
 
 	e->running--;
 	r->gone = NULL;
+	if (code_not_run(o->code))
+		plat_release(e->d->plat, o->rid);
 	stats_end(&e->d->stats, r, o->code, r->status, clock_now());
 	if (o->code == CODE_OK) {
 		if (!r->started) {
@@ -119,7 +121,7 @@
 {
 	entryd_t *e = ctx;
 
-	state_claim(e->d->state, rid, customer, key);
+	plat_claim(e->d->plat, rid, customer, key);
 }
 
 static const char *on_pick(void *ctx, const char *service, ms_t now)
@@ -171,6 +173,8 @@
 	e->d = d;
 	e->entry = entry_new(&conf, &ops, e, d->counters);
 	e->limits = limits_new();
+	e->sidecars = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
+					    g_free);
 	e->running_gauge =
 		gauge_get(d->counters, "chestnuthinge_requests_open", "");
 	e->sidecars_gauge =
@@ -183,6 +187,7 @@
 {
 	entry_free(e->entry);
 	limits_free(e->limits);
+	g_hash_table_destroy(e->sidecars);
 	g_free(e);
 }
 
@@ -229,22 +234,33 @@
 	call_clear(&c);
 }
 
+/* Marks a sidecar that has told, itself or through others, that it leaves. */
+static void check_leaving(entryd_t *e, uint64_t inc, const char *name, ms_t now)
+{
+	char *key = leave_key(name, inc);
+
+	if (facts_get(state_facts(e->d->state), key))
+		entry_side_leaving(e->entry, name, now);
+	g_free(key);
+}
+
 /* A sidecar is up. */
 void entryd_up(entryd_t *e, const msg_hello_t *who, ms_t now)
 {
 	char *name = str_dup(who->name);
 	char *data_center = str_dup(who->data_center);
 
-	e->sidecars++;
+	g_hash_table_replace(e->sidecars,
+			     g_memdup2(&who->inc, sizeof(who->inc)), name);
 	entry_side_up(e->entry, who->inc, name, data_center, now);
-	g_free(name);
+	check_leaving(e, who->inc, name, now);
 	g_free(data_center);
 }
 
 /* The connection to a sidecar is down. */
 void entryd_down(entryd_t *e, uint64_t inc, ms_t now)
 {
-	e->sidecars--;
+	g_hash_table_remove(e->sidecars, &inc);
 	entry_side_down(e->entry, inc, now);
 }
 
@@ -254,12 +270,27 @@
 	entry_recv(e->entry, inc, m, now);
 }
 
-/* A sidecar's host is leaving. */
-void entryd_leaving(entryd_t *e, const char *name, ms_t now)
+/*
+ * The host list says now that a host is leaving. It lags, so a process that
+ * comes up under that name later is taken at its own word.
+ */
+void entryd_host_leaving(entryd_t *e, const char *name, ms_t now)
 {
 	entry_side_leaving(e->entry, name, now);
 }
 
+/* Facts about leaving have come. */
+void entryd_check_leaving(entryd_t *e, ms_t now)
+{
+	GHashTableIter it;
+	gpointer inc;
+	gpointer name;
+
+	g_hash_table_iter_init(&it, e->sidecars);
+	while (g_hash_table_iter_next(&it, &inc, &name))
+		check_leaving(e, *(uint64_t *)inc, name, now);
+}
+
 /* Shares the customers' limits among so many live entries. */
 void entryd_entries(entryd_t *e, unsigned int live)
 {
@@ -288,7 +319,7 @@
 {
 	entry_tick(e->entry, now);
 	e->running_gauge->value = e->running;
-	e->sidecars_gauge->value = e->sidecars;
+	e->sidecars_gauge->value = entryd_sidecars(e);
 }
 
 /* Refuses what comes from now on. */
@@ -306,7 +337,7 @@
 /* Returns how many sidecars are up. */
 size_t entryd_sidecars(const entryd_t *e)
 {
-	return e->sidecars;
+	return g_hash_table_size(e->sidecars);
 }
 
 /* Appends the sidecars, a line each. */
--- a/cmd/chestnuthinged/fns.h
+++ b/cmd/chestnuthinged/fns.h
@@ -7,6 +7,7 @@
 /* daemon.c */
 daemon_t *daemon_new(settings_t *set, GError **err);
 void daemon_run(daemon_t *d);
+void daemon_leave(daemon_t *d);
 void daemon_stop(daemon_t *d);
 void daemon_free(daemon_t *d);
 
@@ -60,7 +61,8 @@
 void entryd_up(entryd_t *e, const msg_hello_t *who, ms_t now);
 void entryd_down(entryd_t *e, uint64_t inc, ms_t now);
 void entryd_recv(entryd_t *e, uint64_t inc, const msg_t *m, ms_t now);
-void entryd_leaving(entryd_t *e, const char *name, ms_t now);
+void entryd_host_leaving(entryd_t *e, const char *name, ms_t now);
+void entryd_check_leaving(entryd_t *e, ms_t now);
 void entryd_entries(entryd_t *e, unsigned int live);
 void entryd_claimed(entryd_t *e, rid_t rid, code_t code, ms_t now);
 void entryd_intent(entryd_t *e, const intent_t *in);
@@ -93,11 +95,16 @@
 
 /* state.c */
 state_t *state_new(daemon_t *d, GError **err);
+void state_start(state_t *st);
 void state_free(state_t *st);
 const intent_t *state_intent(const state_t *st);
+const intent_t *state_latest(const state_t *st);
 uint64_t state_offset(const state_t *st);
 const char *state_text(const state_t *st);
-void state_claim(state_t *st, rid_t rid, const char *customer, const char *key);
+ledger_t *state_ledger(state_t *st);
+facts_t *state_facts(state_t *st);
+void state_caught_up(state_t *st);
+GPtrArray *state_wanted(const state_t *st, const char *service);
 const char *state_pick(state_t *st, const char *service, ms_t now);
 const char *state_fallback(state_t *st, const char *service,
 			   const char *picked);
@@ -106,4 +113,29 @@
 void state_tick(state_t *st, ms_t now);
 void state_print(const state_t *st, GString *out);
 
+/* plat.c */
+plat_t *plat_new(daemon_t *d);
+void plat_free(plat_t *p);
+void plat_append_config(plat_t *p, const char *record);
+void plat_intent(plat_t *p, const intent_t *in);
+void plat_claim(plat_t *p, rid_t rid, const char *customer, const char *key);
+void plat_release(plat_t *p, rid_t rid);
+void plat_tick(plat_t *p, ms_t now);
+
+/* gossip.c */
+gossip_t *gossip_new(daemon_t *d);
+void gossip_free(gossip_t *g);
+void gossip_up(gossip_t *g, uint64_t inc);
+void gossip_down(gossip_t *g, uint64_t inc);
+bool gossip_recv(gossip_t *g, uint64_t inc, const msg_t *m);
+void gossip_tick(gossip_t *g, ms_t now);
+void gossip_flush(gossip_t *g);
+void gossip_leave(gossip_t *g);
+char *leave_key(const char *name, uint64_t inc);
+
+/* orders.c */
+orders_t *orders_new(daemon_t *d, backend_t *b);
+void orders_free(orders_t *o);
+void orders_tick(orders_t *o, ms_t now);
+
 #endif
--- a/cmd/chestnuthinged/sided.c
+++ b/cmd/chestnuthinged/sided.c
@@ -16,6 +16,7 @@
 	daemon_t *d;
 	side_t *side;
 	backend_t *backend;
+	orders_t *orders; /* NULL for a plain service */
 	GArray *entries;  /* incarnations that are up */
 	char *told;	  /* versions in the last state sent */
 	uint64_t leaving; /* as in the last state sent */
@@ -52,7 +53,7 @@
 
 static ms_t token_gap(const daemon_t *d)
 {
-	const intent_t *in = state_intent(d->state);
+	const intent_t *in = state_latest(d->state);
 	const service_t *service;
 
 	service = in ? intent_service(in, d->set->service) : NULL;
@@ -84,12 +85,16 @@
 	s->told = g_strdup("");
 	s->side = side_new(&conf, &ops, s, d->counters);
 	s->backend = backend_new(d, s->side);
+	if (d->set->backend_is_model)
+		s->orders = orders_new(d, s->backend);
 	return s;
 }
 
 /* Frees the role and drops what runs. */
 void sided_free(sided_t *s)
 {
+	if (s->orders)
+		orders_free(s->orders);
 	backend_free(s->backend);
 	side_free(s->side);
 	g_array_free(s->entries, TRUE);
@@ -150,6 +155,8 @@
 void sided_tick(sided_t *s, ms_t now)
 {
 	backend_tick(s->backend, now);
+	if (s->orders)
+		orders_tick(s->orders, now);
 	side_tick(s->side, now);
 	tell_state(s, now);
 }
--- a/cmd/chestnuthinged/state.c
+++ b/cmd/chestnuthinged/state.c
@@ -1,14 +1,86 @@
-/* The configuration in force, and what is known of versions. */
+/*
+ * What this process holds true: the configuration in force, facts, moves. It
+ * comes from the log, from peers, and before either from the intent file.
+ */
+#include <inttypes.h>
 #include <string.h>
 #include "fns.h"
 
+enum {
+	SETTLE = 1500, /* ms after the start: the log is not waited for */
+};
+
 struct state {
 	daemon_t *d;
-	intent_t *intent;
-	char *text;
-	uint64_t offset;
+	intent_t *file; /* in force until there is a revision */
+	char *file_text;
+	facts_t *facts;
+	moves_t *moves;
+	ledger_t *ledger;
+	const intent_t *intent; /* in force: of the file or the revision */
+	ms_t started;
+	bool caught_up; /* the config stream was read to its end once */
+	counter_t *offset_gauge;
 };
 
+/* Gives every part the intent in force. */
+static void apply(state_t *st)
+{
+	if (!st->intent)
+		return;
+	moves_set(st->moves, st->intent, state_offset(st),
+		  ledger_results(st->ledger), clock_now(), clock_unix());
+	if (st->d->entry)
+		entryd_intent(st->d->entry, st->intent);
+	if (st->d->plat)
+		plat_intent(st->d->plat, st->intent);
+}
+
+static void on_accepted(void *ctx, const revision_t *r)
+{
+	state_t *st = ctx;
+
+	st->intent = r->intent;
+	st->offset_gauge->value = r->offset;
+	facts_set(st->facts, CONF_FACT, r->offset);
+	log_line(LOG_INFO, "revision", "offset=%" PRIu64, r->offset);
+	apply(st);
+}
+
+static void on_result(void *ctx, const move_result_t *r)
+{
+	state_t *st = ctx;
+
+	log_line(LOG_INFO, "move-result", "service=%s version=%s state=%s %s",
+		 r->service, r->version,
+		 r->state == MOVE_DONE ? "done" : "reversed",
+		 r->evidence ? r->evidence : "");
+	apply(st);
+}
+
+/* A drain from before the start was meant for an earlier process. */
+static void on_drain(void *ctx, const char *host, uint64_t offset)
+{
+	state_t *st = ctx;
+
+	if (!st->caught_up || strcmp(host, st->d->set->name) != 0)
+		return;
+	log_line(LOG_INFO, "drain", "offset=%" PRIu64, offset);
+	daemon_stop(st->d);
+}
+
+static void on_ended(void *ctx, const move_result_t *r)
+{
+	state_t *st = ctx;
+	char *record;
+
+	if (!st->d->plat)
+		return;
+	record = result_record(r);
+	plat_append_config(st->d->plat, record);
+	g_free(record);
+}
+
 /* Reads the intent that is in force until the log has one. */
 static bool load_first(state_t *st, GError **err)
 {
@@ -16,36 +88,66 @@
 
 	if (!path)
 		return true;
-	if (!g_file_get_contents(path, &st->text, NULL, err))
+	if (!g_file_get_contents(path, &st->file_text, NULL, err))
 		return false;
-	st->intent = intent_parse(st->text, path, err);
-	return st->intent != NULL;
+	st->file = intent_parse(st->file_text, path, err);
+	st->intent = st->file;
+	return st->file != NULL;
 }
 
 /* Returns the state at start; NULL when the intent file is not good. */
 state_t *state_new(daemon_t *d, GError **err)
 {
+	static const moves_ops_t moves_ops = { on_ended };
+	static const ledger_ops_t ledger_ops = { .accepted = on_accepted,
+						 .result = on_result,
+						 .drain = on_drain };
 	state_t *st = g_new0(state_t, 1);
 
 	st->d = d;
-	if (!load_first(st, err)) {
-		state_free(st);
-		return NULL;
-	}
-	return st;
+	st->started = clock_now();
+	st->facts = facts_new();
+	st->moves = moves_new(st->facts, d->inc, &moves_ops, st);
+	st->ledger = ledger_new(&ledger_ops, st);
+	st->offset_gauge =
+		gauge_get(d->counters, "chestnuthinge_revision_offset", "");
+	if (load_first(st, err))
+		return st;
+	state_free(st);
+	return NULL;
+}
+
+/* Gives the first intent to the other parts, once they are there. */
+void state_start(state_t *st)
+{
+	apply(st);
 }
 
 /* Frees the state. */
 void state_free(state_t *st)
 {
-	if (st->intent)
-		intent_free(st->intent);
-	g_free(st->text);
+	ledger_free(st->ledger);
+	moves_free(st->moves);
+	facts_free(st->facts);
+	if (st->file)
+		intent_free(st->file);
+	g_free(st->file_text);
 	g_free(st);
 }
 
-/* Returns the intent in force, or NULL. */
+/*
+ * Returns the intent in force. NULL before there is one, and at the start until
+ * the log was read or can't be: an older one than others have is not served.
+ */
 const intent_t *state_intent(const state_t *st)
+{
+	if (!st->caught_up && clock_now() - st->started < SETTLE)
+		return NULL;
+	return st->intent;
+}
+
+/* Returns the latest intent known, also while the state settles. */
+const intent_t *state_latest(const state_t *st)
 {
 	return st->intent;
 }
@@ -53,72 +155,84 @@
 /* Returns the log offset of the accepted revision; 0 before the first. */
 uint64_t state_offset(const state_t *st)
 {
-	return st->offset;
+	return ledger_revision(st->ledger)->offset;
 }
 
 /* Returns the text of the intent in force, empty before the first. */
 const char *state_text(const state_t *st)
 {
-	return st->text ? st->text : "";
+	const revision_t *r = ledger_revision(st->ledger);
+
+	if (r->offset > 0)
+		return r->text;
+	return st->file_text ? st->file_text : "";
+}
+
+/* Returns the ledger. */
+ledger_t *state_ledger(state_t *st)
+{
+	return st->ledger;
+}
+
+/* Returns the facts. */
+facts_t *state_facts(state_t *st)
+{
+	return st->facts;
+}
+
+/* The config stream was read to its end. */
+void state_caught_up(state_t *st)
+{
+	if (!st->caught_up)
+		log_line(LOG_INFO, "config-read", "offset=%" PRIu64,
+			 state_offset(st));
+	st->caught_up = true;
+}
+
+/* Returns the versions that a backend server of the service should load. */
+GPtrArray *state_wanted(const state_t *st, const char *service)
+{
+	return moves_wanted(st->intent, service, ledger_results(st->ledger));
 }
 
 /* Chooses the version for the next request; NULL: none is known. */
 const char *state_pick(state_t *st, const char *service, ms_t now)
 {
-	(void)now;
-	for (guint i = 0; st->intent && i < st->intent->versions->len; i++) {
-		const version_t *v = st->intent->versions->pdata[i];
-
-		if (strcmp(v->service, service) == 0)
-			return v->name;
-	}
-	return NULL;
+	return moves_pick(st->moves, service, now);
 }
 
 /* Chooses another version when no live server has the picked one. */
 const char *state_fallback(state_t *st, const char *service, const char *picked)
 {
-	(void)st;
-	(void)service;
-	(void)picked;
-	return NULL;
+	return moves_fallback(st->moves, service, picked);
 }
 
 /* Tells whether the version was found bad. */
 bool state_is_bad(state_t *st, const char *service, const char *version)
 {
-	(void)st;
-	(void)service;
-	(void)version;
-	return false;
+	return moves_is_bad(st->moves, service, version);
 }
 
 /* Notes how a request of a version went. */
 void state_note(state_t *st, const sample_t *s, ms_t now)
 {
-	(void)st;
-	(void)s;
-	(void)now;
-}
-
-/* Claims an idempotency key for a request. */
-void state_claim(state_t *st, rid_t rid, const char *customer, const char *key)
-{
-	(void)customer;
-	(void)key;
-	entryd_claimed(st->d->entry, rid, CODE_NO_CLAIM, clock_now());
+	moves_note(st->moves, s, now);
 }
 
-/* Runs what depends on time. */
+/* Judges the moves; only entries see how requests go. */
 void state_tick(state_t *st, ms_t now)
 {
-	(void)st;
-	(void)now;
+	if (st->d->entry)
+		moves_tick(st->moves, now);
 }
 
 /* Appends the revision and the moves, a line each. */
 void state_print(const state_t *st, GString *out)
 {
-	g_string_append_printf(out, "revision offset=%" G_GUINT64_FORMAT "\n",
-			       st->offset);
+	g_string_append_printf(
+		out,
+		"revision offset=%" PRIu64 " conf_seen=%" PRIu64 " facts=%zu\n",
+		state_offset(st), facts_get(st->facts, CONF_FACT),
+		facts_len(st->facts));
+	moves_print(st->moves, out);
 }
