--- a/lib/conf/scan.c
+++ b/lib/conf/scan.c
@@ -259,7 +259,6 @@
 	if (!g_utf8_validate(s->rest, -1, NULL))
 		return scan_fail(s, CODE_SYNTAX, NULL, "expected UTF-8 text");
 	ini_max_line = INI_LINE_BYTES;
-	ini_allow_multiline = false;
 	ini_stop_on_first_error = true;
 	bad_line = ini_parse_stream(next_line, s, key_line, s);
 	if (s->err)
--- a/test/conf.c
+++ b/test/conf.c
@@ -37,6 +37,8 @@
 	  "f.ini:3: [process] role: key given twice" },
 	{ "indented key twice", "[process]\nname = a\n  name = b\n",
 	  CODE_SYNTAX, "f.ini:3: [process] name: key given twice" },
+	{ "indented section", "[timing]\n  [timing]\n", CODE_SYNTAX,
+	  "f.ini:2: [timing]: section given twice" },
 	{ "section twice", ENTRY "[listen]\n", CODE_SYNTAX, "given twice" },
 	{ "missing key", "[process]\nrole = entry\nname = a\n[limits]\n",
 	  CODE_MISSING_KEY, "f.ini:1: [process] data_center: missing key" },
