ledger: take results whose op is a move's id

Cause: a result was refused when its op was larger than the accepted offset, but lib/move names a move by a hash of what the intent says of it (53 bits), so that no result would ever have counted.

Change: any op but 0 is taken; the case that expected the refusal now expects the result of such an id, and still a refusal of op 0. The plan says whether the time can be kept at the stages' usual pace, by shorter ones, or not.

--- a/lib/ledger/ledger.c
+++ b/lib/ledger/ledger.c
@@ -268,7 +268,7 @@
 {
 	move_result_t *new = r->result;
 
-	if (new->op == 0 || new->op > l->log->pub.offset)
+	if (new->op == 0)
 		return CODE_BAD_RECORD;
 	for (guint i = 0; i < l->results->len; i++) {
 		if (same_move(l->results->pdata[i], new))
--- a/lib/ledger/plan.c
+++ b/lib/ledger/plan.c
@@ -4,9 +4,10 @@
 #include "ledger/priv.h"
 
 enum {
-	OP_BYTES = 16,	  /* of an operation id */
-	MOVE_MIN_S = 120, /* seconds a move takes at least: stages and loads */
-	TIME_BYTES = 32,  /* of a printed time */
+	OP_BYTES = 16,	     /* of an operation id */
+	MOVE_LEAST_S = 50,   /* seconds that the stages of a move need */
+	MOVE_USUAL_S = 1012, /* seconds with which they keep their usual pace */
+	TIME_BYTES = 32,     /* of a printed time */
 };
 
 static const char first_line[] = "chestnuthinge plan 1\n";
@@ -65,16 +66,19 @@
 		return;
 	}
 	time_print(v->by, by);
-	if (left < MOVE_MIN_S)
+	g_string_append_printf(out, "    by: %s, %" PRId64 " s are left", by,
+			       MAX(left, 0));
+	if (left < MOVE_LEAST_S)
 		g_string_append_printf(out,
-				       "    by: %s can't be kept: %" PRId64
-				       " s are left, a move takes at least "
-				       "%d s (%d %s)\n",
-				       by, MAX(left, 0), MOVE_MIN_S,
-				       CODE_TOO_LATE, code_name(CODE_TOO_LATE));
+				       ": can't be kept, the stages need %d s "
+				       "(%d %s)\n",
+				       MOVE_LEAST_S, CODE_TOO_LATE,
+				       code_name(CODE_TOO_LATE));
+	else if (left < MOVE_USUAL_S)
+		g_string_append(out, ": can be kept by shorter stages, if the "
+				     "loads take little of it\n");
 	else
-		g_string_append_printf(
-			out, "    by: %s, %" PRId64 " s are left\n", by, left);
+		g_string_append(out, ": can be kept\n");
 }
 
 static void move_print(const intent_t *old, const version_t *v,
