Sidecar: silent streams, offers after lapsed grants

Cause: a non-streamed answer of a slow engine is silent for longer than the engine's limit, so four resumes gave it up.

Change: silence is resumed until the deadline; other failures stay bounded in a row. A lapsed grant is dropped when its offer comes again.

--- a/lib/side/grant.c
+++ b/lib/side/grant.c
@@ -11,6 +11,12 @@
 	side_send(s, j, &m);
 }
 
+/* Whether the request holds a grant whose lease has passed. */
+bool grant_lapsed(const side_t *s, const job_t *j, ms_t now)
+{
+	return j->state == JOB_GRANTED && now >= j->since + s->conf.lease;
+}
+
 /* Grants what fits the place, in the order of the waiting list. */
 void grant_all(side_t *s, ms_t now)
 {
@@ -32,7 +38,7 @@
 {
 	uint64_t conn = peer_get(s, j->rid.inc)->conn;
 
-	if (j->conn == conn || now >= j->since + s->conf.lease)
+	if (j->conn == conn)
 		return;
 	j->conn = conn;
 	send_grant(s, j, now);
@@ -44,7 +50,7 @@
 	while (!list_empty(&s->granted)) {
 		job_t *j = list_entry(s->granted.next, job_t, link);
 
-		if (now < j->since + s->conf.lease)
+		if (!grant_lapsed(s, j, now))
 			return;
 		counter_get(s->counters, "side_grants_lapsed", NULL)->value++;
 		if (j->floor)
@@ -60,7 +66,7 @@
 {
 	if (!j || j->state != JOB_GRANTED || j->grant != b->grant)
 		return CODE_GRANT_LAPSED;
-	if (now >= j->since + s->conf.lease)
+	if (grant_lapsed(s, j, now))
 		return CODE_GRANT_LAPSED;
 	if (b->left_ms == 0)
 		return CODE_EXPIRED_WAITING;
--- a/lib/side/priv.h
+++ b/lib/side/priv.h
@@ -59,13 +59,14 @@
 	uint64_t last; /* number of the last chunk */
 	uint64_t bytes;
 	sse_t scan;
-	code_t code;   /* once ended */
-	ms_t first;    /* time from dispatch; -1 none came */
-	ms_t first_at; /* time of the first chunk */
-	ms_t last_at;  /* time of the newest chunk */
-	bool resuming; /* the next head is that of a resumed stream */
-	unsigned int resumes;
-	ms_t resume_at; /* when to ask the engine again; 0 not needed */
+	code_t code;	      /* once ended */
+	ms_t first;	      /* time from dispatch; -1 none came */
+	ms_t first_at;	      /* time of the first chunk */
+	ms_t last_at;	      /* time of the newest chunk */
+	bool resuming;	      /* the next head is that of a resumed stream */
+	bool sent_again;      /* the engine was asked to go on */
+	unsigned int resumes; /* failed in a row */
+	ms_t resume_at;	      /* when to ask the engine again; 0 not needed */
 } answer_t;
 
 /* A request, from its offer to the acknowledgement of its end. */
@@ -180,6 +181,7 @@
 /* grant.c */
 void grant_all(side_t *s, ms_t now);
 void grant_again(side_t *s, job_t *j, ms_t now);
+bool grant_lapsed(const side_t *s, const job_t *j, ms_t now);
 void grant_lapse(side_t *s, ms_t now);
 void grant_body(side_t *s, const msg_body_t *b, ms_t now);
 
--- a/lib/side/run.c
+++ b/lib/side/run.c
@@ -2,7 +2,7 @@
 #include "side/priv.h"
 
 enum {
-	RESUME_MAX = 4,	       /* attempts for one answer */
+	RESUME_MAX = 4,	       /* attempts without a byte */
 	RESUME_WAIT = 200,     /* ms, times the attempt, after the first */
 	DEADLINE_SLACK = 1000, /* ms in which the entry itself cancels */
 	ENDED_KEEP = 300000,   /* ms for the acknowledgement of an end */
@@ -85,21 +85,27 @@
 		run_cancel(s, j, CODE_CUT, now);
 		return;
 	}
+	j->a.resumes = 0;
 	answer_data(s, j, data, now);
 }
 
-static void resume_now(side_t *s, job_t *j)
+static void resume_now(side_t *s, job_t *j, code_t code)
 {
 	j->a.resume_at = 0;
 	j->a.resuming = true;
-	j->a.resumes++;
+	j->a.sent_again = true;
+	if (code != CODE_SILENT)
+		j->a.resumes++;
 	counter_get(s->counters, "side_resumes", NULL)->value++;
 	s->ops->resume(s->ctx, j->rid, j->a.bytes);
 }
 
-/* Asks the engine for the rest of a broken answer, a bounded number of times.
+/*
+ * Asks the engine for the rest of a broken answer. A silent stream may just be
+ * slow, so that is done until the deadline; other failures in a row are
+ * bounded.
  */
-static void try_resume(side_t *s, job_t *j, ms_t now)
+static void try_resume(side_t *s, job_t *j, code_t code, ms_t now)
 {
 	code_t lost = j->a.status ? CODE_CUT : CODE_PATH_LOST;
 
@@ -107,8 +113,8 @@
 		run_cancel(s, j, lost, now);
 		return;
 	}
-	if (j->a.resumes == 0)
-		resume_now(s, j);
+	if (code == CODE_SILENT || j->a.resumes == 0)
+		resume_now(s, j, code);
 	else
 		j->a.resume_at = now + (ms_t)RESUME_WAIT * j->a.resumes;
 }
@@ -130,7 +136,7 @@
 
 	if (!j || j->a.resume_at)
 		return;
-	if (code == CODE_NOT_SENT && j->a.resumes == 0 && j->a.status == 0) {
+	if (code == CODE_NOT_SENT && !j->a.sent_again) {
 		not_sent(s, j, now);
 		return;
 	}
@@ -145,7 +151,7 @@
 	if (code == CODE_OK)
 		run_end(s, j, code, now);
 	else
-		try_resume(s, j, now);
+		try_resume(s, j, code, now);
 }
 
 static bool peer_gone(side_t *s, const job_t *j, ms_t now)
@@ -171,7 +177,7 @@
 	else if (now > j->deadline + DEADLINE_SLACK)
 		run_cancel(s, j, CODE_EXPIRED_RUNNING, now);
 	else if (j->a.resume_at && now >= j->a.resume_at)
-		resume_now(s, j);
+		resume_now(s, j, CODE_CUT);
 }
 
 /* Resumes, cancels and forgets what time has come for. */
--- a/lib/side/wait.c
+++ b/lib/side/wait.c
@@ -270,6 +270,10 @@
 	job_t *j = job_find(s, o->rid);
 	code_t code;
 
+	if (j && grant_lapsed(s, j, now)) {
+		forget(s, j, now);
+		j = job_find(s, o->rid);
+	}
 	if (j && j->state != JOB_REFUSED) {
 		repeated(s, j, o, now);
 		return;
--- a/test/side.c
+++ b/test/side.c
@@ -292,6 +292,8 @@
 	{ "a grant is told again on a new connection", false,
 	  "offer:1 down up offer:1 offer:1 body:1",
 	  "grant:1 grant:1 dispatch:1" },
+	{ "an offer after a lapsed grant is a new one", false,
+	  "offer:1 down up late:500 offer:1 body:1", "grant:1 grant:1 dispatch:1" },
 	{ "offers of a lost connection are dropped", false,
 	  "offer:1 offer:2 down up withdraw:1 offer:2", "grant:1 grant:2" },
 	{ "resume sends what is not acknowledged", false,
@@ -324,6 +326,14 @@
 	  "wait:200 wait:200 e-end:1:cut wait:600 e-end:1:cut",
 	  "grant:1 dispatch:1 resume:1:0 resume:1:0 resume:1:0 resume:1:0 "
 	  "end:1:path-lost:0 cancel:1" },
+	{ "a silent stream is asked for until the deadline", false,
+	  "offer:1 body:1 e-end:1:silent e-end:1:silent e-end:1:silent "
+	  "e-end:1:silent e-end:1:silent e-head:1 e-end:1:ok",
+	  "grant:1 dispatch:1 resume:1:0 resume:1:0 resume:1:0 resume:1:0 "
+	  "resume:1:0 head:1:200 end:1:ok:0" },
+	{ "a resume that is not sent is no proof of not run", false,
+	  "offer:1 body:1 e-end:1:silent e-end:1:not-sent",
+	  "grant:1 dispatch:1 resume:1:0 resume:1:0" },
 	{ "an engine that does not know the stream", false,
 	  "offer:1 body:1 e-head:1 e-data:1:a e-end:1:cut e-head:1:404",
 	  "grant:1 dispatch:1 head:1:200 chunk:1:1 resume:1:1 "
