--- a/cmd/chestnuthinged/state.c
+++ b/cmd/chestnuthinged/state.c
@@ -231,8 +231,9 @@
 {
 	g_string_append_printf(
 		out,
-		"revision offset=%" PRIu64 " conf_seen=%" PRIu64 " facts=%zu\n",
+		"revision offset=%" PRIu64 " conf_seen=%" PRIu64
+		" facts=%zu results=%u\n",
 		state_offset(st), facts_get(st->facts, CONF_FACT),
-		facts_len(st->facts));
+		facts_len(st->facts), ledger_results(st->ledger)->len);
 	moves_print(st->moves, out);
 }
