--- a/cmd/chestnuthinged/daemon.c
+++ b/cmd/chestnuthinged/daemon.c
@@ -145,7 +145,7 @@
 	d->set = set;
 	d->inc = random_u64();
 	d->counters = counters_new();
-	d->stats.all = d->counters;
+	d->stats = stats_new(d->counters);
 	uv_loop_init(&d->loop);
 	d->state = state_new(d, err);
 	if (!d->state)
@@ -221,6 +221,7 @@
 		uv_loop_close(&d->loop);
 	}
 	state_free(d->state);
+	stats_free(d->stats);
 	counters_free(d->counters);
 	settings_free(d->set);
 	g_free(d);
--- a/cmd/chestnuthinged/dat.h
+++ b/cmd/chestnuthinged/dat.h
@@ -91,11 +91,6 @@
 	counter_t *refused;
 };
 
-/* Counters of requests by service, tier and code. */
-struct stats {
-	counters_t *all;
-};
-
 /* A chat request, as far as the scheduler needs to know it. */
 typedef struct chat {
 	char *model;
@@ -122,7 +117,7 @@
 	settings_t *set;
 	uv_loop_t loop;
 	counters_t *counters;
-	stats_t stats;
+	stats_t *stats;
 	uint64_t inc;
 	httpc_t *http;
 	peers_t *peers;
--- a/cmd/chestnuthinged/entryd.c
+++ b/cmd/chestnuthinged/entryd.c
@@ -100,7 +100,7 @@
 	r->gone = NULL;
 	if (code_not_run(o->code))
 		plat_release(e->d->plat, o->rid);
-	stats_end(&e->d->stats, r, o->code, r->status, clock_now());
+	stats_end(e->d->stats, r, o->code, r->status);
 	if (o->code == CODE_OK) {
 		if (!r->started) {
 			add_outcome(r, o);
@@ -196,7 +196,7 @@
 	entryd_t *e = ctx;
 
 	e->running--;
-	stats_end(&e->d->stats, r, CODE_CALLER_GONE, 0, clock_now());
+	stats_end(e->d->stats, r, CODE_CALLER_GONE, 0);
 	entry_hangup(e->entry, r->rid, clock_now());
 }
 
@@ -227,7 +227,7 @@
 	if (c.code == CODE_OK) {
 		submit(e, r, &c, now);
 	} else {
-		stats_refuse(&e->d->stats, c.service ? c.service->name : "",
+		stats_refuse(e->d->stats, c.service ? c.service->name : "",
 			     c.submit.tier, c.code);
 		reply_refuse(r, c.code, c.message, c.retry);
 	}
--- a/cmd/chestnuthinged/fns.h
+++ b/cmd/chestnuthinged/fns.h
@@ -50,7 +50,9 @@
 void call_clear(call_t *c);
 
 /* stats.c */
-void stats_end(stats_t *s, const reply_t *r, code_t code, int status, ms_t now);
+stats_t *stats_new(counters_t *all);
+void stats_free(stats_t *s);
+void stats_end(stats_t *s, const reply_t *r, code_t code, int status);
 void stats_refuse(stats_t *s, const char *service, int tier, code_t code);
 void stats_process(counters_t *counters);
 
--- a/cmd/chestnuthinged/stats.c
+++ b/cmd/chestnuthinged/stats.c
@@ -1,9 +1,10 @@
-/* Counters of requests, and of this process. */
+/* Counters of requests by service and tier, and of this process. */
 #include <sys/resource.h>
 #include "fns.h"
 
 enum {
 	LABELS_MAX = 256,
+	CODE_MAX = 300,		 /* above every code of a request's end */
 	HTTP_SERVER_ERROR = 500, /* and above */
 	US_PER_MS = 1000,
 	MS_PER_S = 1000,
@@ -13,39 +14,106 @@
 static const ms_t bounds[] = { 10,  20,	  50,	100,  200,
 			       500, 1000, 2000, 5000, 10000 };
 
-static void count(stats_t *s, const char *name, const char *service, int tier,
-		  const char *more)
+/* The counters of one service, made when they are first used. */
+typedef struct row {
+	counter_t *ended[TIER_COUNT][CODE_MAX];
+	counter_t *good[TIER_COUNT];
+	counter_t *first[TIER_COUNT]; /* requests with a first token */
+	counter_t *buckets[TIER_COUNT][G_N_ELEMENTS(bounds) + 1];
+} row_t;
+
+struct stats {
+	counters_t *all;
+	GHashTable *rows; /* row_t by service */
+};
+
+/* Makes the table; counters go into all. */
+stats_t *stats_new(counters_t *all)
+{
+	stats_t *s = g_new0(stats_t, 1);
+
+	s->all = all;
+	s->rows =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	return s;
+}
+
+/* Frees the table; the counters stay. */
+void stats_free(stats_t *s)
+{
+	g_hash_table_destroy(s->rows);
+	g_free(s);
+}
+
+static row_t *row_of(stats_t *s, const char *service)
+{
+	row_t *row = g_hash_table_lookup(s->rows, service);
+
+	if (row)
+		return row;
+	row = g_new0(row_t, 1);
+	g_hash_table_insert(s->rows, g_strdup(service), row);
+	return row;
+}
+
+/* Adds one to a counter that was made before. */
+static bool bump(counter_t *c)
+{
+	if (c)
+		c->value++;
+	return c != NULL;
+}
+
+/* Adds one to a counter; more is appended to its labels when it is made. */
+static void count(stats_t *s, counter_t **slot, const char *name,
+		  const char *service, int tier, const char *more)
 {
 	char labels[LABELS_MAX];
 
+	if (bump(*slot))
+		return;
 	g_snprintf(labels, sizeof(labels), "service=\"%s\",tier=\"%d\"%s",
 		   service, tier, more);
-	counter_get(s->all, name, labels)->value++;
+	*slot = counter_get(s->all, name, labels);
+	(*slot)->value++;
 }
 
-/* Counts a request that was refused before it was submitted. */
-void stats_refuse(stats_t *s, const char *service, int tier, code_t code)
+static void count_code(stats_t *s, row_t *row, const char *service, int tier,
+		       code_t code)
 {
 	char more[64];
 
+	if (bump(row->ended[tier][code]))
+		return;
 	g_snprintf(more, sizeof(more), ",code=\"%s\"", code_name(code));
-	count(s, "chestnuthinge_requests_total", service, tier, more);
+	count(s, &row->ended[tier][code], "chestnuthinge_requests_total",
+	      service, tier, more);
 }
 
-static void count_first(stats_t *s, const reply_t *r)
+/* Counts a request that was refused before it was submitted. */
+void stats_refuse(stats_t *s, const char *service, int tier, code_t code)
+{
+	count_code(s, row_of(s, service), service, tier, code);
+}
+
+static void count_first(stats_t *s, row_t *row, const reply_t *r)
 {
 	static const char name[] = "chestnuthinge_first_token_ms_bucket";
+	counter_t **buckets = row->buckets[r->tier];
 	ms_t took = r->first - r->began;
+	size_t n = G_N_ELEMENTS(bounds);
 	char more[64];
 
-	for (size_t i = 0; i < G_N_ELEMENTS(bounds); i++) {
-		if (took > bounds[i])
+	for (size_t i = n; i > 0 && took <= bounds[i - 1]; i--) {
+		if (bump(buckets[i - 1]))
 			continue;
-		g_snprintf(more, sizeof(more), ",le=\"%d\"", (int)bounds[i]);
-		count(s, name, r->service, r->tier, more);
+		g_snprintf(more, sizeof(more), ",le=\"%d\"",
+			   (int)bounds[i - 1]);
+		count(s, &buckets[i - 1], name, r->service, r->tier, more);
 	}
-	count(s, name, r->service, r->tier, ",le=\"+Inf\"");
-	count(s, "chestnuthinge_first_token_ms_count", r->service, r->tier, "");
+	count(s, &buckets[n], name, r->service, r->tier, ",le=\"+Inf\"");
+	count(s, &row->first[r->tier], "chestnuthinge_first_token_ms_count",
+	      r->service, r->tier, "");
 }
 
 /*
@@ -69,14 +137,16 @@
 }
 
 /* Counts a submitted request at its end. */
-void stats_end(stats_t *s, const reply_t *r, code_t code, int status, ms_t now)
+void stats_end(stats_t *s, const reply_t *r, code_t code, int status)
 {
-	(void)now;
-	stats_refuse(s, r->service, r->tier, code);
+	row_t *row = row_of(s, r->service);
+
+	count_code(s, row, r->service, r->tier, code);
 	if (r->first >= 0)
-		count_first(s, r);
+		count_first(s, row, r);
 	if (is_good(r, code, status))
-		count(s, "chestnuthinge_good_total", r->service, r->tier, "");
+		count(s, &row->good[r->tier], "chestnuthinge_good_total",
+		      r->service, r->tier, "");
 }
 
 /* Sets the gauges of the process's use of processor and memory. */
