Callers' paths are matched in their plain spelling; HEAD refusals have no body

A path with dot segments or escapes passed by a route that needs a key. Services and routes are now matched against the normalized path; what is sent on is the caller's own. A refusal of a HEAD request carried a body, which the next answer of the connection would have been read behind.

--- a/cmd/chestnuthinged/call.c
+++ b/cmd/chestnuthinged/call.c
@@ -42,7 +42,7 @@
 
 static bool is_chat(const call_t *c)
 {
-	return strcmp(c->path, chat_path) == 0 &&
+	return strcmp(c->plain, chat_path) == 0 &&
 	       strcmp(c->method, "POST") == 0;
 }
 
@@ -73,7 +73,7 @@
 {
 	submit_t *s = &c->submit;
 
-	c->service = intent_service_by_path(in, c->path);
+	c->service = intent_service_by_path(in, c->plain);
 	if (!c->service) {
 		refuse(c, CODE_NO_SERVICE, "no service has this path");
 		return;
@@ -90,7 +90,7 @@
 {
 	submit_t *s = &c->submit;
 	const route_t *route =
-		intent_route(in, c->service->name, c->method, c->path);
+		intent_route(in, c->service->name, c->method, c->plain);
 
 	s->route = route ? route->name : "";
 	s->idempotent = route ? route->idempotent
@@ -139,6 +139,8 @@
 	submit_t *s = &c->submit;
 
 	c->path = g_strndup(req->path.base, req->path.len);
+	c->plain =
+		g_strndup(req->path_normalized.base, req->path_normalized.len);
 	c->method = g_strndup(req->method.base, req->method.len);
 	c->content_type = reply_header(r, "content-type");
 	c->key = reply_header(r, "idempotency-key");
@@ -190,6 +192,7 @@
 void call_clear(call_t *c)
 {
 	g_free(c->path);
+	g_free(c->plain);
 	g_free(c->method);
 	g_free(c->content_type);
 	g_free(c->key);
--- a/cmd/chestnuthinged/chat.c
+++ b/cmd/chestnuthinged/chat.c
@@ -5,7 +5,8 @@
 
 enum {
 	BYTES_PER_TOKEN = 4,
-	PREFIX_BYTES = 1024, /* of the prompt; what engines cache by */
+	PREFIX_BYTES = 1024,   /* of the prompt; what engines cache by */
+	TOKENS_MOST = 1 << 24, /* a larger limit is no limit */
 };
 
 static bool take_uint(json_t *o, const char *name, uint64_t *out)
@@ -29,15 +30,46 @@
 	return !v || json_is_null(v) || json_is_boolean(v);
 }
 
+/* Adds a text to the prompt: its size, and what of it belongs to the start. */
+static void add_text(GString *start, size_t *size, const char *text, size_t n)
+{
+	size_t room = PREFIX_BYTES - MIN(start->len, (gsize)PREFIX_BYTES);
+
+	*size += n;
+	g_string_append_len(start, text, (gssize)MIN(n, room));
+}
+
+static void add_value(GString *start, size_t *size, const json_t *v)
+{
+	char *text;
+
+	if (json_is_string(v)) {
+		add_text(start, size, json_string_value(v),
+			 json_string_length(v));
+	} else if (v) {
+		text = json_dumps(v, JSON_COMPACT | JSON_ENCODE_ANY);
+		if (text)
+			add_text(start, size, text, strlen(text));
+		free(text);
+	}
+}
+
 /* Estimates the prompt's tokens and hashes its start. */
 static void measure(json_t *messages, chat_t *c)
 {
-	char *text = json_dumps(messages, JSON_COMPACT);
-	size_t n = strlen(text);
+	GString *start = g_string_sized_new(PREFIX_BYTES + 1);
+	size_t size = 0;
+	size_t i;
+	const json_t *m;
 
-	c->prompt_tokens = n / BYTES_PER_TOKEN + 1;
-	c->prefix = hash64(text, MIN(n, PREFIX_BYTES), 0);
-	free(text);
+	json_array_foreach(messages, i, m)
+	{
+		add_value(start, &size, json_object_get(m, "role"));
+		add_value(start, &size, json_object_get(m, "content"));
+	}
+	c->prompt_tokens = size / BYTES_PER_TOKEN + 1;
+	c->prefix = MAX(hash64(start->str, start->len, 0), 1);
+	g_string_free(start, TRUE);
 }
 
 static code_t take(json_t *o, chat_t *c)
@@ -51,6 +83,7 @@
 	if (!take_bool(o, "stream", &c->stream) ||
 	    !take_uint(o, "max_tokens", &c->max_tokens))
 		return CODE_BAD_REQUEST;
+	c->max_tokens = MIN(c->max_tokens, TOKENS_MOST);
 	c->model = g_strdup(json_string_value(model));
 	measure(messages, c);
 	return CODE_OK;
--- a/cmd/chestnuthinged/dat.h
+++ b/cmd/chestnuthinged/dat.h
@@ -104,7 +104,8 @@
 typedef struct call {
 	submit_t submit;
 	const service_t *service;
-	char *path;
+	char *path;  /* as given, with its query */
+	char *plain; /* without query, escapes and dot segments */
 	char *method;
 	char *content_type;
 	char *key;
--- a/cmd/chestnuthinged/reply.c
+++ b/cmd/chestnuthinged/reply.c
@@ -152,16 +152,26 @@
 		send_more(r);
 }
 
-/* Ends a whole answer. */
+static bool is_head(const reply_t *r)
+{
+	const h2o_iovec_t *m = &r->req->input.method;
+
+	return h2o_memis(m->base, m->len, H2O_STRLIT("HEAD"));
+}
+
+/* Ends a whole answer; that to a HEAD request has no body. */
 void reply_end(reply_t *r)
 {
 	if (r->ended)
 		return;
 	r->ended = true;
 	r->finish = true;
-	if (!r->started)
+	if (!r->started) {
 		start(r, r->status, r->content_type ? r->content_type : "",
 		      r->data->len);
+		if (is_head(r))
+			g_byte_array_set_size(r->data, 0);
+	}
 	if (!r->busy)
 		send_more(r);
 }
--- a/test/fault/daemon.sh
+++ b/test/fault/daemon.sh
@@ -3,6 +3,7 @@
 # hang up, answers that break off, bad starts, graceful shutdown.
 # shellcheck source=test/fleet
 . "$(dirname "$0")/../fleet"
+export ASAN_OPTIONS="${ASAN_OPTIONS:-detect_leaks=1}"
 fleet_init "${1:-build/san}"
 
 # status_is WANT NAME ANSWER: the HTTP status, and the outcome not-run.
@@ -47,9 +48,13 @@
 	-H 'Chestnuthinge-Deadline-Ms: soon')"
 status_is 400 "key needed" \
 	"$(ask_plain entry-1 school-1 POST /stock/order -d '{}')"
+status_is 400 "key needed, by another spelling of the path" \
+	"$(ask_plain entry-1 school-1 POST /stock/./%6frder --path-as-is -d '{}')"
 head -c 1100000 /dev/zero | tr '\0' ' ' >"$T/large"
 status_is 413 "body too large" \
 	"$(ask entry-1 school-1 "@$T/large" -H 'Expect:')"
+status_is 413 "chunked body too large" "$(ask entry-1 school-1 "@$T/large" \
+	-H 'Expect:' -H 'Transfer-Encoding: chunked')"
 status_is 413 "header too large" "$(ask entry-1 school-1 "$(prompt k 2 false)" \
 	-H "X-Long: $(head -c 17000 /dev/zero | tr '\0' x)")"
 [ "$(grep -c dispatch "$T/engine-one.events")" = 0 ] ||
@@ -57,6 +62,30 @@
 metric entry-1 'chestnuthinge_requests_total{service="",tier="0",code="bad-key"} 1' ||
 	fail "the refusals are not counted"
 
+# A refusal of a HEAD request has no body, so that the connection stays usable.
+head_twice=$(curl -s -m 5 -o /dev/null -w '%{http_code} ' --head \
+	"http://127.0.0.1:${PORT[entry-1]}/nowhere" \
+	--next -s -m 5 -o /dev/null -w '%{http_code} %{num_connects}' \
+	"http://127.0.0.1:${PORT[entry-1]}/healthz")
+[ "$head_twice" = "401 200 0" ] || fail "HEAD, then GET: $head_twice"
+
+# Two requests sent at once on one connection are both answered, and bytes that
+# are not HTTP close theirs.
+two=$(exec 3<>"/dev/tcp/127.0.0.1/${PORT[entry-1]}" &&
+	printf 'GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n%s' \
+		$'GET /healthz HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n' >&3 &&
+	timeout 5 cat <&3)
+[ "$(grep -c '^HTTP/1.1 200' <<<"$two")" = 2 ] || fail "pipelined: $two"
+for garbage in '\x00\xff\xfe\r\n\r\n' 'PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n' \
+	'GET / HTTP/1.1\r\nContent-Length: -1\r\n\r\n' \
+	'POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n'; do
+	(exec 3<>"/dev/tcp/127.0.0.1/${PORT[entry-1]}" &&
+		printf '%b' "$garbage" >&3 &&
+		timeout 5 cat <&3 >/dev/null 2>&1
+	[ $? != 124 ]) || fail "garbage keeps its connection: $garbage"
+	http_ok "${PORT[entry-1]}" /healthz >/dev/null || fail "after $garbage"
+done
+
 # A tier may be lowered.
 ask entry-1 school-1 "$(prompt low 2 true)" -H 'Chestnuthinge-Tier: 3' >"$T/low"
 grep -q DONE "$T/low" || fail "lowered tier: $(cat "$T/low")"
