Operators' tool: check, plan, confirm, status, watch, drain, burn

Cause: operators declare intents, confirm plans and see what became of them.

Ruled out: drain by a request to the host, since the port that callers reach checks no operator; SIGTERM alone, since it needs a shell on the host. A drain record goes through the log, which the platform guards, and is meant for the process that runs at that time: one that starts later ignores it. With the log down, SIGTERM is the way. Ruled out too: counting callers' faults (bad key, over limit, duplicate, hang-up) in the burn.

--- /dev/null
+++ b/cmd/chestnuthinge/dat.h
@@ -0,0 +1,68 @@
+/* The operators' tool. */
+#ifndef TOOL_DAT_H
+#define TOOL_DAT_H
+
+#include "ledger/fns.h"
+#include "platform/fns.h"
+
+/* Exit codes. */
+typedef enum exit_code {
+	EXIT_DONE = 0,
+	EXIT_FAILED = 1,
+	EXIT_USAGE = 2,
+	EXIT_CONFLICT = 3,
+	EXIT_UNREACHABLE = 4,
+} exit_code_t;
+
+enum {
+	LIMIT_MS = 10000, /* within which the platform must answer */
+	POLL_MS = 100,	  /* period of reading the log's end */
+	RETRY_MS = 500,	  /* between appends that were not taken */
+};
+
+/* Options that most commands share. */
+typedef struct options {
+	char *platform;
+	char *ns;
+	char *conf;
+	char **entries; /* IP:PORT of entries */
+} options_t;
+
+typedef struct tool tool_t;
+
+/* A command that runs on a loop and reads the config stream. */
+struct tool {
+	uv_loop_t loop;
+	uv_timer_t limit;
+	uv_timer_t retry;
+	counters_t *counters;
+	httpc_t *http;
+	logc_t *log;
+	ledger_t *ledger;
+	uint64_t next; /* offset that the next append gets */
+	exit_code_t exit;
+	bool caught_up; /* the log was read to its end */
+	void *ctx;	/* of the command */
+	/* Any may be NULL. */
+	void (*on_record)(tool_t *t, const log_record_t *r, code_t code);
+	void (*on_caught_up)(tool_t *t);
+	void (*on_reachable)(tool_t *t, bool yes);
+};
+
+/* A command of the tool. */
+typedef struct command {
+	const char *name;
+	int (*run)(int argc, char **argv);
+	const char *args;
+	const char *summary;
+} command_t;
+
+/* Counters of one service and tier, summed over codes. */
+typedef struct tally {
+	char *service;
+	int tier;
+	uint64_t total; /* requests that count for the service level */
+	uint64_t good;
+} tally_t;
+
+#endif
--- /dev/null
+++ b/cmd/chestnuthinge/status.c
@@ -0,0 +1,71 @@
+/* status: the accepted revision, results of moves, and what entries say. */
+#include <inttypes.h>
+#include "fns.h"
+
+static void print_result(const move_result_t *r)
+{
+	printf("result service=%s version=%s state=%s %s\n", r->service,
+	       r->version, r->state == MOVE_DONE ? "done" : "reversed",
+	       r->evidence);
+}
+
+static void on_caught_up(tool_t *t)
+{
+	const revision_t *r = ledger_log_revision(t->ledger);
+	const GPtrArray *results = ledger_results(t->ledger);
+
+	printf("revision offset=%" PRIu64 " op=%s certain=%s next=%" PRIu64
+	       "\n",
+	       r->offset, r->op ? r->op : "none",
+	       ledger_certain(t->ledger) ? "yes" : "no", t->next);
+	for (guint i = 0; i < results->len; i++)
+		print_result(results->pdata[i]);
+	tool_end(t, EXIT_DONE);
+}
+
+static int log_status(const options_t *o)
+{
+	static const ledger_ops_t ops = { 0 };
+	tool_t t;
+	int code;
+
+	if (!tool_open(&t, o, &ops, NULL))
+		return EXIT_USAGE;
+	t.on_caught_up = on_caught_up;
+	tool_limit(&t, LIMIT_MS);
+	tool_read(&t);
+	code = tool_run(&t);
+	tool_close(&t);
+	return code;
+}
+
+static int entry_status(const char *entry)
+{
+	code_t code;
+	char *text = page_get(entry, "/status", &code);
+
+	if (!text)
+		return failure("entry %s: %s", entry, code_name(code));
+	printf("entry %s\n%s", entry, text);
+	g_free(text);
+	return EXIT_DONE;
+}
+
+/* Prints the state of the log and of the entries that are named. */
+int run_status(int argc, char **argv)
+{
+	options_t o = { 0 };
+	int code = EXIT_USAGE;
+
+	if (options_parse(command_find("status"), NULL, &o, &argc, &argv)) {
+		code = log_status(&o);
+		for (size_t i = 0;
+		     code != EXIT_USAGE && o.entries && o.entries[i]; i++) {
+			int one = entry_status(o.entries[i]);
+
+			code = code == EXIT_DONE ? one : code;
+		}
+	}
+	options_clear(&o);
+	return code;
+}
--- /dev/null
+++ b/cmd/chestnuthinge/tool.c
@@ -0,0 +1,149 @@
+/* A loop, a client and a reader of the config stream for one command. */
+#include <string.h>
+#include "fns.h"
+
+static void on_record(void *ctx, const log_record_t *r)
+{
+	tool_t *t = ctx;
+	code_t code = ledger_record(t->ledger, r->offset, r->data);
+
+	if (t->on_record)
+		t->on_record(t, r, code);
+}
+
+static void on_forgotten(void *ctx, uint64_t first)
+{
+	tool_t *t = ctx;
+
+	ledger_forgotten(t->ledger, first);
+}
+
+static void on_caught_up(void *ctx, uint64_t next)
+{
+	tool_t *t = ctx;
+
+	t->next = next;
+	t->caught_up = true;
+	if (t->on_caught_up)
+		t->on_caught_up(t);
+}
+
+static void on_reachable(void *ctx, bool yes)
+{
+	tool_t *t = ctx;
+
+	if (t->on_reachable)
+		t->on_reachable(t, yes);
+}
+
+static void on_limit(uv_timer_t *timer)
+{
+	tool_t *t = timer->data;
+
+	failure("the platform did not answer in time");
+	tool_end(t, EXIT_UNREACHABLE);
+}
+
+/* Finds the platform by options or by a file. */
+static bool find_platform(const options_t *o, operator_conf_t *c)
+{
+	GError *err = NULL;
+
+	memset(c, 0, sizeof(*c));
+	if (o->conf && !operator_load(o->conf, c, &err)) {
+		usage_error("%s", err->message);
+		g_error_free(err);
+		return false;
+	}
+	if (o->platform && !addr_parse(o->platform, &c->platform)) {
+		usage_error("--platform: expected IP:PORT");
+		return false;
+	}
+	if (o->ns) {
+		g_free(c->platform_ns);
+		c->platform_ns = g_strdup(o->ns);
+	}
+	if (c->platform.port != 0 && c->platform_ns)
+		return true;
+	usage_error("expected --platform and --namespace, or -c FILE");
+	return false;
+}
+
+/*
+ * Makes ready for reading and appending; ops and ctx are for the ledger.
+ * Returns false after a message when it is not known where the platform is.
+ */
+bool tool_open(tool_t *t, const options_t *o, const ledger_ops_t *ops,
+	       void *ctx)
+{
+	operator_conf_t c;
+	bool ok = find_platform(o, &c);
+
+	memset(t, 0, sizeof(*t));
+	if (ok) {
+		uv_loop_init(&t->loop);
+		uv_timer_init(&t->loop, &t->limit);
+		uv_timer_init(&t->loop, &t->retry);
+		t->limit.data = t;
+		t->retry.data = t;
+		t->ctx = ctx;
+		t->counters = counters_new();
+		t->http = httpc_new(&t->loop, t->counters);
+		t->log = logc_new(&t->loop, t->http, &c.platform, c.platform_ns,
+				  "config", POLL_MS);
+		t->ledger = ledger_new(ops, ctx);
+	}
+	g_free(c.platform_ns);
+	return ok;
+}
+
+/* Starts reading the config stream. */
+void tool_read(tool_t *t)
+{
+	static const log_reader_ops_t reader = { on_record, on_forgotten,
+						 on_caught_up, on_reachable };
+
+	logc_read(t->log, 1, &reader, t);
+}
+
+/* Appends a record to the config stream; done gets the tool. */
+void tool_append(tool_t *t, const char *record, log_appended_t done)
+{
+	logc_append(t->log, str_of(record), done, t);
+}
+
+/* Ends the command with EXIT_UNREACHABLE after a time; 0 never. */
+void tool_limit(tool_t *t, ms_t limit)
+{
+	if (limit > 0)
+		uv_timer_start(&t->limit, on_limit, (uint64_t)limit, 0);
+	else
+		uv_timer_stop(&t->limit);
+}
+
+/* Ends the command. */
+void tool_end(tool_t *t, exit_code_t code)
+{
+	t->exit = code;
+	uv_stop(&t->loop);
+}
+
+/* Runs until tool_end; returns its exit code. */
+exit_code_t tool_run(tool_t *t)
+{
+	uv_run(&t->loop, UV_RUN_DEFAULT);
+	return t->exit;
+}
+
+/* Frees everything. */
+void tool_close(tool_t *t)
+{
+	logc_free(t->log);
+	httpc_free(t->http);
+	uv_close((uv_handle_t *)&t->limit, NULL);
+	uv_close((uv_handle_t *)&t->retry, NULL);
+	uv_run(&t->loop, UV_RUN_DEFAULT);
+	uv_loop_close(&t->loop);
+	ledger_free(t->ledger);
+	counters_free(t->counters);
+}
--- a/lib/conf/dat.h
+++ b/lib/conf/dat.h
@@ -58,6 +58,12 @@
 	log_level_t log_level;
 } settings_t;
 
+/* The settings file of the operators' tool. */
+typedef struct operator_conf {
+	addr_t platform;
+	char *platform_ns;
+} operator_conf_t;
+
 typedef enum service_kind {
 	SERVICE_MODEL,
 	SERVICE_PLAIN,
--- a/lib/conf/fns.h
+++ b/lib/conf/fns.h
@@ -10,6 +10,9 @@
 settings_t *settings_parse(const char *text, const char *name, GError **err);
 void settings_free(settings_t *s);
 
+/* operator.c */
+bool operator_load(const char *path, operator_conf_t *c, GError **err);
+
 /* intent.c */
 intent_t *intent_parse(const char *text, const char *name, GError **err);
 intent_t *intent_load(const char *path, GError **err);
