--- a/test/conf.c
+++ b/test/conf.c
@@ -37,6 +37,8 @@
 	  "f.ini:3: [process] role: key given twice" },
 	{ "indented key twice", "[process]\nname = a\n  name = b\n",
 	  CODE_SYNTAX, "f.ini:3: [process] name: key given twice" },
+	{ "indented section", "[timing]\n  [timing]\n", CODE_SYNTAX,
+	  "f.ini:2: [timing]: section given twice" },
 	{ "section twice", ENTRY "[listen]\n", CODE_SYNTAX, "given twice" },
 	{ "missing key", "[process]\nrole = entry\nname = a\n[limits]\n",
 	  CODE_MISSING_KEY, "f.ini:1: [process] data_center: missing key" },
@@ -93,6 +95,9 @@
 static const bad_case_t bad_intents[] = {
 	{ "claim window", "[fleet]\nclaim_window_s = 0\n", CODE_OUT_OF_RANGE,
 	  "claim_window_s" },
+	{ "claims outlive the log",
+	  "[fleet]\nclaim_window_s = 51\nlog_retention_s = 101\n",
+	  CODE_OUT_OF_RANGE, "f.ini:1: [fleet] claim_window_s" },
 	{ "no kind", "[service a]\n", CODE_MISSING_KEY, "f.ini:1:" },
 	{ "unnamed", "[service]\n", CODE_SYNTAX, "[service NAME]" },
 	{ "bad name", "[service a/b]\n", CODE_BAD_TYPE, "[service a/b]" },
