--- a/test/rig/node.c
+++ b/test/rig/node.c
@@ -150,6 +150,7 @@
 		r->dispatches++;
 		r->dispatched_at = n->rig->now;
 		r->side = n->i;
+		r->prefix_known = rig_prefix_known(n->rig, r->prefix);
 		engine_add(n->engine, d->rid, body, n->rig->now);
 		node_engine_plan(n);
 	}
--- a/test/rig/rig.c
+++ b/test/rig/rig.c
@@ -151,7 +151,8 @@
 	node_t *n = &rig->entries[entry];
 	rig_request_t *r;
 	char *body;
-	submit_t s = { .route = "chat", .customer = "one", .model = true };
+	char customer[16];
+	submit_t s = { .route = "chat", .model = true };
 
 	if (n->dead || n->paused_until > rig->now)
 		return NULL;
@@ -160,6 +161,8 @@
 	body = g_strdup_printf(
 		"%u %" PRIu64 " %" PRIu64 " %" PRIu64 " %" PRIu64, r->number,
 		r->prompt, r->output, r->prefix, r->prefix_len);
+	g_snprintf(customer, sizeof(customer), "customer-%u", r->customer);
+	s.customer = customer;
 	s.service = r->service;
 	s.stream = true;
 	s.tier = r->tier;
@@ -340,6 +343,16 @@
 	return sum;
 }
 
+/* Whether any engine has the prefix in its cache. */
+bool rig_prefix_known(const rig_t *rig, uint64_t prefix)
+{
+	for (unsigned int i = 0; i < rig->conf.sidecars; i++) {
+		if (engine_caches(rig->sides[i].engine, prefix))
+			return true;
+	}
+	return false;
+}
+
 /* Messages sent by all processes. */
 uint64_t rig_messages(const rig_t *rig)
 {
--- a/test/rig/rig.h
+++ b/test/rig/rig.h
@@ -69,6 +69,7 @@
 	unsigned int number; /* from 1 */
 	int tier;
 	char *service;
+	unsigned int customer;
 	uint64_t prompt;
 	uint64_t output;
 	uint64_t prefix;
@@ -88,6 +89,7 @@
 	unsigned int dispatches;
 	ms_t dispatched_at;
 	unsigned int side;	/* it was dispatched at */
+	bool prefix_known;	/* then some engine had the prefix */
 	uint64_t cannot_finish; /* a bit for each sidecar that said so */
 	uint64_t computed;	/* prompt tokens */
 	GString *got;		/* data passed on; NULL when not kept */
@@ -137,6 +139,7 @@
 engine_t *rig_engine(rig_t *rig, unsigned int side);
 bool rig_connected(const rig_t *rig, unsigned int entry, unsigned int side);
 uint64_t rig_counter(const rig_t *rig, const char *name);
+bool rig_prefix_known(const rig_t *rig, uint64_t prefix);
 uint64_t rig_messages(const rig_t *rig);
 
 #endif
