Late requests go behind their tier's others; four offers

Cause: at more than capacity every request of the lowest served tier waited for longer than its first token's target, so that the engines worked on answers that were late already. Change: a sidecar that knows the target (side_conf_t.first_token; the daemon takes it from the service) puts requests that miss it behind the others of their tier, never behind a lower tier. The daemon asks four sidecars, not two.

--- a/bench/policy.c
+++ b/bench/policy.c
@@ -31,7 +31,8 @@
 	scheme_t scheme;
 	unsigned int offers;
 	ms_t head_start;
-	size_t waiting; /* places in a sidecar's list */
+	size_t waiting;	  /* places in a sidecar's list */
+	bool late_behind; /* the order within a tier */
 } policy_t;
 
 typedef struct setup {
@@ -59,21 +60,22 @@
 static const double speeds[] = { 1.0, 0.7, 0.4 };
 
 static const policy_t main_policies[] = {
-	{ "offers", SCHEME_OFFERS, 2, 15, DAEMON_WAITING },
-	{ "round-robin", SCHEME_ROUND_ROBIN, 0, 0, 0 },
-	{ "least-load", SCHEME_LEAST_LOAD, 0, 0, 0 },
+	{ "offers", SCHEME_OFFERS, 4, 15, DAEMON_WAITING, true },
+	{ "round-robin", SCHEME_ROUND_ROBIN, 0, 0, 0, false },
+	{ "least-load", SCHEME_LEAST_LOAD, 0, 0, 0, false },
 };
 
 static const policy_t weighed[] = {
-	{ "d=1", SCHEME_OFFERS, 1, 15, DAEMON_WAITING },
-	{ "d=2", SCHEME_OFFERS, 2, 15, DAEMON_WAITING },
-	{ "d=3", SCHEME_OFFERS, 3, 15, DAEMON_WAITING },
-	{ "d=4", SCHEME_OFFERS, 4, 15, DAEMON_WAITING },
-	{ "head-0", SCHEME_OFFERS, 2, 0, DAEMON_WAITING },
-	{ "head-20", SCHEME_OFFERS, 2, 20, DAEMON_WAITING },
-	{ "head-50", SCHEME_OFFERS, 2, 50, DAEMON_WAITING },
-	{ "list-8", SCHEME_OFFERS, 2, 15, 8 },
-	{ "list-32", SCHEME_OFFERS, 2, 15, 32 },
+	{ "d=1", SCHEME_OFFERS, 1, 15, DAEMON_WAITING, true },
+	{ "d=2", SCHEME_OFFERS, 2, 15, DAEMON_WAITING, true },
+	{ "d=3", SCHEME_OFFERS, 3, 15, DAEMON_WAITING, true },
+	{ "d=4", SCHEME_OFFERS, 4, 15, DAEMON_WAITING, true },
+	{ "head-0", SCHEME_OFFERS, 4, 0, DAEMON_WAITING, true },
+	{ "head-20", SCHEME_OFFERS, 4, 20, DAEMON_WAITING, true },
+	{ "head-50", SCHEME_OFFERS, 4, 50, DAEMON_WAITING, true },
+	{ "in-turn", SCHEME_OFFERS, 4, 15, DAEMON_WAITING, false },
+	{ "list-8", SCHEME_OFFERS, 4, 15, 8, true },
+	{ "list-32", SCHEME_OFFERS, 4, 15, 32, true },
 };
 
 static void make_engines(engine_conf_t *out, unsigned int n)
@@ -144,6 +146,7 @@
 				.model = true,
 				.waiting_max = p->waiting,
 				.answer_max = 4 << 20,
+				.first_token = p->late_behind ? FIRST_TOKEN : 0,
 				.token_gap = TOKEN_GAP,
 				.lease = 1000,
 				.hold = 1000,
--- a/cmd/chestnuthinged/entryd.c
+++ b/cmd/chestnuthinged/entryd.c
@@ -4,7 +4,7 @@
 #include "fns.h"
 
 enum {
-	OFFERS = 2,	     /* sidecars asked at first */
+	OFFERS = 4,	     /* sidecars asked at first */
 	HEAD_START = 15,     /* ms */
 	WIDEN_BEFORE = 1000, /* ms before the deadline */
 	ACK_EVERY = 200,     /* ms */
--- a/cmd/chestnuthinged/sided.c
+++ b/cmd/chestnuthinged/sided.c
@@ -51,12 +51,24 @@
 	backend_cancel(s->backend, rid);
 }
 
-static ms_t token_gap(const daemon_t *d)
+static const service_t *own_service(const daemon_t *d)
 {
 	const intent_t *in = state_latest(d->state);
-	const service_t *service;
 
-	service = in ? intent_service(in, d->set->service) : NULL;
+	return in ? intent_service(in, d->set->service) : NULL;
+}
+
+static ms_t first_token(const daemon_t *d)
+{
+	const service_t *service = own_service(d);
+
+	return service && d->set->backend_is_model ? service->first_token : 0;
+}
+
+static ms_t token_gap(const daemon_t *d)
+{
+	const service_t *service = own_service(d);
+
 	return service && service->token_gap ? service->token_gap : TOKEN_GAP;
 }
 
@@ -72,6 +84,7 @@
 			     .seed = random_u64(),
 			     .waiting_max = d->set->waiting_max,
 			     .answer_max = d->set->answer_max,
+			     .first_token = first_token(d),
 			     .token_gap = token_gap(d),
 			     .lease = LEASE,
 			     .hold = HOLD,
--- a/lib/side/dat.h
+++ b/lib/side/dat.h
@@ -14,6 +14,7 @@
 	uint64_t seed;
 	size_t waiting_max;   /* offers */
 	size_t answer_max;    /* bytes kept of one answer for resuming */
+	ms_t first_token;     /* target from request to first token; 0 none */
 	ms_t token_gap;	      /* target time between tokens */
 	ms_t lease;	      /* of a grant */
 	ms_t hold;	      /* of a refusal */
--- a/lib/side/grant.c
+++ b/lib/side/grant.c
@@ -25,7 +25,8 @@
 	if (s->draining || !s->engine_up)
 		return;
 	while ((j = wait_next(s)) && place_fits(&s->place, j->work)) {
-		j->share->deficit -= j->work;
+		if (j->share)
+			j->share->deficit -= j->work;
 		job_put(s, j, JOB_GRANTED, now);
 		j->grant = ++s->grants;
 		j->conn = peer_get(s, j->rid.inc)->conn;
--- a/lib/side/priv.h
+++ b/lib/side/priv.h
@@ -28,6 +28,7 @@
 /* The waiting list of one tier. */
 typedef struct tier {
 	list_t active;	    /* shares, in the order of the round */
+	list_t late;	    /* jobs past their first token's target */
 	list_t age;	    /* jobs, oldest first */
 	GHashTable *shares; /* by customer */
 	size_t len;
@@ -73,9 +74,9 @@
 typedef struct job {
 	rid_t rid;
 	job_state_t state;
-	list_t link; /* in share_t.jobs or a list of side_t */
-	list_t age;  /* in tier_t.age */
-	share_t *share;
+	list_t link;	/* in share_t.jobs or a list of side_t */
+	list_t age;	/* in tier_t.age */
+	share_t *share; /* NULL when late */
 	unsigned int tier;
 	char *version;
 	uint64_t prompt; /* tokens */
@@ -219,6 +220,7 @@
 /* speed.c */
 void speed_ended(side_t *s, const job_t *j, ms_t now);
 void speed_tick(side_t *s, ms_t now);
+ms_t speed_first_time(const side_t *s, uint64_t prompt);
 ms_t speed_run_time(const side_t *s, uint64_t prompt, uint64_t output);
 ms_t speed_wait_time(const side_t *s, uint64_t work_ahead);
 
--- a/lib/side/speed.c
+++ b/lib/side/speed.c
@@ -59,6 +59,16 @@
 	v->ended = 0;
 }
 
+/* Time from dispatch to the first token, in ms; 0 while nothing is known. */
+ms_t speed_first_time(const side_t *s, uint64_t prompt)
+{
+	const speed_t *v = &s->speed;
+
+	if (v->seen < SEEN_LEAST || v->prefill <= 0)
+		return 0;
+	return (ms_t)((double)prompt / v->prefill);
+}
+
 /* Time from dispatch to the last token, in ms; 0 while nothing is known. */
 ms_t speed_run_time(const side_t *s, uint64_t prompt, uint64_t output)
 {
--- a/lib/side/wait.c
+++ b/lib/side/wait.c
@@ -14,6 +14,7 @@
 		tier_t *t = &s->tiers[i];
 
 		list_init(&t->active);
+		list_init(&t->late);
 		list_init(&t->age);
 		t->shares = g_hash_table_new(g_str_hash, g_str_equal);
 	}
@@ -44,19 +45,14 @@
 	return sh;
 }
 
-/* Takes a waiting job off its tier and its customer's share. */
-void wait_del(side_t *s, job_t *j)
+/* Takes a job out of its customer's share, which ends with its last job. */
+static void share_leave(tier_t *t, job_t *j)
 {
-	tier_t *t = &s->tiers[j->tier];
 	share_t *sh = j->share;
 
 	list_del(&j->link);
-	list_del(&j->age);
 	j->share = NULL;
-	t->len--;
-	t->work -= j->work;
-	s->waiting--;
-	if (!list_empty(&sh->jobs))
+	if (!sh || !list_empty(&sh->jobs))
 		return;
 	list_del(&sh->link);
 	g_hash_table_remove(t->shares, sh->customer);
@@ -64,6 +60,18 @@
 	g_free(sh);
 }
 
+/* Takes a waiting job off its tier and its customer's share. */
+void wait_del(side_t *s, job_t *j)
+{
+	tier_t *t = &s->tiers[j->tier];
+
+	share_leave(t, j);
+	list_del(&j->age);
+	t->len--;
+	t->work -= j->work;
+	s->waiting--;
+}
+
 static void wait_add(side_t *s, job_t *j, str_t customer, ms_t now)
 {
 	tier_t *t = &s->tiers[j->tier];
@@ -115,10 +123,40 @@
 
 		if (j)
 			return j;
+		if (!list_empty(&s->tiers[i].late))
+			return list_entry(s->tiers[i].late.next, job_t, link);
 	}
 	return NULL;
 }
 
+/*
+ * Puts those that miss their first token's target behind the others of their
+ * tier, so that one long wait does not make every later request late too.
+ */
+static void put_late_behind(side_t *s, ms_t now)
+{
+	list_t *pos;
+	list_t *tmp;
+
+	if (s->conf.first_token == 0)
+		return;
+	for (int i = 0; i < TIER_COUNT; i++) {
+		tier_t *t = &s->tiers[i];
+
+		list_for_each_safe(pos, tmp, &t->age)
+		{
+			job_t *j = list_entry(pos, job_t, age);
+			ms_t need = speed_first_time(s, j->prompt);
+
+			if (!j->share ||
+			    now - j->since + need <= s->conf.first_token)
+				continue;
+			share_leave(t, j);
+			list_add_tail(&t->late, &j->link);
+		}
+	}
+}
+
 /* Forgets a waiting job, but keeps what must void its old bodies. */
 static void forget(side_t *s, job_t *j, ms_t now)
 {
@@ -358,4 +396,5 @@
 	if (!s->engine_up && now - s->engine_down_at > ENGINE_DOWN_WAIT)
 		wait_refuse_all(s, CODE_NO_SERVER, now);
 	refuse_late(s, now);
+	put_late_behind(s, now);
 }
