--- a/lib/entry/priv.h
+++ b/lib/entry/priv.h
@@ -9,6 +9,7 @@
 	RESUMES_MAX = 4,       /* resumes of one answer without progress */
 	RETRY_DEFAULT = 1000,  /* ms, when no sidecar gave an estimate */
 	NOT_RUN_PAUSE = 50,    /* ms without an offer to who did not run it */
+	NO_ENGINE_PAUSE = 500, /* ms without an offer to who has no engine */
 };
 
 typedef struct request request_t;
@@ -42,7 +43,7 @@
 	rid_t rid;
 	void *user;
 	request_state_t state;
-	submit_t s;    /* strings owned, s.key freed once claimed */
+	submit_t s;    /* strings owned */
 	char *picked;  /* version that pick_version gave; NULL any */
 	char *version; /* version in use; NULL not chosen yet */
 	char *server;  /* sidecar's name once sent */
@@ -85,7 +86,8 @@
 	double failures;
 	ms_t rated_at;
 	ms_t aside_until;
-	unsigned int asides; /* in a row */
+	ms_t no_engine_until; /* it said that its engine is down */
+	unsigned int asides;  /* in a row */
 };
 
 /* Requests of one service that are not sent yet, newest last. */
@@ -116,6 +118,7 @@
 	counter_t *strays;
 	counter_t *resumes;
 	counter_t *out_of_order;
+	counter_t *set_aside;
 };
 
 /* entry.c */
