Moves: evidence compared within strata of time and server

A comparison with the old version's past: kept as a reason to look closer only.

Spans of the stages left are a part of the time left.

--- a/lib/move/evidence.c
+++ b/lib/move/evidence.c
@@ -8,7 +8,6 @@
 	LOG_UNIT = 16,	  /* steps of a doubling */
 	LOG_RANGE = 20,	  /* doublings; what lies outside is clipped */
 	SIZE_LEAST = 256, /* tokens; smaller work takes as long */
-	SLOT = 2000,	  /* ms; one breakdown fails requests in two at most */
 };
 
 static const char *const metric_names[METRICS] = { "n",	 "f",  "tn", "t",
@@ -40,8 +39,6 @@
 		return r;
 	r = g_new0(route_seen_t, 1);
 	r->name = g_strdup(name);
-	r->failed_slot[MOVE_OLD] = -1;
-	r->failed_slot[MOVE_NEW] = -1;
 	g_hash_table_insert(v->routes, r->name, r);
 	return r;
 }
@@ -237,40 +234,15 @@
 	return sum;
 }
 
-/* Counts the spans of time in which a version failed at all. */
-static void look_slots(route_seen_t *r, ms_t now)
+/* Ends a stratum of time on every route. */
+void evidence_look(move_t *v)
 {
-	for (int i = 0; i < MOVE_SIDES; i++) {
-		uint64_t f = tally_sum(&r->total[i], NULL, M_FAILURES);
-
-		if (f > r->failures[i] && r->failed_slot[i] != now / SLOT) {
-			r->failed_slot[i] = now / SLOT;
-			r->total[i].failed_slots++;
-		}
-		r->failures[i] = f;
-	}
-}
-
-/* Looks at the sums at a point in time, and keeps a snapshot now and then. */
-void evidence_look(move_t *v, ms_t now)
-{
-	bool keep = now - v->snapshot_at >= SNAPSHOT_EVERY;
 	GHashTableIter it;
 	gpointer p;
 
 	g_hash_table_iter_init(&it, v->routes);
-	while (g_hash_table_iter_next(&it, NULL, &p)) {
-		route_seen_t *r = p;
-
-		look_slots(r, now);
-		if (keep)
-			memcpy(r->past[v->snapshots % SNAPSHOTS], r->total,
-			       sizeof(r->total));
-	}
-	if (keep) {
-		v->snapshots++;
-		v->snapshot_at = now;
-	}
+	while (g_hash_table_iter_next(&it, NULL, &p))
+		stat_stratum(p);
 }
 
 /* Marks the start of a stage. */
@@ -284,5 +256,6 @@
 		route_seen_t *r = p;
 
 		memcpy(r->stage, r->total, sizeof(r->total));
+		memset(&r->scores[SCORE_STAGE], 0, sizeof(score_t));
 	}
 }
--- a/lib/move/gate.c
+++ b/lib/move/gate.c
@@ -3,14 +3,15 @@
 
 enum {
 	FAILURES_LEAST = 3,
-	SLOTS_LEAST = 3,  /* spans of time with failures */
-	TIMES_LEAST = 20, /* of each version */
-	NEED = 30,	  /* requests of the new version on a route */
-	ROUTE_LEAST = 50, /* requests that make a route one with traffic */
-	ROUTE_PART = 50,  /* a route with less than 1/50 may wait for the end */
+	STRATA_LEAST = 3,   /* with failures; one breakdown fails in fewer */
+	NEED = 30,	    /* requests of the new version on a route */
+	ROUTE_LEAST = 50,   /* requests that make a route one with traffic */
+	ROUTE_PART = 50,    /* a route with less than 1/50 waits for the end */
 	SPAN_LEAST = 10000, /* ms of a stage */
+	PERCENT_OF_TIME = 80, /* of the time left, for the stages left */
 };
 
+/* How long the stages take when there is time, ms. */
 static const ms_t spans[STAGE_DONE] = { 30000, 60000, 120000, 600000 };
 
 /* Probabilities of a false alarm at one look. */
@@ -24,165 +25,106 @@
 static const double sigmas_suspect = 3.5;
 static const double sigmas_rest = 2;
 
-/* The figures of one span of time. */
-typedef struct span_seen {
-	cell_t c[MOVE_SIDES][SERVERS];
-	uint64_t slots; /* with failures of the new version */
-} span_seen_t;
+static const metric_t time_of[TIMES] = { M_FIRST_N, M_GAP_N };
 
-static void span_fill(span_seen_t *x, const tally_t *now, const tally_t *since)
+/* What a row says against the new version: failures, or slowness of a time. */
+static double blame(const row_t *r, int t)
 {
-	for (int side = 0; side < MOVE_SIDES; side++) {
-		for (int i = 0; i < SERVERS; i++) {
-			for (int k = 0; k < METRICS; k++)
-				x->c[side][i].v[k] =
-					now[side].servers[i].v[k] -
-					(since ? since[side].servers[i].v[k]
-					       : 0);
-		}
-	}
-	x->slots = now[MOVE_NEW].failed_slots -
-		   (since ? since[MOVE_NEW].failed_slots : 0);
+	return t < 0 ? r->seen - r->want : r->slower[t];
 }
 
-static uint64_t sum(const cell_t *c, metric_t k, int skip)
-{
-	uint64_t n = 0;
-
-	for (int i = 0; i < SERVERS; i++) {
-		if (i != skip)
-			n += c[i].v[k];
-	}
-	return n;
-}
-
-/* The server with the largest counter; -1 when no other has the metric of. */
-static int worst(const cell_t *c, metric_t by, metric_t of)
+/* The server that says most; -1 when the new version ran on no other. */
+static int worst(const score_t *x, int t)
 {
 	int max = 0;
 	int rows = 0;
 
 	for (int i = 0; i < SERVERS; i++) {
-		if (c[i].v[of])
-			rows++;
-		if (c[i].v[by] > c[max].v[by])
+		rows += x->rows[i].requests > 0;
+		if (blame(&x->rows[i], t) > blame(&x->rows[max], t))
 			max = i;
 	}
 	return rows > 1 ? max : -1;
 }
 
-static double failures(const span_seen_t *x, int skip)
-{
-	return stat_failures(sum(x->c[MOVE_NEW], M_FAILURES, skip),
-			     sum(x->c[MOVE_NEW], M_REQUESTS, skip),
-			     sum(x->c[MOVE_OLD], M_FAILURES, skip),
-			     sum(x->c[MOVE_OLD], M_REQUESTS, skip));
-}
-
 /* One server alone does not condemn a version that others run as well. */
-static verdict_t judge_failures(const span_seen_t *x)
+static verdict_t judge_failures(const score_t *x)
 {
-	int skip = worst(x->c[MOVE_NEW], M_FAILURES, M_REQUESTS);
+	int skip = worst(x, -1);
+	double seen = 0;
 	double p;
 
-	if (sum(x->c[MOVE_NEW], M_FAILURES, -1) < FAILURES_LEAST)
+	for (int i = 0; i < SERVERS; i++)
+		seen += x->rows[i].seen;
+	if (seen < FAILURES_LEAST)
 		return VERDICT_FINE;
-	p = failures(x, -1);
+	p = stat_failures(x, -1);
 	if (p >= alpha_suspect)
 		return VERDICT_FINE;
-	if (p >= alpha_bad || x->slots < SLOTS_LEAST)
+	if (p >= alpha_bad || x->strata < STRATA_LEAST)
 		return VERDICT_SUSPECT;
-	if (skip >= 0 && failures(x, skip) >= alpha_rest)
+	if (skip >= 0 && stat_failures(x, skip) >= alpha_rest)
 		return VERDICT_SUSPECT;
 	return VERDICT_BAD;
 }
 
-static double sigmas(const span_seen_t *x, metric_t k, int skip)
+static verdict_t judge_slow(const route_seen_t *r, const score_t *x, int t)
 {
-	double slower = 0;
-	double error =
-		stat_slower(x->c[MOVE_NEW], x->c[MOVE_OLD], k, skip, &slower);
+	double old = stat_variance(r->total[MOVE_OLD].servers, time_of[t]);
+	double new = stat_variance(r->total[MOVE_NEW].servers, time_of[t]);
+	double variance = MAX(old, new);
+	int skip = worst(x, t);
+	double z = stat_slower(x, t, -1, variance, slow_least);
 
-	return error <= 0 ? 0 : (slower - slow_least) / error;
-}
-
-static verdict_t judge_slow(const span_seen_t *x, metric_t k)
-{
-	int skip = worst(x->c[MOVE_NEW], k + 1, k);
-	double z;
-
-	if (sum(x->c[MOVE_NEW], k, -1) < TIMES_LEAST ||
-	    sum(x->c[MOVE_OLD], k, -1) < TIMES_LEAST)
-		return VERDICT_FINE;
-	z = sigmas(x, k, -1);
 	if (z < sigmas_suspect)
 		return VERDICT_FINE;
 	if (z < sigmas_bad)
 		return VERDICT_SUSPECT;
-	if (skip >= 0 && sigmas(x, k, skip) < sigmas_rest)
+	if (skip >= 0 &&
+	    stat_slower(x, t, skip, variance, slow_least) < sigmas_rest)
 		return VERDICT_SUSPECT;
 	return VERDICT_BAD;
 }
 
-static verdict_t judge_span(const span_seen_t *x, const char **why)
-{
-	static const char *const names[] = { "failures", "first", "gap" };
-	verdict_t all = VERDICT_FINE;
-
-	for (int i = 0; i < 3; i++) {
-		verdict_t one = i == 0	 ? judge_failures(x)
-				: i == 1 ? judge_slow(x, M_FIRST_N)
-					 : judge_slow(x, M_GAP_N);
-
-		if (one > all) {
-			all = one;
-			*why = names[i];
-		}
-	}
-	return all;
-}
-
 /* The new version now against the old one before: a reason to look closer. */
-static verdict_t judge_past(const route_seen_t *r, const span_seen_t *recent)
+static verdict_t judge_past(const route_seen_t *r)
 {
-	uint64_t f = sum(recent->c[MOVE_NEW], M_FAILURES, -1);
-	double p;
+	const score_t *x = &r->scores[SCORE_RECENT];
+	double n = (double)tally_sum(&r->total[MOVE_OLD], NULL, M_REQUESTS);
+	double f = (double)tally_sum(&r->total[MOVE_OLD], NULL, M_FAILURES);
+	double seen = 0;
+	double requests = 0;
 
-	if (f < FAILURES_LEAST)
+	for (int i = 0; i < SERVERS; i++) {
+		seen += x->rows[i].seen;
+		requests += x->rows[i].requests;
+	}
+	if (seen < FAILURES_LEAST || n < ROUTE_LEAST)
 		return VERDICT_FINE;
-	p = stat_failures(f, sum(recent->c[MOVE_NEW], M_REQUESTS, -1),
-			  tally_sum(&r->total[MOVE_OLD], NULL, M_FAILURES),
-			  tally_sum(&r->total[MOVE_OLD], NULL, M_REQUESTS));
-	return p < alpha_suspect ? VERDICT_SUSPECT : VERDICT_FINE;
-}
-
-/* Snapshot taken that many times ago; NULL if there is none. */
-static const tally_t *past(const move_t *v, const route_seen_t *r, size_t back)
-{
-	if (v->snapshots < back || back > SNAPSHOTS)
-		return NULL;
-	return r->past[(v->snapshots - back) % SNAPSHOTS];
+	if (stat_poisson(requests * (f + 1) / n, seen, true) < alpha_suspect)
+		return VERDICT_SUSPECT;
+	return VERDICT_FINE;
 }
 
-static verdict_t judge_route(const move_t *v, const route_seen_t *r,
-			     const char **why)
+static verdict_t judge_route(const route_seen_t *r, const char **why)
 {
-	const tally_t *since[] = { past(v, r, 3), past(v, r, SNAPSHOTS),
-				   r->stage, NULL };
-	verdict_t all = VERDICT_FINE;
-	span_seen_t x;
+	static const char *const names[TIMES] = { "first", "gap" };
+	verdict_t all = judge_past(r);
 
-	for (size_t i = 0; i < G_N_ELEMENTS(since); i++) {
-		const char *reason = "";
-		verdict_t one;
+	*why = "past";
+	for (int i = 0; i < SCORES; i++) {
+		verdict_t one = judge_failures(&r->scores[i]);
 
-		span_fill(&x, r->total, since[i]);
-		one = judge_span(&x, &reason);
-		if (i == 1)
-			one = MAX(one, judge_past(r, &x));
 		if (one > all) {
 			all = one;
-			*why = reason;
+			*why = "failures";
+		}
+		for (int t = 0; t < TIMES; t++) {
+			one = judge_slow(r, &r->scores[i], t);
+			if (one > all) {
+				all = one;
+				*why = names[t];
+			}
 		}
 	}
 	return all;
@@ -199,7 +141,7 @@
 	while (g_hash_table_iter_next(&it, NULL, &p)) {
 		const route_seen_t *r = p;
 		const char *reason = "";
-		verdict_t one = judge_route(v, r, &reason);
+		verdict_t one = judge_route(r, &reason);
 
 		if (one > all) {
 			all = one;
@@ -245,10 +187,22 @@
 	return true;
 }
 
-/* How long the move stays in its stage at least, in ms. */
-ms_t gate_span(const move_t *v)
+/*
+ * How long a stage that begins now takes at least, in ms: as usual, or its part
+ * of the time left. left is in seconds and ignored for a move without a time.
+ */
+ms_t gate_span(const move_t *v, int64_t left)
 {
+	ms_t usual = 0;
+	ms_t span;
+
 	if (v->stage >= STAGE_DONE)
 		return 0;
-	return MAX((ms_t)((double)spans[v->stage] * v->pace), SPAN_LEAST);
+	for (uint64_t i = v->stage; i < STAGE_DONE; i++)
+		usual += spans[i];
+	span = spans[v->stage];
+	if (v->by)
+		span = MIN(span,
+			   MAX(left, 0) * 10 * PERCENT_OF_TIME * span / usual);
+	return MAX(span, SPAN_LEAST);
 }
--- a/lib/move/move.c
+++ b/lib/move/move.c
@@ -3,11 +3,9 @@
 #include "move/priv.h"
 
 enum {
-	LOOK_EVERY = 1000,    /* ms */
-	TELL_EVERY = 5000,    /* ms between calls of ended */
-	SETTLE = 3000,	      /* ms in which a late alarm can stop the end */
-	SPANS_SUM = 810,      /* s of all stages at their usual pace */
-	PERCENT_OF_TIME = 80, /* of the time left, for all stages */
+	LOOK_EVERY = 1000, /* ms */
+	TELL_EVERY = 5000, /* ms between calls of ended */
+	SETTLE = 3000,	   /* ms in which a late alarm can stop the end */
 };
 
 static void move_free(gpointer p)
@@ -108,14 +106,13 @@
 	facts_set(m->facts, key, value);
 }
 
-/* How much faster than usual the stages must be to end in time, 0 to 1. */
-static double pace_of(const version_t *d, int64_t unix_now)
+/* Begins a stage at a point in time. */
+static void begin_stage(const moves_t *m, move_t *v, uint64_t stage, ms_t now)
 {
-	double left = (double)(d->by - unix_now);
-
-	if (d->by == 0)
-		return 1;
-	return CLAMP(left * PERCENT_OF_TIME / 100 / SPANS_SUM, 0, 1);
+	v->stage = MIN(stage, STAGE_DONE);
+	v->stage_at = now;
+	v->span = gate_span(v, v->by - moves_unix(m, now));
+	evidence_stage(v);
 }
 
 static move_t *move_new(moves_t *m, const version_t *d, ms_t now)
@@ -128,17 +125,14 @@
 	v->version[MOVE_NEW] = g_strdup(d->name);
 	v->by = d->by;
 	v->first_percent = d->first_percent ? d->first_percent : 2;
-	v->pace = pace_of(d, m->set_unix);
-	v->stage = MIN(move_fact(m, "stage", v->id), STAGE_DONE);
-	v->stage_at = now;
 	v->bad = move_fact(m, "bad", v->id) != 0;
 	v->offset = 1 - g_rand_double(m->rand);
 	v->routes = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 					  route_free);
 	v->own = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, own_free);
-	v->snapshot_at = now;
 	v->recent_at = now;
 	v->tell_at = now;
+	begin_stage(m, v, move_fact(m, "stage", v->id), now);
 	return v;
 }
 
@@ -310,11 +304,8 @@
 	uint64_t stage = MIN(move_fact(m, "stage", v->id), STAGE_DONE);
 
 	v->bad = move_fact(m, "bad", v->id) != 0;
-	if (stage <= v->stage)
-		return;
-	v->stage = stage;
-	v->stage_at = now;
-	evidence_stage(v);
+	if (stage > v->stage)
+		begin_stage(m, v, stage, now);
 }
 
 static void say_evidence(move_t *v, const char *route, const char *why,
@@ -361,8 +352,7 @@
 	v->suspect = verdict == VERDICT_SUSPECT;
 	if (verdict == VERDICT_BAD) {
 		fact_put(m, "bad", v->id, 1);
-	} else if (verdict == VERDICT_FINE &&
-		   now - v->stage_at >= gate_span(v) &&
+	} else if (verdict == VERDICT_FINE && now - v->stage_at >= v->span &&
 		   gate_evidence(v, v->stage == STAGE_WATCH)) {
 		fact_put(m, "stage", v->id, v->stage + 1);
 	}
@@ -403,7 +393,7 @@
 	follow(m, v, now);
 	state = move_state(v);
 	if (look && (state == MOVE_RUNNING || state == MOVE_WATCHING)) {
-		evidence_look(v, now);
+		evidence_look(v);
 		decide(m, v, now);
 	}
 	state = move_state(v);
--- a/lib/move/priv.h
+++ b/lib/move/priv.h
@@ -5,9 +5,9 @@
 #include "move/fns.h"
 
 enum {
-	SERVERS = 64,	/* rows of a route, by hash of the server's name */
-	SNAPSHOTS = 13, /* of the evidence, one each SNAPSHOT_EVERY */
-	SNAPSHOT_EVERY = 5000, /* ms */
+	SERVERS = 64,	   /* rows of a route, by hash of the server's name */
+	TIMES = 2,	   /* measured: first chunk, and gap between tokens */
+	WEIGHT_LEAST = 10, /* pairs of requests, before times are compared */
 	STAGE_WATCH = 3,
 	STAGE_DONE = 4,
 	KEY_SIZE = 512, /* bytes of a register's name */
@@ -40,17 +40,41 @@
 /* Sums over all entries for one version on one route. */
 typedef struct tally {
 	cell_t servers[SERVERS];
-	uint64_t failed_slots; /* spans of SLOT with a failure */
 } tally_t;
 
+/* The new version against the old one at one server. */
+typedef struct row {
+	double requests; /* of the new version */
+	double seen;	 /* its failures */
+	double want;	 /* its failures if both failed alike */
+	double weight[TIMES];
+	double slower[TIMES]; /* doublings, times weight */
+} row_t;
+
+/* Sums of strata of time. All of type double, so that they can fade. */
+typedef struct score {
+	row_t rows[SERVERS];
+	double old_seen;
+	double old_want;
+	double strata; /* with failures of the new version */
+} score_t;
+
+/* Over how long the strata are summed. */
+typedef enum span_of_score {
+	SCORE_SHORT,  /* fades in about 10 s */
+	SCORE_RECENT, /* fades in about a minute */
+	SCORE_STAGE,
+	SCORE_ALL,
+	SCORES,
+} span_of_score_t;
+
 /* A route of the moving service and what was seen on it. */
 typedef struct route_seen {
 	char *name;
 	tally_t total[MOVE_SIDES];
-	tally_t stage[MOVE_SIDES]; /* total at the stage's start */
-	tally_t past[SNAPSHOTS][MOVE_SIDES];
-	uint64_t failures[MOVE_SIDES]; /* at the last look */
-	ms_t failed_slot[MOVE_SIDES];  /* number of the last with a failure */
+	tally_t stage[MOVE_SIDES];  /* total at the stage's start */
+	tally_t before[MOVE_SIDES]; /* total at the last stratum's end */
+	score_t scores[SCORES];
 } route_seen_t;
 
 /* What one route says of the new version against the old one. */
@@ -73,9 +97,9 @@
 	char *version[MOVE_SIDES];
 	int64_t by; /* unix seconds; 0 none */
 	uint64_t first_percent;
-	double pace; /* of the stages' spans, 1 or less to meet by */
 	uint64_t stage;
 	ms_t stage_at;
+	ms_t span; /* of the stage, at least */
 	bool bad;
 	bool suspect;
 	bool result_known;
@@ -84,12 +108,9 @@
 	char *evidence;
 	GHashTable *routes; /* of route_seen_t */
 	GHashTable *own;    /* of own_t */
-	size_t snapshots;   /* taken so far */
-	ms_t snapshot_at;
-	ms_t flush_at;
-	double due;    /* requests that the new version should have had */
-	double given;  /* requests that it had */
-	double offset; /* random part of the next one's turn */
+	double due;	    /* requests that the new version should have had */
+	double given;	    /* requests that it had */
+	double offset;	    /* random part of the next one's turn */
 	uint64_t open[MOVE_SIDES];   /* picked and not noted */
 	uint64_t recent[MOVE_SIDES]; /* picked since recent_at */
 	uint64_t before[MOVE_SIDES]; /* in the span before that */
@@ -143,18 +164,21 @@
 void evidence_flush(moves_t *m, move_t *v);
 void evidence_read(moves_t *m);
 void evidence_again(moves_t *m);
-void evidence_look(move_t *v, ms_t now);
+void evidence_look(move_t *v);
 void evidence_stage(move_t *v);
 uint64_t tally_sum(const tally_t *t, const tally_t *since, metric_t k);
 
 /* gate.c */
 verdict_t gate_judge(const move_t *v, const char **route, const char **why);
 bool gate_evidence(const move_t *v, bool all);
-ms_t gate_span(const move_t *v);
+ms_t gate_span(const move_t *v, int64_t left);
 
 /* stat.c */
-double stat_failures(uint64_t f1, uint64_t n1, uint64_t f0, uint64_t n0);
-double stat_slower(const cell_t *new_cells, const cell_t *old_cells, metric_t k,
-		   int skip, double *doublings);
+double stat_poisson(double mean, double k, bool upper);
+double stat_variance(const cell_t *cells, metric_t k);
+void stat_stratum(route_seen_t *r);
+double stat_failures(const score_t *x, int skip);
+double stat_slower(const score_t *x, int t, int skip, double variance,
+		   double least);
 
 #endif
--- a/lib/move/stat.c
+++ b/lib/move/stat.c
@@ -1,113 +1,209 @@
-/* Tests of the new version's figures against the old one's. */
+/* Comparison of two versions, stratified by time and server. */
 #include <math.h>
+#include <string.h>
 #include "move/priv.h"
 
 enum {
-	LOG_UNIT = 16, /* steps of a doubling, as in evidence.c */
-	ROW_LEAST = 4, /* times of the old version that make a server known */
+	LOG_UNIT = 16,	   /* steps of a doubling, as in evidence.c */
 	UNKNOWN_SPEED = 1, /* doublings that other hardware may be slower */
 };
 
-static double log_choose(double n, double k)
-{
-	return lgamma(n + 1) - lgamma(k + 1) - lgamma(n - k + 1);
-}
+/* Of what went before, what still counts a stratum later. */
+static const double keep[SCORES] = { 0.82, 0.967, 1, 1 };
+
+static const metric_t time_of[TIMES] = { M_FIRST_N, M_GAP_N };
 
 /*
- * Fisher's exact test, one sided: the probability that the new version has f1
- * or more of all failures if both fail alike, with n1 and n0 requests.
+ * Probability that a Poisson variable of that mean is at least k, or at most k
+ * if upper is false. k may be fractional.
  */
-double stat_failures(uint64_t f1, uint64_t n1, uint64_t f0, uint64_t n0)
+double stat_poisson(double mean, double k, bool upper)
 {
-	double all = (double)(n1 + n0);
-	double f = (double)(f1 + f0);
-	double most = MIN(f, (double)n1);
-	double x = (double)f1;
-	double term;
+	double first = upper ? ceil(k - 1e-9) : 0;
+	double last = upper ? MAX(first, mean) + 20 * sqrt(mean + 1) + 20
+			    : floor(k + 1e-9);
 	double sum = 0;
 
-	if (n1 == 0 || n0 == 0 ||
-	    (double)f1 * (double)n0 <= (double)f0 * (double)n1)
-		return 1;
-	term = exp(log_choose((double)n1, x) + log_choose((double)n0, f - x) -
-		   log_choose(all, f));
-	while (x <= most && term > sum * 1e-9) {
-		sum += term;
-		term *= ((double)n1 - x) * (f - x) /
-			((x + 1) * ((double)n0 - f + x + 1));
-		x++;
-	}
+	if (mean <= 0)
+		return upper && first > 0 ? 0 : 1;
+	for (long n = (long)first; n <= (long)last; n++)
+		sum += exp((double)n * log(mean) - mean -
+			   lgamma((double)n + 1));
 	return MIN(sum, 1);
 }
 
-/* Number, mean and variance of logarithms, in doublings. */
-typedef struct moments {
-	double n;
-	double mean;
-	double var;
-} moments_t;
+static double mean_log(const cell_t *c, metric_t k)
+{
+	return (double)c->v[k + 1] / LOG_UNIT / (double)c->v[k];
+}
 
-static moments_t moments(const cell_t *c, metric_t k)
+/* Variance of the logarithms of a version within its servers, in doublings. */
+double stat_variance(const cell_t *cells, metric_t k)
 {
-	moments_t r = { (double)c->v[k], 0, 0 };
-	double square;
-
-	if (r.n == 0)
-		return r;
-	r.mean = (double)c->v[k + 1] / LOG_UNIT / r.n;
-	square = (double)c->v[k + 2] / LOG_UNIT / r.n;
-	r.var = MAX(square - r.mean * r.mean, 0.01);
-	return r;
+	double n = 0;
+	double sum = 0;
+
+	for (int i = 0; i < SERVERS; i++) {
+		double each = (double)cells[i].v[k];
+		double mean;
+
+		if (each < 2)
+			continue;
+		mean = mean_log(&cells[i], k);
+		sum += (double)cells[i].v[k + 2] / LOG_UNIT -
+		       each * mean * mean;
+		n += each - 1;
+	}
+	return n > 0 ? MAX(sum / n, 0.05) : 1;
 }
 
-static moments_t moments_all(const cell_t *cells, metric_t k, int skip)
+static void cells_sub(cell_t *out, const cell_t *a, const cell_t *b)
+{
+	for (int i = 0; i < SERVERS; i++) {
+		for (int k = 0; k < METRICS; k++)
+			out[i].v[k] = a[i].v[k] - b[i].v[k];
+	}
+}
+
+static cell_t cells_sum(const cell_t *c)
 {
 	cell_t sum = { { 0 } };
 
 	for (int i = 0; i < SERVERS; i++) {
-		if (i == skip)
-			continue;
-		for (unsigned int j = k; j < k + 3U; j++)
-			sum.v[j] += cells[i].v[j];
+		for (int k = 0; k < METRICS; k++)
+			sum.v[k] += c[i].v[k];
+	}
+	return sum;
+}
+
+/* Failures of the new version, and how many if both had failed alike. */
+static void add_failures(score_t *x, const cell_t *new_cells,
+			 const cell_t *all_new, const cell_t *all_old)
+{
+	double f = (double)(all_new->v[M_FAILURES] + all_old->v[M_FAILURES]);
+	double n = (double)(all_new->v[M_REQUESTS] + all_old->v[M_REQUESTS]);
+
+	if (all_new->v[M_REQUESTS] == 0 || all_old->v[M_REQUESTS] == 0)
+		return;
+	for (int i = 0; i < SERVERS; i++) {
+		row_t *r = &x->rows[i];
+
+		r->seen += (double)new_cells[i].v[M_FAILURES];
+		r->want += (double)new_cells[i].v[M_REQUESTS] * f / n;
+		r->requests += (double)new_cells[i].v[M_REQUESTS];
 	}
-	return moments(&sum, k);
+	x->old_seen += (double)all_old->v[M_FAILURES];
+	x->old_want += (double)all_old->v[M_REQUESTS] * f / n;
+	x->strata += all_new->v[M_FAILURES] > 0;
 }
 
 /*
- * How much slower the new version is, in doublings, and the standard error of
- * that (returned; negative when there is nothing to compare). Servers are
- * compared each with itself; one that never ran the old version with all
- * others, less what other hardware may explain. Row skip is left out.
+ * Adds how much slower the new version was at each server. One that never ran
+ * the old version is compared with all others, less what hardware explains.
  */
-double stat_slower(const cell_t *new_cells, const cell_t *old_cells, metric_t k,
-		   int skip, double *doublings)
+static void add_times(score_t *x, int t, const cell_t *new_cells,
+		      const cell_t *old_cells, const cell_t *old_ever)
 {
-	moments_t fleet = moments_all(old_cells, k, skip);
-	double weight = 0;
-	double sum = 0;
-	double var = 0;
+	metric_t k = time_of[t];
+	cell_t fleet = cells_sum(old_cells);
 
 	for (int i = 0; i < SERVERS; i++) {
-		moments_t a = moments(&new_cells[i], k);
-		moments_t b = moments(&old_cells[i], k);
+		const cell_t *b = &old_cells[i];
 		double other = 0;
 		double w;
 
-		if (a.n == 0 || i == skip)
-			continue;
-		if (b.n < ROW_LEAST) {
-			b = fleet;
+		if (old_ever[i].v[k] == 0) {
+			b = &fleet;
 			other = UNKNOWN_SPEED;
 		}
-		if (b.n < ROW_LEAST)
+		if (new_cells[i].v[k] == 0 || b->v[k] == 0)
+			continue;
+		w = (double)new_cells[i].v[k] * (double)b->v[k] /
+		    (double)(new_cells[i].v[k] + b->v[k]);
+		x->rows[i].weight[t] += w;
+		x->rows[i].slower[t] += w * (mean_log(&new_cells[i], k) -
+					     mean_log(b, k) - other);
+	}
+}
+
+static void decay(score_t *x, double by)
+{
+	double *p = (double *)x;
+
+	if (by == 1)
+		return;
+	for (size_t i = 0; i < sizeof(*x) / sizeof(double); i++)
+		p[i] *= by;
+}
+
+/*
+ * Ends a stratum of time: adds what came in it to the scores. Shares change
+ * from one stratum to the next, so only requests of the same one are compared.
+ */
+void stat_stratum(route_seen_t *r)
+{
+	cell_t d[MOVE_SIDES][SERVERS];
+	cell_t sum[MOVE_SIDES];
+
+	for (int i = 0; i < MOVE_SIDES; i++) {
+		cells_sub(d[i], r->total[i].servers, r->before[i].servers);
+		sum[i] = cells_sum(d[i]);
+	}
+	for (int i = 0; i < SCORES; i++) {
+		score_t *x = &r->scores[i];
+
+		decay(x, keep[i]);
+		add_failures(x, d[MOVE_NEW], &sum[MOVE_NEW], &sum[MOVE_OLD]);
+		for (int t = 0; t < TIMES; t++)
+			add_times(x, t, d[MOVE_NEW], d[MOVE_OLD],
+				  r->total[MOVE_OLD].servers);
+	}
+	memcpy(r->before, r->total, sizeof(r->total));
+}
+
+/*
+ * Probability of so many failures of the new version, or more, if both fail
+ * alike; row skip is left out. The rarer version gives the sharper bound.
+ */
+double stat_failures(const score_t *x, int skip)
+{
+	double seen = 0;
+	double want = 0;
+	double all = 0;
+	double old_want;
+
+	for (int i = 0; i < SERVERS; i++) {
+		all += x->rows[i].seen;
+		if (i == skip)
+			continue;
+		seen += x->rows[i].seen;
+		want += x->rows[i].want;
+	}
+	if (seen <= want || all == 0)
+		return 1;
+	old_want = x->old_want * (seen + x->old_seen) / (all + x->old_seen);
+	if (want <= old_want)
+		return stat_poisson(want, seen, true);
+	return stat_poisson(old_want, x->old_seen, false);
+}
+
+/*
+ * How many standard errors the new version is slower than by least doublings;
+ * 0 when there is too little to compare. Row skip is left out.
+ */
+double stat_slower(const score_t *x, int t, int skip, double variance,
+		   double least)
+{
+	double weight = 0;
+	double slower = 0;
+
+	for (int i = 0; i < SERVERS; i++) {
+		if (i == skip)
 			continue;
-		w = a.n * b.n / (a.n + b.n);
-		weight += w;
-		sum += w * (a.mean - b.mean - other);
-		var += w * w * (MAX(a.var, b.var) / a.n + b.var / b.n);
+		weight += x->rows[i].weight[t];
+		slower += x->rows[i].slower[t];
 	}
-	if (weight == 0)
-		return -1;
-	*doublings = sum / weight;
-	return sqrt(var) / weight;
+	if (weight < WEIGHT_LEAST)
+		return 0;
+	return (slower / weight - least) / sqrt(variance / weight);
 }
--- a/test/move.c
+++ b/test/move.c
@@ -297,22 +297,28 @@
 END_TEST
 
 typedef struct tail_case {
-	uint64_t f1, n1, f0, n0;
+	double mean, k;
+	bool upper;
 	double p;
 } tail_case_t;
 
-/* Computed by hand from the hypergeometric distribution. */
+/* Computed by hand from the distribution. */
 static const tail_case_t tails[] = {
-	{ 0, 10, 0, 10, 1 },  { 1, 1, 0, 1, 0.5 }, { 2, 2, 0, 2, 1.0 / 6 },
-	{ 3, 3, 0, 3, 0.05 }, { 2, 3, 1, 3, 0.5 }, { 1, 10, 2, 10, 1 },
+	{ 1, 0, true, 1 },
+	{ 1, 1, true, 0.6321205588 },
+	{ 0.06, 3, true, 3.441824024e-5 },
+	{ 2, 0, false, 0.1353352832 },
+	{ 2, 1, false, 0.4060058497 },
+	{ 0, 1, true, 0 },
+	{ 0, 0, false, 1 },
 };
 
-START_TEST(exact_test_of_failures)
+START_TEST(poisson_tails)
 {
 	const tail_case_t *c = &tails[_i];
-	double p = stat_failures(c->f1, c->n1, c->f0, c->n0);
+	double p = stat_poisson(c->mean, c->k, c->upper);
 
-	ck_assert_msg(fabs(p - c->p) < 1e-9, "case %d: %g", _i, p);
+	ck_assert_msg(fabs(p - c->p) < 1e-9, "case %d: %.12g", _i, p);
 }
 END_TEST
 
@@ -335,7 +341,7 @@
 	tcase_add_loop_test(t, results_end_moves, 0,
 			    G_N_ELEMENTS(result_cases));
 	tcase_add_test(t, an_unrelated_revision_changes_no_move);
-	tcase_add_loop_test(t, exact_test_of_failures, 0, G_N_ELEMENTS(tails));
+	tcase_add_loop_test(t, poisson_tails, 0, G_N_ELEMENTS(tails));
 	suite_add_tcase(suite, t);
 	sr = srunner_create(suite);
 	srunner_run_all(sr, CK_NORMAL);
