--- a/test/peers.c
+++ b/test/peers.c
@@ -343,6 +343,58 @@
 }
 END_TEST
 
+/* Bytes that came during a pause of one's own lie unread: no silence. */
+START_TEST(own_pause_is_not_silence)
+{
+	fixture_t *f = start("key", "s1");
+
+	run_until_up(f, 1);
+	g_usleep(SILENT_MS * 3000UL);
+	run_for(f, SILENT_MS);
+	ck_assert_int_eq(f->entry.downs, 0);
+	ck_assert_int_eq(f->side.downs, 0);
+	stop(f);
+}
+END_TEST
+
+START_TEST(changed_address_is_taken)
+{
+	fixture_t *f = start("key", NULL);
+	addr_t nobody;
+
+	free_port(&nobody);
+	peers_connect(f->entry.ps, "s1", &nobody);
+	run_for(f, SILENT_MS);
+	ck_assert_int_eq(f->entry.ups, 0);
+	peers_connect(f->entry.ps, "s1", &f->side_at);
+	run_until_up(f, 1);
+	peers_connect(f->entry.ps, "s1", &f->side_at);
+	run_for(f, SILENT_MS);
+	ck_assert_int_eq(f->entry.downs, 0);
+	stop(f);
+}
+END_TEST
+
+START_TEST(forgotten_peer_keeps_its_connection)
+{
+	fixture_t *f = start("key", "s1");
+
+	run_until_up(f, 1);
+	peers_forget(f->entry.ps, "s1");
+	run_for(f, SILENT_MS * 2L);
+	ck_assert_int_eq(f->entry.downs, 0);
+	peers_connect(f->entry.ps, "s1", &f->pipe_at);
+	run_for(f, SILENT_MS);
+	ck_assert_int_eq(f->entry.downs, 0);
+	peers_forget(f->entry.ps, "s1");
+	f->pipes[0].hole = true;
+	run_for(f, SILENT_MS * 3L);
+	ck_assert_int_eq(f->entry.ups, 1);
+	ck_assert_int_eq(f->entry.downs, 1);
+	stop(f);
+}
+END_TEST
+
 START_TEST(new_connection_of_an_incarnation_replaces_the_old)
 {
 	fixture_t *f = start("key", "s1");
@@ -520,6 +572,9 @@
 	tcase_add_test(t, wrong_key_is_refused_and_counted);
 	tcase_add_test(t, other_name_is_refused);
 	tcase_add_test(t, silent_connection_is_replaced);
+	tcase_add_test(t, own_pause_is_not_silence);
+	tcase_add_test(t, changed_address_is_taken);
+	tcase_add_test(t, forgotten_peer_keeps_its_connection);
 	tcase_add_test(t, new_connection_of_an_incarnation_replaces_the_old);
 	tcase_add_test(t, peer_that_does_not_read_is_closed);
 	tcase_add_test(t, large_frame_is_bounded_after_the_handshake);
