--- a/Makefile
+++ b/Makefile
@@ -32,7 +32,7 @@
 	bench/capacity build/rel
 
 lint:
-	shellcheck $(SCRIPTS)
+	shellcheck -x $(SCRIPTS)
 	clang-format --dry-run -Werror $(SRC)
 	cppcheck --quiet --std=c11 --error-exitcode=1 --inline-suppr \
 		--enable=warning,portability --suppress=missingIncludeSystem \
