--- a/test/standin/lib/http.c
+++ b/test/standin/lib/http.c
@@ -205,6 +205,7 @@
 void hs_reply(hs_req_t *r, int status, const char *type, str_t body)
 {
 	set_head(r, status, type);
+	r->req->res.content_length = body.n;
 	h2o_send_inline(r->req, body.p, body.n);
 }
 
