--- a/cmd/chestnuthinged/dat.h
+++ b/cmd/chestnuthinged/dat.h
@@ -91,11 +91,6 @@
 	counter_t *refused;
 };
 
-/* Counters of requests by service, tier and code. */
-struct stats {
-	counters_t *all;
-};
-
 /* A chat request, as far as the scheduler needs to know it. */
 typedef struct chat {
 	char *model;
@@ -109,7 +104,8 @@
 typedef struct call {
 	submit_t submit;
 	const service_t *service;
-	char *path;
+	char *path;  /* as given, with its query */
+	char *plain; /* without query, escapes and dot segments */
 	char *method;
 	char *content_type;
 	char *key;
@@ -122,7 +118,7 @@
 	settings_t *set;
 	uv_loop_t loop;
 	counters_t *counters;
-	stats_t stats;
+	stats_t *stats;
 	uint64_t inc;
 	httpc_t *http;
 	peers_t *peers;
