--- a/lib/conf/check.c
+++ b/lib/conf/check.c
@@ -84,6 +84,21 @@
 	return true;
 }
 
+/* A key must be held for as long as the request that claimed it may wait. */
+static bool route_window_check(scan_t *s, const intent_t *in,
+			       const route_t *row, const service_t *service)
+{
+	ms_t window = (ms_t)in->claim_window_s * 1000;
+
+	if ((row->idempotent && !row->key_needed) ||
+	    service->deadline <= window)
+		return true;
+	return scan_fail_at(s, row, CODE_OUT_OF_RANGE,
+			    "[route %s/%s]: expected [fleet] claim_window_s "
+			    "of at least the service's deadline_ms",
+			    row->service, row->name);
+}
+
 static bool route_check(scan_t *s, const intent_t *in, const route_t *row)
 {
 	const service_t *service = intent_service(in, row->service);
@@ -93,7 +108,8 @@
 		return scan_fail_at(s, row, CODE_BAD_REFERENCE,
 				    "[route %s/%s]: no such service",
 				    row->service, row->name);
-	if (!route_path_check(s, row, service))
+	if (!route_path_check(s, row, service) ||
+	    !route_window_check(s, in, row, service))
 		return false;
 	twin = route_twin(in, row);
 	if (twin)
--- a/lib/ledger/claim.c
+++ b/lib/ledger/claim.c
@@ -329,7 +329,10 @@
 	return NULL;
 }
 
-/* Settles a claim of this process at its place in the log. */
+/*
+ * Settles a claim of this process at its place in the log. One that is read
+ * after its time, as after a pause, is given up: the key may have run since.
+ */
 static void own_read(claims_t *c, const claim_item_t *item, ms_t now)
 {
 	pending_t *p = g_hash_table_lookup(c->pending_by_rid, &item->rid);
@@ -348,7 +351,7 @@
 		settle(c, p, CODE_DUPLICATE, first->item.rid);
 		return;
 	}
-	if (p->added < c->blind_until) {
+	if (p->added < c->blind_until || now - p->added >= c->timeout) {
 		release_add(c, item, now);
 		settle(c, p, CODE_NO_CLAIM, none);
 		return;
--- a/test/claim.c
+++ b/test/claim.c
@@ -300,6 +300,20 @@
 }
 END_TEST
 
+START_TEST(pause_longer_than_the_timeout_ends_the_claim)
+{
+	add(&fx.a, 1, "k", 0);
+	claims_tick(fx.a.c, 10);
+	answer(&fx.a, true, CODE_OK, 20);
+	read_on(&fx.b, 30);
+	add(&fx.b, 1, "k", 1100);
+	go(&fx.b, 1110);
+	expect(&fx.b, "1:0 ");
+	read_on(&fx.a, 1200);
+	expect(&fx.a, "1:211 ");
+}
+END_TEST
+
 START_TEST(nothing_is_claimed_before_the_log_was_read)
 {
 	entry_t e;
@@ -395,6 +409,7 @@
 	tcase_add_test(tc, only_the_owner_releases);
 	tcase_add_test(tc, window_counts_from_the_reading_to_the_adding);
 	tcase_add_test(tc, pause_between_two_readings_frees_no_key);
+	tcase_add_test(tc, pause_longer_than_the_timeout_ends_the_claim);
 	tcase_add_test(tc, nothing_is_claimed_before_the_log_was_read);
 	tcase_add_test(tc, log_down);
 	tcase_add_test(tc, claim_read_twice);
