Stream only what ends visibly: status 200 to HTTP/1.1

Cause: h2o 2.2.5 uses the chunked coding only for status 200, so a streamed answer with another status ended by closing, and a cut one looked whole. Ruled out: writing the coding ourselves inside h2o's stream. Change: reply_chunks() says whether the coding will be used; else the answer is gathered and sent with its length.

--- a/cmd/chestnuthinged/entryd.c
+++ b/cmd/chestnuthinged/entryd.c
@@ -49,6 +49,8 @@
 	reply_t *r = user;
 
 	(void)ctx;
+	if (!reply_chunks(r, status))
+		r->streamed = false;
 	if (r->streamed) {
 		add_outcome(r, so_far);
 		reply_add_header(r, "Chestnuthinge-Outcome", "answered");
--- a/cmd/chestnuthinged/fns.h
+++ b/cmd/chestnuthinged/fns.h
@@ -28,6 +28,7 @@
 reply_t *reply_new(web_t *w, h2o_req_t *req);
 char *reply_header(const reply_t *r, const char *name);
 void reply_add_header(reply_t *r, const char *name, const char *value);
+bool reply_chunks(const reply_t *r, int status);
 void reply_begin(reply_t *r, int status, str_t content_type);
 void reply_data(reply_t *r, str_t data);
 void reply_end(reply_t *r);
--- a/cmd/chestnuthinged/reply.c
+++ b/cmd/chestnuthinged/reply.c
@@ -121,6 +121,16 @@
 	h2o_start_response(r->req, &r->generator);
 }
 
+/*
+ * Tells whether an answer of that status would be sent in the chunked coding,
+ * whose missing end shows a caller that it was cut: h2o uses it only for status
+ * 200 and HTTP/1.1.
+ */
+bool reply_chunks(const reply_t *r, int status)
+{
+	return status == 200 && r->req->version >= 0x101;
+}
+
 /*
  * Notes status and type of the answer. A streamed one begins now; another is
  * gathered until its end, so that a short one never looks whole.
