--- a/lib/move/move.c
+++ b/lib/move/move.c
@@ -3,7 +3,7 @@
 #include "move/priv.h"
 
 enum {
-	LOOK_EVERY = 1000, /* ms */
+	LOOK_EVERY = 2000, /* ms, a stratum of the evidence */
 	TELL_EVERY = 5000, /* ms between calls of ended */
 	SETTLE = 3000,	   /* ms in which a late alarm can stop the end */
 };
@@ -402,7 +402,7 @@
 	move_age(v, now);
 }
 
-/* Judges the moves about once a second; registers are followed at each call. */
+/* Judges the moves once a stratum; registers are followed at each call. */
 void moves_tick(moves_t *m, ms_t now)
 {
 	bool look = now >= m->look_at;
