Sidecar: the place looks at gaps over a second, not a window

Change: sums of a window fade by 15 percent instead of starting anew; shrinking by 15 percent. test/place has the cases.

--- a/lib/side/place.c
+++ b/lib/side/place.c
@@ -8,7 +8,8 @@
 	STALL = 8,		 /* target gaps without any token */
 	IN_USE_PERCENT = 75,	 /* of the limit, for it to grow */
 	WELL_UNDER_PERCENT = 70, /* of the target, for it to grow */
-	SHRINK_PERCENT = 75,
+	FADE_PERCENT = 85,	 /* of a window that counts in the next */
+	SHRINK_PERCENT = 85,
 	QUICK_GROW_PERCENT = 25,  /* a window, before the first shrinking */
 	GROW_PERCENT = 3,	  /* a window, after it */
 	PLAIN_START = 4,	  /* requests */
@@ -151,8 +152,8 @@
 			judge_plain(s, now);
 	}
 	p->window_at = now;
-	p->tokens = 0;
-	p->decoding = 0;
+	p->tokens = p->tokens * FADE_PERCENT / 100;
+	p->decoding = p->decoding * FADE_PERCENT / 100;
 	p->answers = 0;
 	p->answer_time = 0;
 	p->most = p->used;
--- /dev/null
+++ b/test/place.c
@@ -0,0 +1,114 @@
+/* The learned place: how its limit follows the time between tokens. */
+#include <check.h>
+#include "side/priv.h"
+
+typedef struct place_case {
+	const char *name;
+	bool model;
+	uint64_t used;	  /* of the place, all the time */
+	uint64_t queued;  /* inside the engine */
+	ms_t gap;	  /* between tokens, or response time */
+	ms_t stall_after; /* ms; no more tokens then; 0 never */
+	ms_t span;	  /* how long */
+	uint64_t least;	  /* of the limit, at the end */
+	uint64_t most;
+} place_case_t;
+
+static const place_case_t cases[] = {
+	{ "grows while gaps are short", true, 1000, 0, 20, 0, 5000, 1300,
+	  10000 },
+	{ "not beyond its bound", true, 10000, 0, 20, 0, 60000, 10000, 10000 },
+	{ "not when it is not in use", true, 500, 0, 20, 0, 5000, 1000, 1000 },
+	{ "not while the engine itself queues", true, 1000, 3, 20, 0, 5000,
+	  1000, 1000 },
+	{ "stays between the bounds", true, 1000, 0, 60, 0, 5000, 1000, 1000 },
+	{ "shrinks when gaps are long", true, 1000, 0, 140, 0, 8000, 100, 900 },
+	{ "shrinks when no token comes at all", true, 1000, 0, 20, 1000, 9000,
+	  100, 1000 },
+	{ "plain: grows while answers are as fast", false, 4, 0, 10, 0, 5000, 6,
+	  1024 },
+};
+
+static void nothing_sent(void *ctx, uint64_t inc, const msg_t *m)
+{
+	(void)ctx;
+	(void)inc;
+	(void)m;
+}
+
+static void nothing_dispatched(void *ctx, const side_dispatch_t *d)
+{
+	(void)ctx;
+	(void)d;
+}
+
+static void nothing_cancelled(void *ctx, rid_t rid)
+{
+	(void)ctx;
+	(void)rid;
+}
+
+static const side_ops_t ops = { .send = nothing_sent,
+				.dispatch = nothing_dispatched,
+				.cancel = nothing_cancelled };
+
+/* Ten streams with tokens at the gap, as answer.c reports them. */
+static void flow(side_t *s, const place_case_t *c, job_t *j, ms_t now)
+{
+	if (c->stall_after && now > c->stall_after)
+		return;
+	j->a.last_at = now;
+	if (c->model && now % c->gap == 0)
+		place_decoded(&s->place, 10, 10 * c->gap);
+	if (!c->model && now % c->gap == 0)
+		place_answered(&s->place, c->gap);
+}
+
+START_TEST(limit)
+{
+	const place_case_t *c = &cases[_i];
+	side_conf_t conf = { .model = c->model,
+			     .token_gap = 70,
+			     .entry_gone = 1000000,
+			     .place_start = 1000,
+			     .place_max = 10000 };
+	counters_t *counters = counters_new();
+	side_t *s = side_new(&conf, &ops, NULL, counters);
+	job_t *j = g_new0(job_t, 1);
+
+	j->state = JOB_RUNNING;
+	j->work = c->used;
+	j->deadline = 1000000;
+	j->a.first = 1;
+	list_add_tail(&s->running, &j->link);
+	list_init(&j->age);
+	g_hash_table_insert(s->jobs, &j->rid, j);
+	place_use(&s->place, c->used);
+	side_load(s, 1, c->queued, 0);
+	for (ms_t now = 1; now <= c->span; now++) {
+		flow(s, c, j, now);
+		if (now % 50 == 0)
+			place_tick(s, now);
+	}
+	ck_assert_msg(s->place.limit >= c->least && s->place.limit <= c->most,
+		      "%s: %lu", c->name, s->place.limit);
+	side_free(s);
+	counters_free(counters);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *suite = suite_create("place");
+	TCase *t = tcase_create("place");
+	SRunner *sr;
+	int failed;
+
+	tcase_add_loop_test(t, limit, 0, G_N_ELEMENTS(cases));
+	suite_add_tcase(suite, t);
+	sr = srunner_create(suite);
+	srunner_run_all(sr, CK_NORMAL);
+	failed = srunner_ntests_failed(sr);
+	srunner_free(sr);
+	return failed != 0;
+}
