Moves: evidence gathered before an entry was seen is no stratum

Cause: an entry that starts late gets the evidence of all others at once, and took it for one stratum although the shares had changed in it.

Change: the first values of another entry's registers, for 5 s after the entry was first seen in a move, are older than the watch. So are all values when the moves are set again. Gaps of 0 (answers that did not stream) say nothing.

--- a/lib/move/evidence.c
+++ b/lib/move/evidence.c
@@ -7,6 +7,7 @@
 enum {
 	LOG_UNIT = 16,	  /* steps of a doubling */
 	LOG_RANGE = 20,	  /* doublings; what lies outside is clipped */
+	ARRIVAL = 5000,	  /* ms for all registers of another entry to come */
 	SIZE_LEAST = 256, /* tokens; smaller work takes as long */
 };
 
@@ -104,7 +105,7 @@
 		add_log(c, M_FIRST_N,
 			(double)MAX(s->first, 1) /
 				(double)(s->tokens + SIZE_LEAST));
-	if (s->gap >= 0)
+	if (s->gap > 0)
 		add_log(c, M_GAP_N, (double)MAX(s->gap, 1));
 }
 
@@ -139,45 +140,77 @@
 	return -1;
 }
 
+/* Where a register belongs: a counter of one version on one route. */
+typedef struct place_of_reg {
+	route_seen_t *route; /* NULL: nowhere */
+	uint64_t side;
+	uint64_t row;
+	int metric;
+	bool past; /* its first value is older than our watch */
+} place_of_reg_t;
+
 /*
- * Finds the sum that a register belongs to, by its name
- * ev/ID/INC/SIDE/ROW/ROUTE/METRIC. NULL for another name or an unknown move.
+ * Whether the entry INC has only just been seen in move ID. What its registers
+ * then hold was gathered before, under other shares, and is no stratum.
  */
-static uint64_t *sum_of(moves_t *m, const char *key)
+static bool just_seen(moves_t *m, const char *id, const char *inc, ms_t now)
+{
+	char *source = g_strdup_printf("%s/%s", id, inc);
+	ms_t *at = g_hash_table_lookup(m->sources, source);
+
+	if (g_ascii_strtoull(inc, NULL, 16) == m->inc) {
+		g_free(source);
+		return false;
+	}
+	if (at) {
+		g_free(source);
+		return now - *at < ARRIVAL;
+	}
+	at = g_new(ms_t, 1);
+	*at = now;
+	g_hash_table_insert(m->sources, source, at);
+	return true;
+}
+
+/* Reads a register's name, ev/ID/INC/SIDE/ROW/ROUTE/METRIC. */
+static place_of_reg_t place_of(moves_t *m, const char *key, ms_t now)
 {
 	char **part = g_strsplit(key, "/", 6);
 	char *last = part[0] && g_strv_length(part) == 6 ? strrchr(part[5], '/')
 							 : NULL;
-	uint64_t *sum = NULL;
+	place_of_reg_t p = { 0 };
 
 	if (last) {
 		move_t *v = move_find(m, g_ascii_strtoull(part[1], NULL, 10));
-		uint64_t side = g_ascii_strtoull(part[3], NULL, 10);
-		uint64_t row = g_ascii_strtoull(part[4], NULL, 10);
-		int k = metric_of(last + 1);
 
+		p.side = g_ascii_strtoull(part[3], NULL, 10);
+		p.row = g_ascii_strtoull(part[4], NULL, 10);
+		p.metric = metric_of(last + 1);
 		*last = '\0';
-		if (v && k >= 0 && side < MOVE_SIDES && row < SERVERS)
-			sum = &route_get(v, part[5])
-				       ->total[side]
-				       .servers[row]
-				       .v[k];
+		if (v && p.metric >= 0 && p.side < MOVE_SIDES &&
+		    p.row < SERVERS) {
+			p.route = route_get(v, part[5]);
+			p.past = just_seen(m, part[1], part[2], now);
+		}
 	}
 	g_strfreev(part);
-	return sum;
+	return p;
 }
 
-static void read_one(moves_t *m, const fact_kv_t *kv)
+static void read_one(moves_t *m, const fact_kv_t *kv, ms_t now)
 {
 	reg_t *r = g_hash_table_lookup(m->regs, kv->key.p);
 
 	if (!r) {
-		uint64_t *sum = sum_of(m, kv->key.p);
+		place_of_reg_t p = place_of(m, kv->key.p, now);
 
-		if (!sum)
+		if (!p.route)
 			return;
 		r = g_new0(reg_t, 1);
-		r->sum = sum;
+		r->sum = &p.route->total[p.side].servers[p.row].v[p.metric];
+		if (p.past)
+			p.route->before[p.side].servers[p.row].v[p.metric] +=
+				kv->value;
 		g_hash_table_insert(m->regs, g_strdup(kv->key.p), r);
 	}
 	*r->sum += kv->value - r->value;
@@ -185,7 +218,7 @@
 }
 
 /* Adds to the sums what has changed in the registers. */
-void evidence_read(moves_t *m)
+void evidence_read(moves_t *m, ms_t now)
 {
 	fact_kv_t kv[64];
 	size_t n;
@@ -195,13 +228,16 @@
 				&m->seen);
 		for (size_t i = 0; i < n; i++) {
 			if (!strncmp(kv[i].key.p, "ev/", 3))
-				read_one(m, &kv[i]);
+				read_one(m, &kv[i], now);
 		}
 	} while (n == G_N_ELEMENTS(kv));
 }
 
-/* Starts summing again from nothing, as moves have come or gone. */
-void evidence_again(moves_t *m)
+/*
+ * Sums all registers again, as moves have come or gone. What is in them now is
+ * part of no stratum to come.
+ */
+void evidence_again(moves_t *m, ms_t now)
 {
 	GHashTableIter moves;
 	GHashTableIter routes;
@@ -221,6 +257,16 @@
 				       sizeof(r->total[i].servers));
 		}
 	}
+	evidence_read(m, now);
+	g_hash_table_iter_init(&moves, m->all);
+	while (g_hash_table_iter_next(&moves, NULL, &v)) {
+		g_hash_table_iter_init(&routes, ((move_t *)v)->routes);
+		while (g_hash_table_iter_next(&routes, NULL, &p)) {
+			route_seen_t *r = p;
+
+			memcpy(r->before, r->total, sizeof(r->total));
+		}
+	}
 }
 
 /* A counter over all servers, less what it was at since if that is given. */
--- a/lib/move/move.c
+++ b/lib/move/move.c
@@ -50,6 +50,8 @@
 	m->all = table_of_moves();
 	m->services = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 					    moving_free);
+	m->sources =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	m->regs =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	return m;
@@ -60,6 +62,7 @@
 {
 	g_hash_table_destroy(m->services);
 	g_hash_table_destroy(m->regs);
+	g_hash_table_destroy(m->sources);
 	g_hash_table_destroy(m->all);
 	g_rand_free(m->rand);
 	g_free(m);
@@ -251,7 +254,6 @@
 	m->set_at = now;
 	m->set_unix = unix_now;
 	set_moves(m, in, results, now);
-	evidence_again(m);
 	g_hash_table_remove_all(m->services);
 	for (guint i = 0; i < in->versions->len; i++) {
 		const version_t *d = g_ptr_array_index(in->versions, i);
@@ -260,7 +262,7 @@
 			set_service(m, in, d);
 	}
 	drop_evidence(m);
-	evidence_read(m);
+	evidence_again(m, now);
 }
 
 /* Whether the version was found bad or its move reversed. */
@@ -388,7 +390,7 @@
 		return;
 	if (look) {
 		evidence_flush(m, v);
-		evidence_read(m);
+		evidence_read(m, now);
 	}
 	follow(m, v, now);
 	state = move_state(v);
--- a/lib/move/priv.h
+++ b/lib/move/priv.h
@@ -139,6 +139,7 @@
 	GHashTable *all;      /* of move_t, by id */
 	GHashTable *services; /* of moving_t, by name */
 	GHashTable *regs;     /* of reg_t, by the register's name */
+	GHashTable *sources;  /* first seen at, by ID/INC */
 	uint64_t seen;	      /* change of facts that is summed up to */
 	ms_t set_at;
 	int64_t set_unix;
@@ -162,8 +163,8 @@
 void evidence_note(moves_t *m, move_t *v, side_of_move_t side,
 		   const sample_t *s);
 void evidence_flush(moves_t *m, move_t *v);
-void evidence_read(moves_t *m);
-void evidence_again(moves_t *m);
+void evidence_read(moves_t *m, ms_t now);
+void evidence_again(moves_t *m, ms_t now);
 void evidence_look(move_t *v);
 void evidence_stage(move_t *v);
 uint64_t tally_sum(const tally_t *t, const tally_t *since, metric_t k);
--- a/test/move.c
+++ b/test/move.c
@@ -207,6 +207,35 @@
 }
 END_TEST
 
+/* Evidence gathered under other shares, as a starting entry gets it. */
+START_TEST(a_late_start_does_not_judge_the_past)
+{
+	static const char *const sums[] = { "n", "tn", "t", "tq" };
+	static const uint64_t old[] = { 1000, 1000, 8000, 64000 };
+	static const uint64_t new[] = { 1000, 1000, 100000, 700000 };
+	char key[128];
+	rig_t r;
+
+	rig_init(&r);
+	run(&r, 10, 10);
+	for (int i = 0; i < 8; i++) {
+		int k = i / 2;
+
+		g_snprintf(key, sizeof(key),
+			   "ev/%" G_GUINT64_FORMAT "/2/0/%d/chat/%s",
+			   move_id(&versions[1]), i % 2, sums[k]);
+		facts_set(r.facts, key, old[k]);
+		g_snprintf(key, sizeof(key),
+			   "ev/%" G_GUINT64_FORMAT "/2/1/%d/chat/%s",
+			   move_id(&versions[1]), i % 2, sums[k]);
+		facts_set(r.facts, key, new[k]);
+	}
+	run(&r, 100, 20);
+	ck_assert(!moves_is_bad(r.m, "helper", "v2"));
+	rig_clear(&r);
+}
+END_TEST
+
 START_TEST(one_moment_condemns_nothing)
 {
 	rig_t r;
@@ -373,6 +402,7 @@
 	tcase_add_loop_test(t, a_bad_version_is_taken_back, 0,
 			    G_N_ELEMENTS(bad_cases));
 	tcase_add_test(t, one_broken_server_condemns_nothing);
+	tcase_add_test(t, a_late_start_does_not_judge_the_past);
 	tcase_add_test(t, one_moment_condemns_nothing);
 	tcase_add_test(t, a_suspect_version_has_half_at_most);
 	tcase_add_test(t, a_register_of_a_peer_stops_the_version_at_once);
