A keyed request that was never sent leaves its key free

Cause: when a caller hung up, or its deadline passed, while the claim was on its way to the log, the claim was settled later for nobody, and the retry was refused as a duplicate of a request that never ran. Change: the hang-up says whether the request was sent; claims of requests that are gone are given back when they settle. Also a version is not unloaded while a request of it is granted or runs. test/fault/daemon.sh holds a claim back, hangs up, and sees the key free; without the change the wait for it fails. The check before unloading has no test yet.

--- a/cmd/chestnuthinged/entryd.c
+++ b/cmd/chestnuthinged/entryd.c
@@ -18,6 +18,7 @@
 	reply_t *submitting; /* its end may come inside entry_submit */
 	size_t running;
 	GHashTable *sidecars; /* names of those up, by incarnation */
+	GHashTable *claiming; /* rid_t of requests whose claim is not settled */
 	counter_t *running_gauge;
 	counter_t *sidecars_gauge;
 };
@@ -69,6 +70,22 @@
 	reply_data(r, data);
 }
 
+static void on_claim(void *ctx, rid_t rid, const char *customer,
+		     const char *key)
+{
+	entryd_t *e = ctx;
+
+	g_hash_table_add(e->claiming, g_memdup2(&rid, sizeof(rid)));
+	plat_claim(e->d->plat, rid, customer, key);
+}
+
+/* A request ended without running: its key is free, now or once claimed. */
+static void give_back(entryd_t *e, rid_t rid)
+{
+	if (!g_hash_table_remove(e->claiming, &rid))
+		plat_release(e->d->plat, rid);
+}
+
 static const char *explain(code_t code)
 {
 	switch (code) {
@@ -99,7 +116,7 @@
 	e->running--;
 	r->gone = NULL;
 	if (code_not_run(o->code))
-		plat_release(e->d->plat, o->rid);
+		give_back(e, o->rid);
 	stats_end(e->d->stats, r, o->code, r->status);
 	if (o->code == CODE_OK) {
 		if (!r->started) {
@@ -116,14 +133,6 @@
 	}
 }
 
-static void on_claim(void *ctx, rid_t rid, const char *customer,
-		     const char *key)
-{
-	entryd_t *e = ctx;
-
-	plat_claim(e->d->plat, rid, customer, key);
-}
-
 static const char *on_pick(void *ctx, const char *service, ms_t now)
 {
 	entryd_t *e = ctx;
@@ -173,6 +182,7 @@
 	e->d = d;
 	e->entry = entry_new(&conf, &ops, e, d->counters);
 	e->limits = limits_new();
+	e->claiming = g_hash_table_new_full(rid_hash, rid_equal, g_free, NULL);
 	e->sidecars = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
 					    g_free);
 	e->running_gauge =
@@ -188,6 +198,7 @@
 	entry_free(e->entry);
 	limits_free(e->limits);
 	g_hash_table_destroy(e->sidecars);
+	g_hash_table_destroy(e->claiming);
 	g_free(e);
 }
 
@@ -197,7 +208,8 @@
 
 	e->running--;
 	stats_end(e->d->stats, r, CODE_CALLER_GONE, 0);
-	entry_hangup(e->entry, r->rid, clock_now());
+	if (entry_hangup(e->entry, r->rid, clock_now()))
+		give_back(e, r->rid);
 }
 
 static void submit(entryd_t *e, reply_t *r, const call_t *c, ms_t now)
@@ -297,10 +309,13 @@
 	limits_entries(e->limits, MAX(live, 1));
 }
 
-/* The claim of a key is settled. */
+/* The claim of a key is settled; its request may be gone meanwhile. */
 void entryd_claimed(entryd_t *e, rid_t rid, code_t code, ms_t now)
 {
-	entry_claimed(e->entry, rid, code, now);
+	if (g_hash_table_remove(e->claiming, &rid))
+		entry_claimed(e->entry, rid, code, now);
+	else
+		plat_release(e->d->plat, rid);
 }
 
 /* Takes the customers' limits of a newly accepted intent. */
--- a/cmd/chestnuthinged/fns.h
+++ b/cmd/chestnuthinged/fns.h
@@ -136,7 +136,7 @@
 char *leave_key(const char *name, uint64_t inc);
 
 /* orders.c */
-orders_t *orders_new(daemon_t *d, backend_t *b);
+orders_t *orders_new(daemon_t *d, backend_t *b, const side_t *side);
 void orders_free(orders_t *o);
 void orders_tick(orders_t *o, ms_t now);
 
--- a/cmd/chestnuthinged/orders.c
+++ b/cmd/chestnuthinged/orders.c
@@ -20,6 +20,7 @@
 struct orders {
 	daemon_t *d;
 	backend_t *backend;
+	const side_t *side;
 	httpc_req_t *req;
 	int status;
 	char *order; /* the one under way, for the log */
@@ -36,13 +37,14 @@
 };
 
 /* Makes the orders of a sidecar's backend server. */
-orders_t *orders_new(daemon_t *d, backend_t *b)
+orders_t *orders_new(daemon_t *d, backend_t *b, const side_t *side)
 {
 	const char *name = d->set->name;
 	orders_t *o = g_new0(orders_t, 1);
 
 	o->d = d;
 	o->backend = b;
+	o->side = side;
 	o->rand = g_rand_new();
 	o->spread = (ms_t)(hash64(name, strlen(name), 0) % SPREAD);
 	o->since = clock_now();
@@ -146,7 +148,10 @@
 	return false;
 }
 
-/* Unloads one version that the log's configuration no longer wants. */
+/*
+ * Unloads one version that the log's configuration no longer wants and that no
+ * request runs on.
+ */
 static void unload_extra(orders_t *o, const GPtrArray *wanted, char **loaded,
 			 ms_t now)
 {
@@ -154,7 +159,7 @@
 	    now - o->since < UNLOAD_AFTER + o->spread)
 		return;
 	for (char **v = loaded; *v; v++) {
-		if (has(wanted, *v))
+		if (has(wanted, *v) || side_uses(o->side, *v))
 			continue;
 		give(o, "unload", *v);
 		return;
--- a/cmd/chestnuthinged/sided.c
+++ b/cmd/chestnuthinged/sided.c
@@ -86,7 +86,7 @@
 	s->side = side_new(&conf, &ops, s, d->counters);
 	s->backend = backend_new(d, s->side);
 	if (d->set->backend_is_model)
-		s->orders = orders_new(d, s->backend);
+		s->orders = orders_new(d, s->backend, s->side);
 	return s;
 }
 
--- a/lib/entry/entry.c
+++ b/lib/entry/entry.c
@@ -244,19 +244,23 @@
 	request_end(e, r, code, code == CODE_NO_CLAIM ? RETRY_DEFAULT : 0);
 }
 
-/* The caller hung up: nothing more is told of the request. */
-void entry_hangup(entry_t *e, rid_t rid, ms_t now)
+/*
+ * The caller hung up: nothing more is told of the request. Returns whether it
+ * was never sent, so that it surely did not run and will not.
+ */
+bool entry_hangup(entry_t *e, rid_t rid, ms_t now)
 {
 	request_t *r = request_find(e, rid);
 
 	if (!r || r->state == REQUEST_STOPPED)
-		return;
+		return false;
 	if (r->state == REQUEST_SENT) {
 		request_stop(e, r, now);
-		return;
+		return false;
 	}
 	offers_withdraw(e, r);
 	request_free(e, r);
+	return true;
 }
 
 /* Refuses what comes from now on; what is here goes on to its end. */
--- a/lib/entry/fns.h
+++ b/lib/entry/fns.h
@@ -21,8 +21,8 @@
  */
 rid_t entry_submit(entry_t *e, const submit_t *s, void *user, ms_t now);
 void entry_claimed(entry_t *e, rid_t rid, code_t code, ms_t now);
-/* The caller hung up: nothing more is told of the request. */
-void entry_hangup(entry_t *e, rid_t rid, ms_t now);
+/* The caller hung up: nothing more is told. True: it was never sent. */
+bool entry_hangup(entry_t *e, rid_t rid, ms_t now);
 void entry_drain(entry_t *e, ms_t now); /* refuse what comes from now on */
 bool entry_idle(const entry_t *e);
 void entry_tick(entry_t *e, ms_t now);
--- a/lib/side/fns.h
+++ b/lib/side/fns.h
@@ -24,6 +24,7 @@
 void side_engine_end(side_t *s, rid_t rid, code_t code, ms_t now);
 void side_drain(side_t *s, ms_t now); /* grant nothing more */
 bool side_idle(const side_t *s);      /* drained: nothing left in progress */
+bool side_uses(const side_t *s, const char *version);
 void side_tick(side_t *s, ms_t now);
 void side_state(const side_t *s, msg_state_t *out);
 
--- a/lib/side/side.c
+++ b/lib/side/side.c
@@ -412,6 +412,24 @@
 	       list_empty(&s->running) && list_empty(&s->finished);
 }
 
+static bool list_uses(const list_t *jobs, const char *version)
+{
+	for (const list_t *l = jobs->next; l != jobs; l = l->next) {
+		const job_t *j = list_entry(l, const job_t, link);
+
+		if (j->version && strcmp(j->version, version) == 0)
+			return true;
+	}
+	return false;
+}
+
+/* Tells whether a request of the version is granted or runs. */
+bool side_uses(const side_t *s, const char *version)
+{
+	return list_uses(&s->granted, version) ||
+	       list_uses(&s->running, version);
+}
+
 /* Runs all that depends on time; call it at least every 50 ms. */
 void side_tick(side_t *s, ms_t now)
 {
--- a/test/fault/daemon.sh
+++ b/test/fault/daemon.sh
@@ -103,6 +103,29 @@
 		"$T/engine-one.events"
 done
 
+# A keyed request whose caller hangs up before it was sent leaves its key free:
+# here the claim is settled only after the hang-up.
+start_plain store
+start_sidecar side-store stock plain v1 store
+set_hosts "$HOSTS"
+order() {
+	ask_plain entry-1 school-1 POST /stock/order -d '{"item":"anchor"}' \
+		-H "Idempotency-Key: $1" "${@:2}"
+}
+order_answered() {
+	[ "$(header Chestnuthinge-Outcome <<<"$(order "$1")")" = answered ]
+}
+wait_for "an order answered" order_answered first
+control platform slow_ms=1000
+order held -m 0.3 >/dev/null 2>&1 && fail "the slow claim was not waited for"
+control platform slow_ms=0
+wait_for "the key free again" order_answered held
+[ "$(grep -c 'dispatch.*key=held' "$T/plain-store.events")" = 1 ] ||
+	fail "the order did not run once"
+[ "$(awk 'NR == 1 { print $2 }' <<<"$(order held)")" = 409 ] ||
+	fail "a repeated order was not refused"
+stop side-store
+
 # An answer that breaks off for good is not ended as if it were whole.
 ask entry-1 school-1 "$(prompt broken 200 true)" >"$T/broken" 2>"$T/broken.err" &
 asking=$!
