--- a/test/fault/daemon.sh
+++ b/test/fault/daemon.sh
@@ -185,6 +185,32 @@
 [ "$(code_of --check -c "$T/bad.ini")" = 1 ] || fail "check of bad settings"
 [ "$(code_of --version)" = 0 ] || fail "version"
 
+stop entry-3
+
+# Callers beyond the bound on connections are turned away, for as long as it is
+# reached.
+sed -i 's/^connections = .*/connections = 8/' "$T/entry-3.ini"
+run_daemon entry-3
+wait_for "entry-3 healthy" http_ok "${PORT[entry-3]}" /healthz
+fds=()
+hold() {
+	local fd
+	exec {fd}<>"/dev/tcp/127.0.0.1/${PORT[entry-3]}" && fds+=("$fd")
+}
+for _ in 1 2 3 4 5 6 7 8; do
+	hold
+done
+turned_away() {
+	! http_ok "${PORT[entry-3]}" /healthz
+}
+wait_for "a connection too many turned away" turned_away
+for fd in "${fds[@]}"; do
+	exec {fd}>&-
+done
+wait_for "room again" http_ok "${PORT[entry-3]}" /healthz
+refused=$(http_ok "${PORT[entry-3]}" /metrics |
+	awk '/^chestnuthinge_connections_refused_total/ { print $2 }')
+[ "$refused" -ge 1 ] || fail "refused connections are not counted"
 stop entry-3
 for f in "$T"/entry-*.err "$T"/side-*.err; do
 	grep -q 'AddressSanitizer\|runtime error' "$f" && fail "sanitizer: $f"
