--- a/test/fault/daemon.sh
+++ b/test/fault/daemon.sh
@@ -104,6 +104,29 @@
 		"$T/engine-one.events"
 done
 
+# A keyed request whose caller hangs up before it was sent leaves its key free:
+# here the claim is settled only after the hang-up.
+start_plain store
+start_sidecar side-store stock plain v1 store
+set_hosts "$HOSTS"
+order() {
+	ask_plain entry-1 school-1 POST /stock/order -d '{"item":"anchor"}' \
+		-H "Idempotency-Key: $1" "${@:2}"
+}
+order_answered() {
+	[ "$(header Chestnuthinge-Outcome <<<"$(order "$1")")" = answered ]
+}
+wait_for "an order answered" order_answered first
+control platform slow_ms=1000
+order held -m 0.3 >/dev/null 2>&1 && fail "the slow claim was not waited for"
+control platform slow_ms=0
+wait_for "the key free again" order_answered held
+[ "$(grep -c 'dispatch.*key=held' "$T/plain-store.events")" = 1 ] ||
+	fail "the order did not run once"
+[ "$(awk 'NR == 1 { print $2 }' <<<"$(order held)")" = 409 ] ||
+	fail "a repeated order was not refused"
+stop side-store
+
 # An answer that breaks off for good is not ended as if it were whole.
 ask entry-1 school-1 "$(prompt broken 200 true)" >"$T/broken" 2>"$T/broken.err" &
 asking=$!
@@ -162,6 +185,32 @@
 [ "$(code_of --check -c "$T/bad.ini")" = 1 ] || fail "check of bad settings"
 [ "$(code_of --version)" = 0 ] || fail "version"
 
+stop entry-3
+
+# Callers beyond the bound on connections are turned away, for as long as it is
+# reached.
+sed -i 's/^connections = .*/connections = 8/' "$T/entry-3.ini"
+run_daemon entry-3
+wait_for "entry-3 healthy" http_ok "${PORT[entry-3]}" /healthz
+fds=()
+hold() {
+	local fd
+	exec {fd}<>"/dev/tcp/127.0.0.1/${PORT[entry-3]}" && fds+=("$fd")
+}
+for _ in 1 2 3 4 5 6 7 8; do
+	hold
+done
+turned_away() {
+	! http_ok "${PORT[entry-3]}" /healthz
+}
+wait_for "a connection too many turned away" turned_away
+for fd in "${fds[@]}"; do
+	exec {fd}>&-
+done
+wait_for "room again" http_ok "${PORT[entry-3]}" /healthz
+refused=$(http_ok "${PORT[entry-3]}" /metrics |
+	awk '/^chestnuthinge_connections_refused_total/ { print $2 }')
+[ "$refused" -ge 1 ] || fail "refused connections are not counted"
 stop entry-3
 for f in "$T"/entry-*.err "$T"/side-*.err; do
 	grep -q 'AddressSanitizer\|runtime error' "$f" && fail "sanitizer: $f"
