Overload test: prompts that fill the place, callers that pause

Cause: with short prompts the learned place let all requests into the engine, so that nothing waited, and refused callers came back within milliseconds; taking out the order of shedding went unseen.

--- a/test/fault/overload.sh
+++ b/test/fault/overload.sh
@@ -5,9 +5,9 @@
 . "$(dirname "$0")/../fleet"
 WAITING=12
 fleet_init "${1:-build/rel}"
-fleet_std 2 --slots 2 --speed 100
-start_load calls --count 150 --concurrency 100 --kinds 1,1,0,0 \
-	--tokens-min 10 --tokens-max 40
+fleet_std 2 --slots 8 --speed 40 --prefill 100000
+start_load calls --count 300 --concurrency 100 --kinds 1,1,0,0 \
+	--tokens-min 10 --tokens-max 40 --prompt-max 8000 --pause 500
 await_load calls
 check_run
 
@@ -21,7 +21,7 @@
 	count "tier=$1 .*code=206" "$T/calls.calls"
 }
 
-expect "lines" "$(count '^request' "$T/calls.calls")" -eq 150
+expect "lines" "$(count '^request' "$T/calls.calls")" -eq 300
 expect "shed" "$(count 'code=206' "$T/calls.calls")" -ge 1
 expect "answered" "$(count 'whole=1 valid=1' "$T/calls.calls")" -ge 20
 stop_all
--- a/test/standin/load/call.c
+++ b/test/standin/load/call.c
@@ -6,12 +6,29 @@
 	ANSWER_MAX_BYTES = 4 << 20,
 };
 
+/* A caller that was refused has waited long enough. */
+static void on_paused(uv_timer_t *t)
+{
+	load_t *l = t->data;
+	uv_close((uv_handle_t *)t, (uv_close_cb)g_free);
+	l->running--;
+	load_next(l);
+}
+
 /* The call is over, well or not: writes its line, starts the next. */
 static void call_end(request_t *q)
 {
 	load_t *l = q->load;
+	bool refused = q->status != 200;
 	request_report(q);
 	request_free(q);
+	if (refused && l->conf.pause_ms > 0) {
+		uv_timer_t *t = g_new0(uv_timer_t, 1);
+		uv_timer_init(&l->loop, t);
+		t->data = l;
+		uv_timer_start(t, on_paused, (uint64_t)l->conf.pause_ms, 0);
+		return;
+	}
 	l->running--;
 	load_next(l);
 }
--- a/test/standin/load/dat.h
+++ b/test/standin/load/dat.h
@@ -31,6 +31,7 @@
 	int tokens_max;
 	int prompt_max;	 /* bytes */
 	int deadline_ms; /* 0 none */
+	int pause_ms;	 /* of a caller that was refused */
 	gboolean twice;	 /* each order goes to two entries at once */
 } load_conf_t;
 
--- a/test/standin/load/main.c
+++ b/test/standin/load/main.c
@@ -116,6 +116,8 @@
 		  "Longest prompt", "BYTES" },
 		{ "deadline", 0, 0, G_OPTION_ARG_INT, &c->deadline_ms,
 		  "Deadline of each request", "MS" },
+		{ "pause", 0, 0, G_OPTION_ARG_INT, &c->pause_ms,
+		  "Pause of a caller that was refused", "MS" },
 		{ "twice", 0, 0, G_OPTION_ARG_NONE, &c->twice,
 		  "Send each order to two entries at once", NULL },
 		{ 0 },
