--- a/cmd/chestnuthinged/daemon.c
+++ b/cmd/chestnuthinged/daemon.c
@@ -200,14 +200,11 @@
 		entryd_drain(d->entry, clock_now());
 }
 
-/*
- * Frees everything after the run. Callers' idle connections are left to the
- * system, which closes them with the process.
- */
+/* Frees everything after the run, once the last connection has closed. */
 void daemon_free(daemon_t *d)
 {
-	bool connected = d->web.connections > 0;
-
+	while (d->web.connections > 0)
+		uv_run(&d->loop, UV_RUN_ONCE);
 	if (d->entry)
 		entryd_free(d->entry);
 	if (d->side)
@@ -215,11 +212,9 @@
 	plat_free(d->plat);
 	gossip_free(d->gossip);
 	httpc_free(d->http);
-	if (!connected) {
-		web_dispose(&d->web);
-		uv_run(&d->loop, UV_RUN_DEFAULT);
-		uv_loop_close(&d->loop);
-	}
+	web_dispose(&d->web);
+	uv_run(&d->loop, UV_RUN_DEFAULT);
+	uv_loop_close(&d->loop);
 	state_free(d->state);
 	stats_free(d->stats);
 	counters_free(d->counters);
--- a/cmd/chestnuthinged/dat.h
+++ b/cmd/chestnuthinged/dat.h
@@ -81,6 +81,7 @@
 	uv_tcp_t listener;
 	uv_timer_t sweep;
 	list_t replies;
+	list_t conns;
 	size_t connections;
 	size_t connections_max;
 	size_t header_max; /* bytes */
--- a/cmd/chestnuthinged/web.c
+++ b/cmd/chestnuthinged/web.c
@@ -10,6 +10,7 @@
 /* A connection and the server that counts it. */
 typedef struct web_conn {
 	uv_tcp_t tcp;
+	list_t link;
 	web_t *web;
 } web_conn_t;
 
@@ -23,6 +24,7 @@
 	web_conn_t *c = (web_conn_t *)h;
 
 	c->web->connections--;
+	list_del(&c->link);
 	g_free(c);
 }
 
@@ -36,6 +38,7 @@
 	c = g_new0(web_conn_t, 1);
 	c->web = w;
 	w->connections++;
+	list_add_tail(&w->conns, &c->link);
 	uv_tcp_init(w->loop, &c->tcp);
 	if (uv_accept(listener, (uv_stream_t *)&c->tcp) ||
 	    w->connections > w->connections_max) {
@@ -162,6 +165,7 @@
 	w->refused = counter_get(counters,
 				 "chestnuthinge_connections_refused_total", "");
 	list_init(&w->replies);
+	list_init(&w->conns);
 	configure(w, set);
 	uv_timer_init(loop, &w->sweep);
 	w->sweep.data = w;
@@ -187,10 +191,24 @@
 	return list_empty(&w->replies);
 }
 
-/* Closes the server's own handles; the loop must still run. */
+/* Ends the connection of an idle caller, which h2o then closes. */
+static void hang_up(web_conn_t *c)
+{
+	uv_os_fd_t fd;
+
+	if (uv_fileno((uv_handle_t *)&c->tcp, &fd) == 0)
+		shutdown(fd, SHUT_RDWR);
+}
+
+/*
+ * Closes the server's own handles and its callers' idle connections; the loop
+ * must run until web_t.connections is 0.
+ */
 void web_close(web_t *w)
 {
 	web_stop_listening(w);
+	for (list_t *p = w->conns.next; p != &w->conns; p = p->next)
+		hang_up(list_entry(p, web_conn_t, link));
 	uv_close((uv_handle_t *)&w->sweep, NULL);
 }
 
