Daemon test looked for the first token in the file of the answer before

Cause: the second shutdown case wrote to the same file as the first, so its wait could be over before the request began; failed once in a run of all tests. Change: a file of its own. Also the check before an unload has a row in test/side.c.

--- a/test/fault/daemon.sh
+++ b/test/fault/daemon.sh
@@ -158,12 +158,12 @@
 [ "$EXIT_CODE" = 0 ] || fail "entry-2 ended with $EXIT_CODE"
 
 start_entry entry-3
-ask entry-3 school-1 "$(prompt drain2 50 true)" >"$T/drain" &
+ask entry-3 school-1 "$(prompt drain2 50 true)" >"$T/drain2" &
 asking=$!
-wait_for "the first token" grep -q data: "$T/drain"
+wait_for "the first token" grep -q data: "$T/drain2"
 kill -TERM "${PID[side-two]}"
 wait "$asking" || fail "the sidecar's shutdown cut a request"
-grep -q '\[DONE\]' "$T/drain" || fail "the drained answer is not whole"
+grep -q '\[DONE\]' "$T/drain2" || fail "the drained answer is not whole"
 await_exit side-two
 [ "$EXIT_CODE" = 0 ] || fail "side-two ended with $EXIT_CODE"
 status_is 503 "no server" "$(ask entry-3 school-1 "$(prompt none 2 false)" \
--- a/test/side.c
+++ b/test/side.c
@@ -221,6 +221,8 @@
 		side_drain(r->s, r->now);
 	} else if (!strcmp(arg[0], "idle")) {
 		say(r, side_idle(r->s) ? "idle" : "busy");
+	} else if (!strcmp(arg[0], "uses")) {
+		say(r, side_uses(r->s, arg[1]) ? "used" : "free");
 	} else {
 		engine(r, arg);
 	}
@@ -244,6 +246,11 @@
 	{ "the whole path", false,
 	  "offer:1 body:1 e-head:1 e-data:1:{} e-end:1:ok ack:1:1:1 drain idle",
 	  "grant:1 dispatch:1 head:1:200 chunk:1:1 end:1:ok:1 idle" },
+	{ "a version is used from the grant to the end", false,
+	  "uses:v1 offer:1 uses:v1 uses:v2 body:1 uses:v1 e-head:1 uses:v1 "
+	  "e-end:1:ok uses:v1",
+	  "free grant:1 used free dispatch:1 used head:1:200 used end:1:ok:0 "
+	  "free" },
 	{ "a repeated offer is harmless", false,
 	  "offer:1 offer:1 offer:2 offer:2 withdraw:1",
 	  "grant:1 grant:2" },
