A caller that does not read can't hold up a shutdown

Cause: an answer that is complete but not taken kept its request open, and the process waited for it. There is no test of it in the suite, as the bound is not a setting.

--- a/cmd/chestnuthinged/dat.h
+++ b/cmd/chestnuthinged/dat.h
@@ -51,6 +51,7 @@
 	bool finish;   /* end the answer once data is out */
 	bool broken;   /* break the answer off once h2o is not busy */
 	bool too_slow; /* the caller does not read */
+	ms_t sent_at;  /* when h2o was last given data */
 	int status;
 	char *content_type;
 	GByteArray *data;    /* waiting to be sent */
--- a/cmd/chestnuthinged/fns.h
+++ b/cmd/chestnuthinged/fns.h
@@ -35,8 +35,7 @@
 void reply_break(reply_t *r);
 void reply_whole(reply_t *r, int status, const char *content_type, str_t body);
 void reply_refuse(reply_t *r, code_t code, const char *message, ms_t retry);
-void reply_hang_up(reply_t *r);
-bool reply_caller_gone(const reply_t *r);
+void reply_sweep(reply_t *r, ms_t stall, ms_t now);
 
 /* admin.c */
 bool admin_handle(daemon_t *d, reply_t *r);
--- a/cmd/chestnuthinged/reply.c
+++ b/cmd/chestnuthinged/reply.c
@@ -40,6 +40,7 @@
 	r->data = spare;
 	g_byte_array_set_size(r->data, 0);
 	r->busy = true;
+	r->sent_at = clock_now();
 	buf = h2o_iovec_init(r->sending->data, r->sending->len);
 	h2o_send(r->req, &buf, buf.len > 0,
 		 last ? H2O_SEND_STATE_FINAL : H2O_SEND_STATE_IN_PROGRESS);
@@ -251,7 +252,7 @@
  * The caller hung up: tells the owner, and closes the connection. Data that is
  * on its way is dropped. r may be gone on return.
  */
-void reply_hang_up(reply_t *r)
+static void hang_up(reply_t *r)
 {
 	if (!was_gone(r))
 		return;
@@ -265,7 +266,7 @@
  * Tells whether the caller has closed the connection. h2o does not read from
  * it while a request is being answered.
  */
-bool reply_caller_gone(const reply_t *r)
+static bool caller_gone(const reply_t *r)
 {
 	char byte;
 	ssize_t n = recv(fd_of(r), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
@@ -275,3 +276,17 @@
 		       errno != EINTR;
 	return n == 0;
 }
+
+/*
+ * Looks after a reply: ends it when its caller hung up, does not read, or has
+ * taken nothing for longer than stall milliseconds. r may be gone on return.
+ */
+void reply_sweep(reply_t *r, ms_t stall, ms_t now)
+{
+	bool stalled = r->busy && now - r->sent_at > stall;
+
+	if (r->ended && stalled)
+		shutdown(fd_of(r), SHUT_RDWR);
+	else if (!r->ended && (stalled || r->too_slow || caller_gone(r)))
+		hang_up(r);
+}
--- a/cmd/chestnuthinged/web.c
+++ b/cmd/chestnuthinged/web.c
@@ -5,6 +5,7 @@
 enum {
 	BACKLOG = 512,
 	SWEEP_MS = 100,
+	STALL_MS = 60000, /* a caller that takes nothing for so long is gone */
 };
 
 /* A connection and the server that counts it. */
@@ -96,15 +97,13 @@
 static void on_sweep(uv_timer_t *t)
 {
 	web_t *w = t->data;
+	ms_t now = clock_now();
 	list_t *pos;
 	list_t *tmp;
 
 	list_for_each_safe(pos, tmp, &w->replies)
 	{
-		reply_t *r = list_entry(pos, reply_t, link);
-
-		if (!r->ended && (r->too_slow || reply_caller_gone(r)))
-			reply_hang_up(r);
+		reply_sweep(list_entry(pos, reply_t, link), STALL_MS, now);
 	}
 }
 
