The platform is let go of before the loop runs for idle callers

While the loop runs on for callers' connections to close, a host list that came in would have been given to the peers, which are freed by then.

--- a/cmd/chestnuthinged/daemon.c
+++ b/cmd/chestnuthinged/daemon.c
@@ -203,13 +203,14 @@
 /* Frees everything after the run, once the last connection has closed. */
 void daemon_free(daemon_t *d)
 {
+	plat_free(d->plat);
+	d->plat = NULL;
 	while (d->web.connections > 0)
 		uv_run(&d->loop, UV_RUN_ONCE);
 	if (d->entry)
 		entryd_free(d->entry);
 	if (d->side)
 		sided_free(d->side);
-	plat_free(d->plat);
 	gossip_free(d->gossip);
 	httpc_free(d->http);
 	web_dispose(&d->web);
