capacity: control bytes of a request measured; evidence of a move as it spreads today

Cause: the sums guessed the messages of a request, and counted facts of a move as if they went to one process only. Change: bench/cost encodes what an entry sends and gets for a request, bodies and answers left out; the awk multiplies a move's registers by all entries.

--- a/bench/capacity.awk
+++ b/bench/capacity.awk
@@ -51,7 +51,6 @@
 	total = 0
 	row("heartbeats sent", beats * conns, cost("wire-beat", 1))
 	row("states of sidecars", states * conns, cost("entry-state", SUBSET) + cost("wire-state", 1))
-	row("facts, ten a second out", 1, cost("facts-since", 1000))
 	row("facts merged", 100, cost("facts-merge", 1000) + per["wire-facts"])
 	row("configuration changes", CHANGES / 86400, cost("intent-accept", CUSTOMERS))
 	row("gates of moves", 10, cost("move-tick", NODES))
@@ -62,8 +61,12 @@
 	requests = 100 * total / CORE
 	row("chunks passed on, one for each token", tk, chunk + cost("wire-chunk", 200))
 	print ""
-	ebytes = conns * (beats * beat + states * state) + facts10 * 4 + CHANGES / 86400 * conf
-	erq = rq * (2 * offer + 120)
+	ebytes = conns * (beats * beat + states * state) + CHANGES / 86400 * conf
+	erq = rq * request_bytes
+	# A move's registers: 8 metrics of 2 versions at the sidecars an entry keeps
+	# to. Today every entry's registers are passed on to every process.
+	registers = 8 * 2 * SUBSET
+	emove = registers * NODES * fact
 	emem = (wait * bytes["entry-tick"] + conns * (bytes["entry-state"] + 4096) + CUSTOMERS * bytes["intent-accept"]) / 1e6
 	print "## A sidecar, one of " ENGINES ", at the peak"
 	print ""
@@ -81,7 +84,7 @@
 	srequests = 100 * total / CORE
 	row("chunks passed on, one for each token", stk, schunk + cost("wire-chunk", 200))
 	print ""
-	sbytes = back * (beats * beat + states * state) + facts10 * 4 + CHANGES / 86400 * conf
+	sbytes = back * (beats * beat + states * state) + CHANGES / 86400 * conf
 	smem = (wait * bytes["side-tick"] + back * 4096 + CUSTOMERS * bytes["intent-accept"]) / 1e6
 
 	print "## Against the targets"
@@ -91,6 +94,7 @@
 	bound("entry-control-percent-of-a-core", standing + requests, 1.9)
 	bound("entry-control-KB-a-second-standing", ebytes / 1000, 14)
 	bound("entry-control-KB-a-second-with-offers", (ebytes + erq) / 1000, 14)
+	bound("entry-control-KB-a-second-in-a-move", (ebytes + emove) / 1000, 14)
 	info("entry-control-KB-a-second-standing-with-headers", (ebytes + HEADERS * conns * (beats + states)) / 1000)
 	bound("entry-control-MB", emem, 64)
 	bound("sidecar-control-percent-of-a-core", sstanding + srequests, 1.9)
--- a/bench/cost/request.c
+++ b/bench/cost/request.c
@@ -1,6 +1,7 @@
 /* Cost of requests at an entry and at a sidecar, without sockets. */
 #include "entry/fns.h"
 #include "side/fns.h"
+#include "wire/fns.h"
 #include "fns.h"
 
 enum {
@@ -19,6 +20,7 @@
 	uint64_t offered; /* sidecar asked last */
 	uint64_t body_at; /* sidecar that got the body */
 	size_t done;
+	GByteArray *control; /* messages but for bodies and answers */
 } entry_state_t;
 
 static void entry_send(void *ctx, uint64_t inc, const msg_t *m)
@@ -29,6 +31,8 @@
 		s->offered = inc;
 	if (m->type == MSG_BODY)
 		s->body_at = inc;
+	else if (s->control)
+		msg_encode(m, s->control);
 }
 
 static void on_head(void *ctx, void *user, const outcome_t *o, int status,
@@ -95,11 +99,12 @@
 		.seed = 1,
 		.data_center = "dc1",
 		.waiting_max = 1000000,
-		.offers = 2,
-		.head_start = 20,
+		.offers = 4,
+		.head_start = 15,
 		.widen_before = 500,
 		.path_gone = 10000,
-		.ack_every = 200,
+		.ack_every = 5000,
+		.ack_bytes = 1 << 19,
 	};
 
 	s->cs = counters_new();
@@ -146,6 +151,8 @@
 	m.u.grant.rid = rid;
 	m.u.grant.grant = 1;
 	m.u.grant.lease_ms = 500;
+	if (s->control)
+		msg_encode(&m, s->control);
 	entry_recv(s->e, at, &m, s->now);
 	m = (msg_t){ .type = MSG_HEAD };
 	m.u.head.rid = rid;
@@ -182,8 +189,18 @@
 		g_error("%zu of %zu requests ended", s->done - before, n);
 }
 
+/* Prints the bytes of control that one request takes, both ways. */
+static void entry_bytes(entry_state_t *s)
+{
+	s->control = g_byte_array_new();
+	entry_run_chunks(s, 100, 1 + CHUNKS);
+	printf("bytes %u\n", s->control->len / 100);
+}
+
 static void entry_run(void *state, size_t n)
 {
+	if (n == 0)
+		entry_bytes(state);
 	entry_run_chunks(state, n, 1);
 }
 
