--- a/bench/placebench.c
+++ b/bench/placebench.c
@@ -42,7 +42,8 @@
 	size_t nrun;
 	ms_t now;
 	double step_end;
-	double slow; /* the engine's steps take so many times longer */
+	double slow;	/* the engine's steps take so many times longer */
+	ms_t slower_at; /* then twice as long again; 0 never */
 	/* Results. */
 	uint64_t tokens;
 	unsigned int good[TIER_COUNT];
@@ -191,10 +192,22 @@
 	uint64_t prompt = engine_step(sim);
 	double ms = 10 + 0.5 * (double)sim->nrun + 0.06 * (double)prompt;
 
+	if (sim->slower_at && sim->now >= sim->slower_at)
+		ms *= 2;
 	sim->step_end = (double)sim->now + ms * sim->slow;
 }
 
-static void run(double slow, uint64_t fixed, double rate, int seconds)
+static uint64_t refused_for(counters_t *counters, const char *code)
+{
+	char *labels = g_strdup_printf("code=\"%s\"", code);
+	uint64_t n = counter_get(counters, "side_refused", labels)->value;
+
+	g_free(labels);
+	return n;
+}
+
+static void run(const char *name, double slow, uint64_t fixed, double rate,
+		int seconds, bool slower)
 {
 	sim_t *sim = g_new0(sim_t, 1);
 	side_conf_t conf = { .name = "side-1",
@@ -213,6 +226,7 @@
 
 	sim->rand = g_rand_new_with_seed(1);
 	sim->slow = slow;
+	sim->slower_at = slower ? (ms_t)seconds * 500 : 0;
 	sim->s = side_new(&conf, &ops, sim, counters);
 	side_entry_up(sim->s, 1, 0);
 	while (sim->now < (ms_t)seconds * 1000) {
@@ -225,11 +239,11 @@
 			side_tick(sim->s, sim->now);
 	}
 	side_state(sim->s, &st);
-	printf("engine=%.1f place=%s limit=%lu tokens_s=%lu good_s=%.2f "
+	printf("%s engine=%.1f place=%s limit=%lu tokens_s=%lu good_s=%.2f "
 	       "good_by_tier=%.2f,%.2f,%.2f,%.2f late=%u slow_gap=%u "
-	       "refused=%u "
+	       "refused=%u cannot_finish=%lu "
 	       "most_running=%u\n",
-	       slow, fixed ? "fixed" : "learned", st.limit,
+	       name, slow, fixed ? "fixed" : "learned", st.limit,
 	       sim->tokens / (uint64_t)seconds,
 	       (double)(sim->good[0] + sim->good[1] + sim->good[2] +
 			sim->good[3]) /
@@ -238,7 +252,8 @@
 	       (double)sim->good[1] / MAX(sim->offered[1], 1),
 	       (double)sim->good[2] / MAX(sim->offered[2], 1),
 	       (double)sim->good[3] / MAX(sim->offered[3], 1), sim->late,
-	       sim->slow_gap, sim->refused, sim->worst_run);
+	       sim->slow_gap, sim->refused,
+	       refused_for(counters, "cannot-finish"), sim->worst_run);
 	side_free(sim->s);
 	counters_free(counters);
 	g_rand_free(sim->rand);
@@ -253,7 +268,12 @@
 
 	for (size_t i = 0; i < G_N_ELEMENTS(slows); i++) {
 		for (size_t k = 0; k < G_N_ELEMENTS(limits); k++)
-			run(slows[i], limits[k], 24 / slows[i], seconds);
+			run("overload", slows[i], limits[k], 24 / slows[i],
+			    seconds, false);
 	}
+	for (size_t k = 0; k < G_N_ELEMENTS(limits); k++)
+		run("slows-down", 0.7, limits[k], 24 / 0.7, seconds, true);
+	for (size_t i = 0; i < G_N_ELEMENTS(slows); i++)
+		run("light", slows[i], LEARNED, 4 / slows[i], seconds, false);
 	return 0;
 }
