Sidecar: waits bounded by the target of the first token; speed by tier

And work ended a second says little of an offer's wait: an offer that stands at several sidecars leaves this one when another grants it.

Change: each tier's speed of leaving the list is learned; side_conf_t.first_token (0: off) bounds the wait by it. Lower tiers are shed before the tier whose wait is too long, so the promise of a refusal holds.

--- a/lib/side/dat.h
+++ b/lib/side/dat.h
@@ -21,6 +21,7 @@
 	ms_t engine_silent;   /* replace an engine stream silent this long */
 	uint64_t place_start; /* tokens of work, first limit */
 	uint64_t place_max;
+	ms_t first_token; /* longest wait that is taken in; 0 any */
 } side_conf_t;
 
 /* A body to dispatch. Strings live during the call only. */
--- a/lib/side/grant.c
+++ b/lib/side/grant.c
@@ -26,6 +26,7 @@
 		return;
 	while ((j = wait_next(s)) && place_fits(&s->place, j->work)) {
 		j->share->deficit -= j->work;
+		speed_left(s, j->tier, j->work);
 		job_put(s, j, JOB_GRANTED, now);
 		j->grant = ++s->grants;
 		j->conn = peer_get(s, j->rid.inc)->conn;
--- a/lib/side/priv.h
+++ b/lib/side/priv.h
@@ -120,8 +120,9 @@
 	unsigned int seen; /* answers */
 	double prefill;	   /* prompt tokens a millisecond */
 	double gap;	   /* milliseconds between tokens of a stream */
-	double drain;	   /* tokens of work ended a millisecond */
-	uint64_t ended;	   /* tokens of work ended in this window */
+	/* Tokens of work leaving the list a millisecond, and in this window. */
+	double drain[TIER_COUNT];
+	uint64_t left[TIER_COUNT];
 	ms_t window_at;
 } speed_t;
 
@@ -218,8 +219,9 @@
 
 /* speed.c */
 void speed_ended(side_t *s, const job_t *j, ms_t now);
+void speed_left(side_t *s, unsigned int tier, uint64_t work);
 void speed_tick(side_t *s, ms_t now);
 ms_t speed_run_time(const side_t *s, uint64_t prompt, uint64_t output);
-ms_t speed_wait_time(const side_t *s, uint64_t work_ahead);
+ms_t speed_wait_time(const side_t *s, unsigned int tier);
 
 #endif
--- a/lib/side/run.c
+++ b/lib/side/run.c
@@ -34,8 +34,6 @@
 	j->a.code = code;
 	if (code == CODE_OK)
 		speed_ended(s, j, now);
-	else
-		s->speed.ended += j->work;
 	side_count(s, s->ended, "side_ended", code);
 	job_put(s, j, JOB_ENDED, now);
 	if (j->live)
--- a/lib/side/side.c
+++ b/lib/side/side.c
@@ -125,7 +125,7 @@
 void side_refuse(side_t *s, rid_t rid, code_t code, ms_t hold)
 {
 	msg_t m = { .type = MSG_REFUSE };
-	ms_t retry = speed_wait_time(s, wait_work(s, TIER_LOWEST));
+	ms_t retry = speed_wait_time(s, TIER_LOWEST);
 
 	m.u.refuse.rid = rid;
 	m.u.refuse.code = code;
@@ -238,6 +238,8 @@
 
 	if (!j || (j->state != JOB_WAITING && j->state != JOB_GRANTED))
 		return;
+	if (j->state == JOB_WAITING)
+		speed_left(s, j->tier, j->work);
 	if (j->floor)
 		job_put(s, j, JOB_REFUSED, now);
 	else
--- a/lib/side/speed.c
+++ b/lib/side/speed.c
@@ -3,7 +3,8 @@
 
 enum {
 	SEEN_LEAST = 8,	     /* answers before an estimate is used */
-	WINDOW = 1000,	     /* ms over which ended work is summed */
+	WINDOW = 1000,	     /* ms over which work that left is summed */
+	DRAIN_PART = 8,	     /* a window counts so much of the mean */
 	WAIT_MOST = 3600000, /* ms */
 };
 
@@ -22,7 +23,6 @@
 	ms_t span = now - j->since;
 	uint64_t tokens = sse_tokens(&j->a.scan);
 
-	v->ended += j->work;
 	if (j->a.status != 200)
 		return;
 	if (!s->conf.model) {
@@ -46,17 +46,30 @@
 	v->seen++;
 }
 
-/* Sums up the work ended in the last window, if the place was in use. */
+/* Work has left the waiting list for a place, here or elsewhere. */
+void speed_left(side_t *s, unsigned int tier, uint64_t work)
+{
+	s->speed.left[tier] += work;
+}
+
+/* Learns how fast each tier leaves the list, from windows in which it waits. */
 void speed_tick(side_t *s, ms_t now)
 {
 	speed_t *v = &s->speed;
+	double span = (double)(now - v->window_at);
 
 	if (now - v->window_at < WINDOW)
 		return;
-	if (v->window_at && v->ended && s->waiting)
-		mix(&v->drain, (double)v->ended / (double)(now - v->window_at));
+	for (int i = 0; i < TIER_COUNT; i++) {
+		double rate = (double)v->left[i] / span;
+
+		if (v->drain[i] == 0)
+			v->drain[i] = rate;
+		else if (s->tiers[i].len > 0)
+			v->drain[i] += (rate - v->drain[i]) / DRAIN_PART;
+		v->left[i] = 0;
+	}
 	v->window_at = now;
-	v->ended = 0;
 }
 
 /* Time from dispatch to the last token, in ms; 0 while nothing is known. */
@@ -74,12 +87,17 @@
 	return (ms_t)(t + (double)output * v->gap);
 }
 
-/* Time until that much work has ended, in ms; 0 while nothing is known. */
-ms_t speed_wait_time(const side_t *s, uint64_t work_ahead)
+/*
+ * Time until all that waits in the tier and above has left the list, in ms; 0
+ * while nothing is known. A tier leaves as fast as the higher ones let it.
+ */
+ms_t speed_wait_time(const side_t *s, unsigned int tier)
 {
-	const speed_t *v = &s->speed;
+	double t = 0;
 
-	if (v->drain <= 0)
-		return 0;
-	return (ms_t)MIN((double)work_ahead / v->drain, WAIT_MOST);
+	for (unsigned int i = 0; i <= tier; i++) {
+		if (s->speed.drain[i] > 0)
+			t += (double)s->tiers[i].work / s->speed.drain[i];
+	}
+	return (ms_t)MIN(t, WAIT_MOST);
 }
--- a/lib/side/wait.c
+++ b/lib/side/wait.c
@@ -175,6 +175,30 @@
 	return s->conf.hold;
 }
 
+static void refuse_tier(side_t *s, unsigned int tier, code_t code, ms_t hold,
+			ms_t now)
+{
+	tier_t *t = &s->tiers[tier];
+
+	while (!list_empty(&t->age))
+		refuse_job(s, list_entry(t->age.prev, job_t, age), code, hold,
+			   now);
+}
+
+/*
+ * Whether what waits in the tier and above already takes longer than callers
+ * should wait. Then lower tiers have no chance and are shed first.
+ */
+static bool too_long(side_t *s, unsigned int tier, ms_t now)
+{
+	if (s->conf.first_token == 0 ||
+	    speed_wait_time(s, tier) <= s->conf.first_token)
+		return false;
+	for (unsigned int low = TIER_LOWEST; low > tier; low--)
+		refuse_tier(s, low, CODE_SHED, 0, now);
+	return true;
+}
+
 /* Makes room for an offer of the tier; false when it is itself the lowest. */
 static bool make_room(side_t *s, unsigned int tier, ms_t now)
 {
@@ -199,14 +223,12 @@
 static code_t check_time(const side_t *s, const msg_offer_t *o,
 			 unsigned int tier)
 {
-	uint64_t ahead = wait_work(s, tier);
 	ms_t need;
 
 	if (o->left_ms == 0)
 		return CODE_EXPIRED_WAITING;
 	need = speed_run_time(s, o->prompt_tokens, o->output_tokens);
-	if (ahead > 0)
-		need += speed_wait_time(s, ahead);
+	need += speed_wait_time(s, tier);
 	return need > (ms_t)o->left_ms ? CODE_CANNOT_FINISH : CODE_OK;
 }
 
@@ -282,7 +304,7 @@
 	if (code != CODE_OK) {
 		side_refuse(s, o->rid, code,
 			    code == CODE_SHED ? held_for(s, tier, now) : 0);
-	} else if (!make_room(s, tier, now)) {
+	} else if (too_long(s, tier, now) || !make_room(s, tier, now)) {
 		side_refuse(s, o->rid, CODE_SHED, hold(s, tier, now));
 	} else {
 		take(s, o, tier, now);
@@ -292,13 +314,8 @@
 /* Refuses all that waits, lowest tier and newest first. */
 void wait_refuse_all(side_t *s, code_t code, ms_t now)
 {
-	for (int i = TIER_LOWEST; i >= 0; i--) {
-		tier_t *t = &s->tiers[i];
-
-		while (!list_empty(&t->age))
-			refuse_job(s, list_entry(t->age.prev, job_t, age), code,
-				   0, now);
-	}
+	for (int i = TIER_LOWEST; i >= 0; i--)
+		refuse_tier(s, (unsigned int)i, code, 0, now);
 }
 
 /* Drops the offers of an entry, which makes them again if it returns. */
--- a/test/prop_side.cc
+++ b/test/prop_side.cc
@@ -381,6 +381,7 @@
 	conf.entry_gone = 3000;
 	conf.place_start = 150;
 	conf.place_max = 300;
+	conf.first_token = 400;
 	w.s = side_new(&conf, &ops, &w, w.cs);
 	for (int e = 0; e < ENTRIES; e++)
 		connect(w, e);
