--- a/bench/placebench.c
+++ b/bench/placebench.c
@@ -221,7 +221,7 @@
 			     .entry_gone = 5000,
 			     .place_start = fixed ? fixed : 4096,
 			     .place_max = fixed ? fixed : 1 << 20,
-			     .first_token = wait_most };
+			     .wait_most = wait_most };
 	counters_t *counters = counters_new();
 	msg_state_t st;
 
--- a/lib/side/dat.h
+++ b/lib/side/dat.h
@@ -14,6 +14,7 @@
 	uint64_t seed;
 	size_t waiting_max;   /* offers */
 	size_t answer_max;    /* bytes kept of one answer for resuming */
+	ms_t first_token;     /* target from request to first token; 0 none */
 	ms_t token_gap;	      /* target time between tokens */
 	ms_t lease;	      /* of a grant */
 	ms_t hold;	      /* of a refusal */
@@ -21,7 +22,7 @@
 	ms_t engine_silent;   /* replace an engine stream silent this long */
 	uint64_t place_start; /* tokens of work, first limit */
 	uint64_t place_max;
-	ms_t first_token; /* longest wait that is taken in; 0 any */
+	ms_t wait_most; /* offers that would wait longer are shed; 0 none */
 } side_conf_t;
 
 /* A body to dispatch. Strings live during the call only. */
--- a/test/side.c
+++ b/test/side.c
@@ -87,7 +87,7 @@
 
 static const side_ops_t ops = { on_send, on_dispatch, on_resume, on_cancel };
 
-static void rig_init(rig_t *r, bool plain, ms_t first_token)
+static void rig_init(rig_t *r, bool plain, ms_t wait_most)
 {
 	side_conf_t conf = { .name = "side-1",
 			     .service = "helper",
@@ -101,7 +101,7 @@
 			     .engine_silent = 2000,
 			     .place_start = 100,
 			     .place_max = 1000,
-			     .first_token = first_token };
+			     .wait_most = wait_most };
 
 	memset(r, 0, sizeof(*r));
 	r->now = START;
@@ -394,11 +394,11 @@
 	  "offer:1 wait:1 offer:2:1 offer:3:1 offer:4", "grant:1" },
 };
 
-static void play_all(const script_t *c, ms_t first_token)
+static void play_all(const script_t *c, ms_t wait_most)
 {
 	rig_t r;
 
-	rig_init(&r, c->plain, first_token);
+	rig_init(&r, c->plain, wait_most);
 	play(&r, c->steps);
 	ck_assert_msg(!strcmp(r.out->str, c->want), "%s:\n got %s\nwant %s",
 		      c->name, r.out->str, c->want);
