Place: windows fade faster, the limit shrinks by a quarter

Change: fading by 40 percent, shrinking by 25. test/place: the case of long gaps held the limit between 100 and 900; it reached 99, as it shrinks faster now. It must be between 50 and 400, which is narrower.

--- a/lib/side/place.c
+++ b/lib/side/place.c
@@ -8,8 +8,8 @@
 	STALL = 8,		 /* target gaps without any token */
 	IN_USE_PERCENT = 75,	 /* of the limit, for it to grow */
 	WELL_UNDER_PERCENT = 70, /* of the target, for it to grow */
-	FADE_PERCENT = 85,	 /* of a window that counts in the next */
-	SHRINK_PERCENT = 85,
+	FADE_PERCENT = 60,	 /* of a window that counts in the next */
+	SHRINK_PERCENT = 75,
 	QUICK_GROW_PERCENT = 25,  /* a window, before the first shrinking */
 	GROW_PERCENT = 3,	  /* a window, after it */
 	PLAIN_START = 4,	  /* requests */
--- a/test/place.c
+++ b/test/place.c
@@ -22,7 +22,7 @@
 	{ "not while the engine itself queues", true, 1000, 3, 20, 0, 5000,
 	  1000, 1000 },
 	{ "stays between the bounds", true, 1000, 0, 60, 0, 5000, 1000, 1000 },
-	{ "shrinks when gaps are long", true, 1000, 0, 140, 0, 8000, 100, 900 },
+	{ "shrinks when gaps are long", true, 1000, 0, 140, 0, 8000, 50, 400 },
 	{ "shrinks when no token comes at all", true, 1000, 0, 20, 1000, 9000,
 	  100, 1000 },
 	{ "plain: grows while answers are as fast", false, 4, 0, 10, 0, 5000, 6,
