--- a/test/fault/platform-outage.sh
+++ b/test/fault/platform-outage.sh
@@ -1,7 +1,7 @@
 #!/bin/bash
 # The platform is down during traffic: idempotent requests are answered, keyed
 # orders are refused as not run; afterwards orders run again. Then appends take
-# effect whose answers are lost: the orders run, once each.
+# effect whose answers are lost: the orders run, once each. Last it is slow.
 # shellcheck source=test/fleet
 . "$(dirname "$0")/../fleet"
 fleet_init "${1:-build/rel}"
@@ -31,6 +31,20 @@
 start_load lost --count 10 --concurrency 1 --kinds 0,0,0,1 --seed 4
 await_load lost
 expect "answers lost" "$(count 'whole=1 valid=1' "$T/lost.calls")" -eq 10
+
+# Slow for longer than a read takes to time out: orders may be refused as not
+# run, and every other request is answered.
+control platform slow_ms=2500
+start_load slow --count 20 --concurrency 10 --kinds 1,1,1,0 --seed 5
+start_load tardy --count 5 --concurrency 5 --kinds 0,0,0,1 --seed 6
+await_load slow
+await_load tardy
+expect "while slow" "$(count 'whole=1 valid=1' "$T/slow.calls")" -eq 20
+expect "orders while slow, run or refused" "$(count \
+	'whole=1 valid=1\|outcome=not-run' "$T/tardy.calls")" -eq 5
+control platform slow_ms=0
 check_run
 stop_all
-passed "outage: 30 of 30 answered, 5 of 5 orders refused, then 10 of 10 run"
+passed "outage: 30 of 30 answered, 5 of 5 orders refused, then 10 of 10 run;" \
+	"slow: 20 of 20 answered, orders run" \
+	"$(count 'whole=1 valid=1' "$T/tardy.calls") of 5, the rest refused"
