--- a/cmd/chestnuthinged/plat.c
+++ b/cmd/chestnuthinged/plat.c
@@ -5,7 +5,6 @@
 enum {
 	CLAIM_BATCH = 5,      /* ms between appends of claims */
 	CLAIM_TIMEOUT = 2000, /* ms */
-	CLAIM_POLL = 50,      /* ms */
 	CARRIES = 4,	      /* in the time for which the log keeps records */
 	MS_PER_S = 1000,
 	LIST_LAG = 10000, /* ms by which the host list may be late */
@@ -228,8 +227,9 @@
 
 	p->claims = claims_new(&ops, p, CLAIM_BATCH, (ms_t)3600 * MS_PER_S,
 			       CLAIM_TIMEOUT);
-	p->claims_log = logc_new(&p->d->loop, p->d->http, &set->platform,
-				 set->platform_ns, "claims", CLAIM_POLL);
+	p->claims_log =
+		logc_new(&p->d->loop, p->d->http, &set->platform,
+			 set->platform_ns, "claims", set->platform_poll);
 	logc_read(p->claims_log, 1, &reader, p);
 }
 
--- a/lib/entry/answer.c
+++ b/lib/entry/answer.c
@@ -48,6 +48,7 @@
 		     ms_t now)
 {
 	sample_t s = { .service = r->s.service,
+		       .server = r->sidecar->name,
 		       .version = r->version,
 		       .route = r->s.route,
 		       .code = code,
--- a/lib/wire/codec.c
+++ b/lib/wire/codec.c
@@ -211,8 +211,10 @@
 		return false;
 	if (n > WIRE_KV_MAX)
 		return false;
-	if (!d->kv)
-		d->kv = g_new(fact_kv_t, WIRE_KV_MAX);
+	if (n > d->room) {
+		d->kv = g_renew(fact_kv_t, d->kv, n);
+		d->room = n;
+	}
 	for (size_t i = 0; i < n; i++) {
 		if (!take_str(&kv[2 * i], &d->kv[i].key) ||
 		    !is_u64(&kv[2 * i + 1]))
@@ -287,4 +289,5 @@
 {
 	g_free(d->kv);
 	d->kv = NULL;
+	d->room = 0;
 }
--- a/lib/wire/dat.h
+++ b/lib/wire/dat.h
@@ -222,7 +222,8 @@
 
 /* Turns payloads into messages. */
 typedef struct decoder {
-	fact_kv_t *kv; /* WIRE_KV_MAX entries, made on first use */
+	fact_kv_t *kv; /* of the last message of facts */
+	size_t room;   /* entries that kv has */
 } decoder_t;
 
 /* Collects bytes of a connection and cuts them into frames. */
--- a/test/prop_parse.cc
+++ b/test/prop_parse.cc
@@ -156,7 +156,7 @@
 		garbled(std::string(3, '\0') +
 			static_cast<char>(payload.size() & 0x7f) + payload);
 	framer_t f;
-	decoder_t d = { nullptr };
+	decoder_t d = { nullptr, 0 };
 	str_t p;
 	msg_t m;
 
--- a/test/prop_wire.cc
+++ b/test/prop_wire.cc
@@ -37,7 +37,7 @@
 		in.u.body.body = of(body);
 		const std::string bytes = frame(in) + frame(in);
 		framer_t f;
-		decoder_t d = { nullptr };
+		decoder_t d = { nullptr, 0 };
 		int seen = 0;
 		framer_init(&f, WIRE_FRAME_MAX);
 		for (size_t at = 0; at < bytes.size(); at += step) {
@@ -73,7 +73,7 @@
 		const auto at = *rc::gen::inRange<size_t>(0, bytes.size());
 		bytes[at] = static_cast<char>(*rc::gen::inRange(0, 256));
 		bytes.resize(*rc::gen::inRange<size_t>(0, bytes.size() + 1));
-		decoder_t d = { nullptr };
+		decoder_t d = { nullptr, 0 };
 		msg_t out;
 		const code_t code =
 			msg_decode(&d, bytes.data(), bytes.size(), &out);
@@ -87,7 +87,7 @@
 {
 	return rc::check("noise gets a code", [] {
 		const auto s = *rc::gen::arbitrary<std::string>();
-		decoder_t d = { nullptr };
+		decoder_t d = { nullptr, 0 };
 		framer_t f;
 		str_t p;
 		msg_t out;
@@ -118,7 +118,7 @@
 		in.u.facts.n = kv.size();
 		in.u.facts.kv = kv.data();
 		const std::string b = frame(in).substr(WIRE_HEADER_SIZE);
-		decoder_t d = { nullptr };
+		decoder_t d = { nullptr, 0 };
 		msg_t out;
 		RC_ASSERT(msg_decode(&d, b.data(), b.size(), &out) == CODE_OK);
 		RC_ASSERT(out.u.facts.n == kv.size());
