--- a/Makefile
+++ b/Makefile
@@ -29,7 +29,9 @@
 
 capacity: all
 	$(MAKE) -C bench B=rel
-	bench/capacity build/rel
+	bench/capacity build/rel > build/capacity.md
+	sed -i '/^<!-- tables/q' docs/CAPACITY.md
+	cat build/capacity.md >> docs/CAPACITY.md
 
 lint:
 	shellcheck -x $(SCRIPTS)
