--- a/cmd/chestnuthinge/burn.c
+++ b/cmd/chestnuthinge/burn.c
@@ -5,7 +5,6 @@
 
 enum {
 	PERCENT = 100,
-	MS_PER_S = 1000,
 };
 
 typedef struct burning {
--- a/cmd/chestnuthinge/watch.c
+++ b/cmd/chestnuthinge/watch.c
@@ -2,10 +2,6 @@
 #include <inttypes.h>
 #include "fns.h"
 
-enum {
-	MS_PER_S = 1000,
-};
-
 static void on_accepted(void *ctx, const revision_t *r)
 {
 	(void)ctx;
--- a/cmd/chestnuthinged/call.c
+++ b/cmd/chestnuthinged/call.c
@@ -120,6 +120,19 @@
 	s->service = c->service->name;
 }
 
+/*
+ * Bounds the deadline of a request whose key is claimed: a claim counts for the
+ * claim window, and a request that outlived it could run beside a second one.
+ */
+static void bound_by_claim(call_t *c, const intent_t *in)
+{
+	submit_t *s = &c->submit;
+	ms_t window = (ms_t)in->claim_window_s * MS_PER_S;
+
+	if (s->key && !s->idempotent)
+		s->deadline = MIN(s->deadline, window);
+}
+
 static void take_limits(call_t *c, limits_t *limits, ms_t now)
 {
 	const submit_t *s = &c->submit;
@@ -184,6 +197,8 @@
 		take_numbers(c, customer, r);
 	if (c->code == CODE_OK)
 		take_route(c, in);
+	if (c->code == CODE_OK)
+		bound_by_claim(c, in);
 	if (c->code == CODE_OK)
 		take_limits(c, limits, now);
 }
--- a/cmd/chestnuthinged/plat.c
+++ b/cmd/chestnuthinged/plat.c
@@ -6,8 +6,7 @@
 	CLAIM_BATCH = 5,      /* ms between appends of claims */
 	CLAIM_TIMEOUT = 2000, /* ms */
 	CARRIES = 4,	      /* in the time for which the log keeps records */
-	MS_PER_S = 1000,
-	LIST_LAG = 10000, /* ms by which the host list may be late */
+	LIST_LAG = 10000,     /* ms by which the host list may be late */
 };
 
 struct plat {
--- a/cmd/chestnuthinged/stats.c
+++ b/cmd/chestnuthinged/stats.c
@@ -7,7 +7,6 @@
 	CODE_MAX = 300,		 /* above every code of a request's end */
 	HTTP_SERVER_ERROR = 500, /* and above */
 	US_PER_MS = 1000,
-	MS_PER_S = 1000,
 };
 
 /* Upper bounds of the first token's latency, in milliseconds. */
--- a/cmd/chestnuthinged/web.c
+++ b/cmd/chestnuthinged/web.c
@@ -133,23 +133,6 @@
 	w->accept.hosts = w->config.hosts;
 }
 
-static int bind_listener(web_t *w, const addr_t *at)
-{
-	struct sockaddr_storage sa;
-	int err;
-
-	if (strchr(at->ip, ':'))
-		err = uv_ip6_addr(at->ip, at->port, (struct sockaddr_in6 *)&sa);
-	else
-		err = uv_ip4_addr(at->ip, at->port, (struct sockaddr_in *)&sa);
-	if (!err)
-		err = uv_tcp_bind(&w->listener, (struct sockaddr *)&sa, 0);
-	if (!err)
-		err = uv_listen((uv_stream_t *)&w->listener, BACKLOG,
-				on_accept);
-	return err;
-}
-
 /* Starts serving. CODE_UNREACHABLE: the address is not to be had. */
 code_t web_start(web_t *w, uv_loop_t *loop, const settings_t *set,
 		 void (*handle)(void *ctx, reply_t *r), void *ctx,
@@ -172,7 +155,9 @@
 	uv_tcp_init(loop, &w->listener);
 	w->listener.data = w;
 	w->listening = true;
-	return bind_listener(w, &set->http) ? CODE_UNREACHABLE : CODE_OK;
+	return tcp_listen(&w->listener, &set->http, BACKLOG, on_accept)
+		       ? CODE_UNREACHABLE
+		       : CODE_OK;
 }
 
 /* Takes no new connections. */
--- a/lib/base/dat.h
+++ b/lib/base/dat.h
@@ -135,6 +135,7 @@
 } str_t;
 
 enum {
+	MS_PER_S = 1000,
 	TIER_COUNT = 4, /* tier 0 is the highest, 3 the lowest */
 	TIER_LOWEST = 3,
 };
--- a/lib/base/str.c
+++ b/lib/base/str.c
@@ -17,7 +17,10 @@
 	return a.n == b.n && (a.n == 0 || memcmp(a.p, b.p, a.n) == 0);
 }
 
-/* Copies to a C string that the caller frees with g_free. */
+/*
+ * Copies text to a C string that the caller frees with g_free. Bytes after a
+ * NUL are not copied, but as many are allocated.
+ */
 char *str_dup(str_t s)
 {
 	return g_strndup(s.n ? s.p : "", s.n);
--- a/lib/net/clock.c
+++ b/lib/net/clock.c
@@ -4,7 +4,6 @@
 #include "net/fns.h"
 
 enum {
-	MS_PER_S = 1000,
 	NS_PER_MS = 1000000,
 };
 
--- a/lib/net/conn.c
+++ b/lib/net/conn.c
@@ -326,13 +326,6 @@
 		start(c, clock_now());
 }
 
-static int make_sockaddr(const addr_t *a, struct sockaddr_storage *out)
-{
-	if (strchr(a->ip, ':'))
-		return uv_ip6_addr(a->ip, a->port, (struct sockaddr_in6 *)out);
-	return uv_ip4_addr(a->ip, a->port, (struct sockaddr_in *)out);
-}
-
 /* Connects to an address, where only the process of that name will do. */
 void conn_connect(conn_t *c, const char *want_name, const addr_t *to, ms_t now)
 {
@@ -343,7 +336,7 @@
 	c->last_read = now;
 	c->connecting.data = c;
 	c->env->opened->value++;
-	if (make_sockaddr(to, &sa) ||
+	if (tcp_sockaddr(to, &sa) ||
 	    uv_tcp_connect(&c->connecting, &c->tcp, (struct sockaddr *)&sa,
 			   on_connected))
 		conn_close(c, CODE_UNREACHABLE);
--- a/lib/net/fns.h
+++ b/lib/net/fns.h
@@ -23,6 +23,11 @@
 void httpc_cancel(httpc_req_t *r);
 void httpc_free(httpc_t *c);
 
+/* tcp.c */
+int tcp_sockaddr(const addr_t *a, struct sockaddr_storage *out);
+int tcp_listen(uv_tcp_t *listener, const addr_t *at, int backlog,
+	       uv_connection_cb on_connection);
+
 /* clock.c */
 ms_t clock_now(void);	  /* monotonic, milliseconds */
 int64_t clock_unix(void); /* seconds since 1970 */
--- a/lib/net/peers.c
+++ b/lib/net/peers.c
@@ -263,23 +263,6 @@
 	return ps;
 }
 
-static int bind_listener(peers_t *ps, const addr_t *at)
-{
-	struct sockaddr_storage sa;
-	int err;
-
-	if (strchr(at->ip, ':'))
-		err = uv_ip6_addr(at->ip, at->port, (struct sockaddr_in6 *)&sa);
-	else
-		err = uv_ip4_addr(at->ip, at->port, (struct sockaddr_in *)&sa);
-	if (!err)
-		err = uv_tcp_bind(&ps->listener, (struct sockaddr *)&sa, 0);
-	if (!err)
-		err = uv_listen((uv_stream_t *)&ps->listener, BACKLOG,
-				on_connection);
-	return err;
-}
-
 /* Takes connections at an address. CODE_UNREACHABLE: it is not to be had. */
 code_t peers_listen(peers_t *ps, const addr_t *at)
 {
@@ -288,7 +271,7 @@
 	uv_tcp_init(ps->loop, &ps->listener);
 	ps->listener.data = ps;
 	ps->listening = true;
-	err = bind_listener(ps, at);
+	err = tcp_listen(&ps->listener, at, BACKLOG, on_connection);
 	if (!err)
 		return CODE_OK;
 	log_line(LOG_ERROR, "listen", "address=%s port=%u error=%s", at->ip,
--- /dev/null
+++ b/lib/net/tcp.c
@@ -0,0 +1,29 @@
+/* Addresses and listeners of TCP. */
+#include <string.h>
+#include "net/fns.h"
+
+/* Makes a socket address. Returns 0, or libuv's error for a bad address. */
+int tcp_sockaddr(const addr_t *a, struct sockaddr_storage *out)
+{
+	if (strchr(a->ip, ':'))
+		return uv_ip6_addr(a->ip, a->port, (struct sockaddr_in6 *)out);
+	return uv_ip4_addr(a->ip, a->port, (struct sockaddr_in *)out);
+}
+
+/*
+ * Listens at an address, with at most backlog connections not yet accepted.
+ * Returns 0, or libuv's error when the address is not to be had.
+ */
+int tcp_listen(uv_tcp_t *listener, const addr_t *at, int backlog,
+	       uv_connection_cb on_connection)
+{
+	struct sockaddr_storage sa;
+	int err = tcp_sockaddr(at, &sa);
+
+	if (!err)
+		err = uv_tcp_bind(listener, (struct sockaddr *)&sa, 0);
+	if (!err)
+		err = uv_listen((uv_stream_t *)listener, backlog,
+				on_connection);
+	return err;
+}
--- a/test/standin/platform/dat.h
+++ b/test/standin/platform/dat.h
@@ -6,7 +6,6 @@
 
 enum {
 	RECORDS_MAX = 1000, /* of one read */
-	MS_PER_S = 1000,
 };
 
 /* Fixed at start. */
