--- a/bench/capacity.awk
+++ b/bench/capacity.awk
@@ -38,6 +38,7 @@
 	HEADERS = 40           # bytes of IP and TCP before a message
 	back = conns * NODES / ENGINES
 	wait = 100; tick = 100 # waiting requests; ticks a second
+	SPAN = 10              # seconds that a request runs
 
 	rq = REQUESTS / NODES; tk = TOKENS / NODES
 	srq = REQUESTS / ENGINES; stk = TOKENS / ENGINES
@@ -54,7 +55,8 @@
 	row("facts merged", 100, cost("facts-merge", 1000) + per["wire-facts"])
 	row("configuration changes", CHANGES / 86400, cost("intent-accept", CUSTOMERS))
 	row("gates of moves", 10, cost("move-tick", NODES))
-	row("ticks", tick, cost("entry-tick", wait))
+	row("ticks, requests waiting", tick, cost("entry-tick", wait))
+	row("ticks, requests running", tick, cost("entry-tick-running", rq * SPAN))
 	standing = 100 * total / CORE
 	total = 0
 	row("offers, grants, answers of requests", rq, cost("entry-request", SUBSET) + 4 * cost("wire-offer", 1) + cost("move-request", NODES) + cost("customer-lookup", CUSTOMERS))
@@ -67,7 +69,7 @@
 	# to. Today every entry's registers are passed on to every process.
 	registers = 8 * 2 * SUBSET
 	emove = registers * NODES * fact
-	emem = (wait * bytes["entry-tick"] + conns * (bytes["entry-state"] + 4096) + CUSTOMERS * bytes["intent-accept"]) / 1e6
+	emem = (wait * bytes["entry-tick"] + rq * SPAN * bytes["entry-tick-running"] + conns * (bytes["entry-state"] + 4096) + CUSTOMERS * bytes["intent-accept"]) / 1e6
 	print "## A sidecar, one of " ENGINES ", at the peak"
 	print ""
 	print "| work | a second | instructions each | % of a core |"
@@ -77,7 +79,8 @@
 	row("states sent", states * back, cost("wire-state", 1))
 	row("facts merged", 100, cost("facts-merge", 1000) + per["wire-facts"])
 	row("configuration changes", CHANGES / 86400, cost("intent-accept", CUSTOMERS))
-	row("ticks", tick, cost("side-tick", wait))
+	row("ticks, requests waiting", tick, cost("side-tick", wait))
+	row("ticks, requests running", tick, cost("side-tick-running", srq * SPAN))
 	sstanding = 100 * total / CORE
 	total = 0
 	row("offers, grants, answers of requests", srq, cost("side-request", wait) + 4 * cost("wire-offer", 1))
@@ -85,7 +88,7 @@
 	row("chunks passed on, one for each token", stk, schunk + cost("wire-chunk", 200))
 	print ""
 	sbytes = back * (beats * beat + states * state) + CHANGES / 86400 * conf
-	smem = (wait * bytes["side-tick"] + back * 4096 + CUSTOMERS * bytes["intent-accept"]) / 1e6
+	smem = (wait * bytes["side-tick"] + srq * SPAN * bytes["side-tick-running"] + back * 4096 + CUSTOMERS * bytes["intent-accept"]) / 1e6
 
 	print "## Against the targets"
 	print ""
--- a/bench/cost/request.c
+++ b/bench/cost/request.c
@@ -9,7 +9,8 @@
 	ENTRY_INC = 1,	    /* incarnation of the entry */
 	FIRST_SIDE_INC = 2, /* incarnation of the first sidecar */
 	DEADLINE_MS = 30000,
-	LONG_TICKS = 1000,
+	SMALL_PLACE = 10000,
+	LARGE_PLACE = 1 << 30,
 };
 
 typedef struct entry_state {
@@ -143,7 +144,8 @@
 	return entry_submit(s->e, &sub, NULL, s->now);
 }
 
-static void answer(entry_state_t *s, rid_t rid, size_t chunks)
+/* Grants the request and begins its answer. */
+static void begin(entry_state_t *s, rid_t rid, size_t chunks)
 {
 	msg_t m = { .type = MSG_GRANT };
 	uint64_t at = s->offered;
@@ -166,7 +168,14 @@
 		m.u.chunk.data = str_of("data: {\"n\":1}\n\n");
 		entry_recv(s->e, at, &m, s->now);
 	}
-	m = (msg_t){ .type = MSG_END };
+}
+
+static void answer(entry_state_t *s, rid_t rid, size_t chunks)
+{
+	msg_t m = { .type = MSG_END };
+	uint64_t at = s->offered;
+
+	begin(s, rid, chunks);
 	m.u.end.rid = rid;
 	m.u.end.code = CODE_OK;
 	m.u.end.chunks = chunks;
@@ -218,6 +227,15 @@
 	return s;
 }
 
+static void *entry_running_setup(size_t running)
+{
+	entry_state_t *s = entry_setup(4);
+
+	for (size_t i = 0; i < running; i++)
+		begin(s, submit(s), 1);
+	return s;
+}
+
 static void entry_ticks(void *state, size_t n)
 {
 	entry_state_t *s = state;
@@ -290,7 +308,7 @@
 	side_recv(s->s, ENTRY_INC, &m, s->now);
 }
 
-static void *side_setup(size_t waiting)
+static side_state_t *side_new_state(uint64_t place)
 {
 	side_state_t *s = g_new0(side_state_t, 1);
 	side_conf_t conf = {
@@ -305,8 +323,8 @@
 		.hold = 500,
 		.entry_gone = 1000000,
 		.engine_silent = 1000000,
-		.place_start = 10000,
-		.place_max = 1000000,
+		.place_start = place,
+		.place_max = place,
 	};
 
 	s->cs = counters_new();
@@ -314,6 +332,13 @@
 	side_engine_up(s->s, true, 0);
 	side_versions(s->s, "v1", 0);
 	side_entry_up(s->s, ENTRY_INC, 0);
+	return s;
+}
+
+static void *side_setup(size_t waiting)
+{
+	side_state_t *s = side_new_state(SMALL_PLACE);
+
 	for (size_t i = 0; i < waiting; i++)
 		side_offer(s);
 	return s;
@@ -335,6 +360,22 @@
 	side_recv(s->s, ENTRY_INC, &m, s->now);
 }
 
+/* Each has its body at the engine and one chunk of its answer kept. */
+static void *side_running_setup(size_t running)
+{
+	side_state_t *s = side_new_state(LARGE_PLACE);
+
+	for (size_t i = 0; i < running; i++) {
+		side_offer(s);
+		side_body(s, s->granted);
+		side_engine_head(s->s, s->granted, 200,
+				 str_of("text/event-stream"), s->now);
+		side_engine_data(s->s, s->granted,
+				 str_of("data: {\"n\":1}\n\n"), s->now);
+	}
+	return s;
+}
+
 static void side_answer(side_state_t *s, rid_t rid, size_t chunks)
 {
 	msg_t m = { .type = MSG_ACK };
@@ -391,9 +432,11 @@
 	{ "entry-request", "sidecars", entry_setup, entry_run },
 	{ "entry-request-100-chunks", "sidecars", entry_setup, entry_run_long },
 	{ "entry-tick", "waiting", entry_waiting_setup, entry_ticks },
+	{ "entry-tick-running", "running", entry_running_setup, entry_ticks },
 	{ "entry-state", "sidecars", entry_setup, entry_states },
 	{ "side-request", "waiting", side_setup, side_run },
 	{ "side-request-100-chunks", "waiting", side_setup, side_run_long },
 	{ "side-tick", "waiting", side_setup, side_ticks },
+	{ "side-tick-running", "running", side_running_setup, side_ticks },
 	{ NULL, NULL, NULL, NULL },
 };
