--- a/bench/cost/request.c
+++ b/bench/cost/request.c
@@ -19,7 +19,6 @@
 	size_t sides;
 	ms_t now;
 	uint64_t offered; /* sidecar asked last */
-	uint64_t body_at; /* sidecar that got the body */
 	size_t done;
 	GByteArray *control; /* messages but for bodies and answers */
 } entry_state_t;
@@ -30,9 +29,7 @@
 
 	if (m->type == MSG_OFFER)
 		s->offered = inc;
-	if (m->type == MSG_BODY)
-		s->body_at = inc;
-	else if (s->control)
+	if (m->type != MSG_BODY && s->control)
 		msg_encode(m, s->control);
 }
 
--- a/cmd/chestnuthinge/fns.h
+++ b/cmd/chestnuthinge/fns.h
@@ -30,6 +30,8 @@
 void tool_end(tool_t *t, exit_code_t code);
 exit_code_t tool_run(tool_t *t);
 void tool_close(tool_t *t);
+int tool_read_to_end(const options_t *o, void *ctx,
+		     void (*caught_up)(tool_t *t));
 
 /* scrape.c */
 GPtrArray *scrape_parse(str_t text); /* of tally_t */
--- a/cmd/chestnuthinge/plan.c
+++ b/cmd/chestnuthinge/plan.c
@@ -41,22 +41,6 @@
 	tool_end(t, EXIT_FAILED);
 }
 
-static int plan_on_log(const options_t *o, planning_t *p)
-{
-	static const ledger_ops_t ops = { 0 };
-	tool_t t;
-	int code;
-
-	if (!tool_open(&t, o, &ops, p))
-		return EXIT_USAGE;
-	t.on_caught_up = on_caught_up;
-	tool_limit(&t, LIMIT_MS);
-	tool_read(&t);
-	code = tool_run(&t);
-	tool_close(&t);
-	return code;
-}
-
 /* Prints the plan for the intent that is named; nothing is stored. */
 int run_plan(int argc, char **argv)
 {
@@ -74,7 +58,7 @@
 	if (options_parse(command_find("plan"), more, &o, &argc, &argv)) {
 		p.path = argv[1];
 		if (g_file_get_contents(p.path, &p.text, NULL, &err))
-			code = plan_on_log(&o, &p);
+			code = tool_read_to_end(&o, &p, on_caught_up);
 		else
 			code = failure("%s", err->message);
 	}
--- a/cmd/chestnuthinge/status.c
+++ b/cmd/chestnuthinge/status.c
@@ -23,22 +23,6 @@
 	tool_end(t, EXIT_DONE);
 }
 
-static int log_status(const options_t *o)
-{
-	static const ledger_ops_t ops = { 0 };
-	tool_t t;
-	int code;
-
-	if (!tool_open(&t, o, &ops, NULL))
-		return EXIT_USAGE;
-	t.on_caught_up = on_caught_up;
-	tool_limit(&t, LIMIT_MS);
-	tool_read(&t);
-	code = tool_run(&t);
-	tool_close(&t);
-	return code;
-}
-
 static int entry_status(const char *entry)
 {
 	code_t code;
@@ -58,7 +42,7 @@
 	int code = EXIT_USAGE;
 
 	if (options_parse(command_find("status"), NULL, &o, &argc, &argv)) {
-		code = log_status(&o);
+		code = tool_read_to_end(&o, NULL, on_caught_up);
 		for (size_t i = 0;
 		     code != EXIT_USAGE && o.entries && o.entries[i]; i++) {
 			int one = entry_status(o.entries[i]);
--- a/cmd/chestnuthinge/tool.c
+++ b/cmd/chestnuthinge/tool.c
@@ -147,3 +147,25 @@
 	ledger_free(t->ledger);
 	counters_free(t->counters);
 }
+
+/*
+ * Reads the configuration stream to its end and calls caught_up there, which
+ * ends the tool. Returns its exit code; EXIT_USAGE when it is not known where
+ * the platform is.
+ */
+int tool_read_to_end(const options_t *o, void *ctx,
+		     void (*caught_up)(tool_t *t))
+{
+	static const ledger_ops_t ops = { 0 };
+	tool_t t;
+	int code;
+
+	if (!tool_open(&t, o, &ops, ctx))
+		return EXIT_USAGE;
+	t.on_caught_up = caught_up;
+	tool_limit(&t, LIMIT_MS);
+	tool_read(&t);
+	code = tool_run(&t);
+	tool_close(&t);
+	return code;
+}
