--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # The commands are listed in README.md.
 B ?= rel
-LIBS = base wire conf net platform move ledger entry side
-DIRS = $(LIBS:%=lib/%) test/rig cmd/chestnuthinged cmd/chestnuthinge \
+LIBS = base wire conf net platform move ledger entry side http edge relay
+DIRS = $(LIBS:%=lib/%) platform test/rig cmd/chestnuthinged cmd/chestnuthinge \
 	$(wildcard test/standin/*/)
 SRC = $(shell git ls-files '*.c' '*.h' '*.cc')
 CSRC = $(shell git ls-files '*.c')
@@ -11,6 +11,12 @@
 all:
 	@for d in $(DIRS); do $(MAKE) --no-print-directory -C $$d B=$(B) || exit 1; done
 
+# What runs on the users' platform, under target/: no tests, no stand-ins.
+deploy:
+	@for d in $(LIBS:%=lib/%) platform cmd/chestnuthinged; do \
+		$(MAKE) --no-print-directory -C $$d B=rel \
+			O=$(CURDIR)/target || exit 1; done
+
 deps:
 	apt-get update -qq
 	xargs apt-get install -y -qq < deps.txt
@@ -47,4 +53,4 @@
 clean:
 	rm -rf build
 
-.PHONY: all deps demo check bench capacity lint format clean
+.PHONY: all deploy deps demo check bench capacity lint format clean
--- /dev/null
+++ b/cmd/chestnuthinged/edged.c
@@ -0,0 +1,335 @@
+/*
+ * An edge host: the decisions of lib/edge, the connections of lib/relay, and
+ * what the platform's adapter reads, joined in one loop.
+ */
+#include <inttypes.h>
+#include <signal.h>
+#include "adapter.h"
+#include "edged.h"
+#include "net/fns.h"
+
+enum {
+	TICK_MS = 10,	      /* the finest that any bound here needs */
+	CONNECT_MS = 600,     /* a server in the region takes a few ms */
+	STOP_WAIT_MS = 3300,  /* callers come for three seconds after the
+				 ready address first said no */
+	GRACE_LEFT_MS = 700,  /* of the grace, kept for closing */
+	ORDERS_WAIT_MS = 1200, /* a silent path to the store shows after this */
+	SERVERS_PAUSE_MS = 250, /* entries are rewritten by heartbeats: read a
+				   few at a time */
+	SERVERS_WAIT_MS = 1200,
+};
+
+static const double retry_use = 0.85; /* of the ratio: windows overlap */
+
+typedef struct edged {
+	uv_loop_t loop;
+	uv_timer_t tick;
+	uv_signal_t term;
+	uv_signal_t intr;
+	uv_signal_t hup;
+	edge_settings_t *set;
+	counters_t *counters;
+	edge_t *edge;
+	relay_t *relay;
+	roster_t *roster;
+	pages_t *pages;
+	follow_t *orders;
+	follow_t *servers;
+	bool servers_known;
+	bool stopping;
+	ms_t stop_at;
+	counter_t *bad_records;
+} edged_t;
+
+static void on_send(void *ctx, request_t *r)
+{
+	edged_t *d = ctx;
+
+	relay_send(d->relay, r);
+}
+
+static void on_refuse(void *ctx, request_t *r, code_t code, ms_t after)
+{
+	edged_t *d = ctx;
+
+	relay_refuse(d->relay, r, code, after);
+}
+
+static void on_forget(void *ctx, backend_t *b)
+{
+	edged_t *d = ctx;
+
+	relay_forget(d->relay, b);
+}
+
+static const edge_ops_t edge_ops = { on_send, on_refuse, on_forget };
+
+static void bad_record(edged_t *d, str_t key, const char *why)
+{
+	d->bad_records->value++;
+	log_line(LOG_WARN, "record_bad", "key=%.*s why=\"%s\"", (int)key.n,
+		 key.p, why);
+}
+
+/* What the operator wrote. */
+static void on_order(void *ctx, str_t key, str_t value)
+{
+	edged_t *d = ctx;
+	desired_t *desired = NULL;
+	const char *why;
+	uint64_t version;
+
+	if (!adapter_is_config(key) || value.n == 0)
+		return;
+	if (adapter_desired(value, &desired, &why)) {
+		bad_record(d, key, why);
+		return;
+	}
+	version = desired->version;
+	if (edge_configure(d->edge, desired))
+		log_line(LOG_INFO, "config_in_force", "version=%" PRIu64,
+			 version);
+}
+
+static void on_orders_listing(void *ctx)
+{
+	(void)ctx;
+}
+
+static void on_orders_reachable(void *ctx, bool yes)
+{
+	(void)ctx;
+	(void)yes;
+}
+
+static const follow_ops_t orders_ops = { on_order, on_orders_listing,
+					 on_orders_listing,
+					 on_orders_reachable };
+
+/* What the backend servers wrote. */
+static void on_server(void *ctx, str_t key, str_t value)
+{
+	edged_t *d = ctx;
+	entry_record_t rec;
+	const char *why;
+	char *id;
+
+	if (value.n == 0) {
+		id = str_dup(key);
+		roster_drop(d->roster, id, clock_now());
+		g_free(id);
+		return;
+	}
+	if (adapter_entry(key, value, &rec, &why)) {
+		bad_record(d, key, why);
+		return;
+	}
+	roster_put(d->roster, &rec.info, clock_now());
+	adapter_entry_clear(&rec);
+}
+
+static void on_servers_listing(void *ctx)
+{
+	edged_t *d = ctx;
+
+	roster_listing(d->roster);
+}
+
+static void on_servers_listed(void *ctx)
+{
+	edged_t *d = ctx;
+
+	d->servers_known = true;
+	roster_listed(d->roster, clock_now());
+}
+
+static void on_servers_reachable(void *ctx, bool yes)
+{
+	edged_t *d = ctx;
+
+	roster_reachable(d->roster, yes, clock_now());
+}
+
+static const follow_ops_t servers_ops = { on_server, on_servers_listing,
+					  on_servers_listed,
+					  on_servers_reachable };
+
+static int show_ready(const edged_t *d, GString *out)
+{
+	if (d->stopping)
+		g_string_append(out, "stopping\n");
+	else if (!edge_desired(d->edge))
+		g_string_append(out, "no configuration\n");
+	else if (!d->servers_known)
+		g_string_append(out, "servers not listed\n");
+	else
+		return 200;
+	return 503;
+}
+
+static int on_page(void *ctx, str_t path, GString *out)
+{
+	edged_t *d = ctx;
+
+	if (str_eq(path, str_of("/metrics"))) {
+		counter_get(d->counters, "edge_log_lines_dropped_total", NULL)
+			->value = log_dropped();
+		counters_print(d->counters, out);
+		return 200;
+	}
+	if (str_eq(path, str_of("/status"))) {
+		edge_print(d->edge, out, clock_now());
+		return 200;
+	}
+	return show_ready(d, out);
+}
+
+static void end(edged_t *d)
+{
+	uv_close((uv_handle_t *)&d->tick, NULL);
+	uv_close((uv_handle_t *)&d->term, NULL);
+	uv_close((uv_handle_t *)&d->intr, NULL);
+	uv_close((uv_handle_t *)&d->hup, NULL);
+	relay_close(d->relay);
+	pages_close(d->pages);
+	follow_free(d->orders);
+	follow_free(d->servers);
+}
+
+static void check_end(edged_t *d, ms_t now)
+{
+	ms_t grace = (ms_t)d->set->grace_s * MS_PER_S - GRACE_LEFT_MS;
+	ms_t age = now - d->stop_at;
+
+	if (age >= grace || (age >= STOP_WAIT_MS && relay_idle(d->relay)))
+		end(d);
+}
+
+static void on_tick(uv_timer_t *t)
+{
+	edged_t *d = t->data;
+	ms_t now = clock_now();
+
+	follow_tick(d->orders, now);
+	follow_tick(d->servers, now);
+	roster_tick(d->roster, now);
+	edge_tick(d->edge, now);
+	relay_tick(d->relay, now);
+	log_flush();
+	if (d->stopping)
+		check_end(d, now);
+}
+
+static void on_signal(uv_signal_t *s, int number)
+{
+	edged_t *d = s->data;
+
+	log_line(LOG_INFO, "signal", "number=%d stopping=%d", number,
+		 d->stopping);
+	if (number == SIGHUP || d->stopping)
+		return;
+	d->stopping = true;
+	d->stop_at = clock_now();
+	relay_drain(d->relay, d->stop_at);
+}
+
+static void start_signal(edged_t *d, uv_signal_t *s, int number)
+{
+	uv_signal_init(&d->loop, s);
+	s->data = d;
+	uv_signal_start(s, on_signal, number);
+}
+
+static void make_edge(edged_t *d)
+{
+	const edge_settings_t *set = d->set;
+	edge_conf_t conf = {
+		.data_center = set->data_center,
+		.seed = random_u64(),
+		.retry_ratio = set->retry_ratio * retry_use,
+		.retry_window = (ms_t)set->retry_window_s * MS_PER_S,
+		.quota_window = (ms_t)set->quota_window_s * MS_PER_S,
+		.drain = set->drain,
+	};
+	relay_conf_t rconf = {
+		.callers = set->callers,
+		.connect_time = CONNECT_MS,
+		.connections_max = set->connections_max,
+		.grace = (ms_t)set->grace_s * MS_PER_S,
+		.stop_wait = STOP_WAIT_MS,
+	};
+
+	d->edge = edge_new(&conf, &edge_ops, d, d->counters);
+	d->relay = relay_new(&d->loop, &rconf, d->edge, &adapter_codec,
+			     d->counters);
+	d->roster = roster_new(d->edge);
+}
+
+static void follow_all(edged_t *d)
+{
+	follow_conf_t conf = { .store = d->set->store,
+			       .topic = adapter_topic_orders(),
+			       .wait = ORDERS_WAIT_MS };
+
+	d->orders = follow_new(&d->loop, &conf, &orders_ops, d, d->counters);
+	conf.topic = adapter_topic_servers();
+	conf.wait = SERVERS_WAIT_MS;
+	conf.pause = SERVERS_PAUSE_MS;
+	d->servers = follow_new(&d->loop, &conf, &servers_ops, d, d->counters);
+}
+
+static bool listen_all(edged_t *d, GError **err)
+{
+	d->pages = pages_new(&d->loop, on_page, d);
+	if (relay_listen(d->relay) == CODE_OK &&
+	    pages_listen(d->pages, &d->set->ready) == CODE_OK)
+		return true;
+	g_set_error(err, code_quark(), CODE_UNREACHABLE,
+		    "cannot listen for callers on port %u, ready on port %u",
+		    d->set->callers.port, d->set->ready.port);
+	return false;
+}
+
+static void dispose(edged_t *d)
+{
+	uv_run(&d->loop, UV_RUN_DEFAULT);
+	roster_free(d->roster);
+	edge_free(d->edge);
+	uv_run(&d->loop, UV_RUN_DEFAULT);
+	relay_free(d->relay);
+	pages_free(d->pages);
+	uv_loop_close(&d->loop);
+	counters_free(d->counters);
+	edge_settings_free(d->set);
+	g_free(d);
+}
+
+bool edged_run(edge_settings_t *set, const char *path, GError **err)
+{
+	edged_t *d = g_new0(edged_t, 1);
+
+	d->set = set;
+	d->counters = counters_new();
+	d->bad_records =
+		counter_get(d->counters, "edge_bad_records_total", NULL);
+	signal(SIGPIPE, SIG_IGN);
+	uv_loop_init(&d->loop);
+	make_edge(d);
+	if (!listen_all(d, err))
+		return false;
+	follow_all(d);
+	uv_timer_init(&d->loop, &d->tick);
+	d->tick.data = d;
+	uv_timer_start(&d->tick, on_tick, 0, TICK_MS);
+	start_signal(d, &d->term, SIGTERM);
+	start_signal(d, &d->intr, SIGINT);
+	start_signal(d, &d->hup, SIGHUP);
+	log_line(LOG_INFO, "start", "name=%s role=edge settings=%s", set->name,
+		 path);
+	uv_run(&d->loop, UV_RUN_DEFAULT);
+	log_line(LOG_INFO, "stop", "name=%s", set->name);
+	dispose(d);
+	log_flush();
+	return true;
+}
--- a/cmd/chestnuthinged/main.c
+++ b/cmd/chestnuthinged/main.c
@@ -1,5 +1,7 @@
 /* Options of the daemon. */
 #include <stdlib.h>
+#include <unistd.h>
+#include "edged.h"
 #include "fns.h"
 
 enum {
@@ -11,6 +13,7 @@
 
 typedef struct options {
 	char *conf;
+	gboolean edge;
 	gboolean check;
 	gboolean version;
 } options_t;
@@ -20,6 +23,8 @@
 	GOptionEntry entries[] = {
 		{ "conf", 'c', 0, G_OPTION_ARG_FILENAME, &o->conf,
 		  "Settings file", "FILE" },
+		{ "edge", 0, 0, G_OPTION_ARG_NONE, &o->edge,
+		  "Run as an edge host on the users' platform", NULL },
 		{ "check", 0, 0, G_OPTION_ARG_NONE, &o->check,
 		  "Check settings and intent, then exit", NULL },
 		{ "version", 0, 0, G_OPTION_ARG_NONE, &o->version,
@@ -31,7 +36,7 @@
 	bool ok;
 
 	g_option_context_set_summary(
-		ctx, "Runs an entry or a sidecar of the request scheduler.");
+		ctx, "Runs an entry, a sidecar or an edge of the request scheduler.");
 	g_option_context_add_main_entries(ctx, entries, NULL);
 	ok = g_option_context_parse(ctx, &argc, &argv, &err);
 	if (!ok)
@@ -67,6 +72,24 @@
 	return 0;
 }
 
+/* An edge host: its settings have a format of their own. */
+static int run_edge(const options_t *o)
+{
+	GError *err = NULL;
+	edge_settings_t *set = edge_settings_load(o->conf, &err);
+
+	if (!set)
+		return fail(err);
+	if (o->check) {
+		edge_settings_free(set);
+		return 0;
+	}
+	log_open(STDOUT_FILENO, set->log_level, true);
+	if (edged_run(set, o->conf, &err))
+		return 0;
+	return fail(err);
+}
+
 static int run(const options_t *o)
 {
 	GError *err = NULL;
@@ -77,7 +100,7 @@
 		return fail(err);
 	if (o->check)
 		return check(set);
-	log_open(stderr, set->log_level);
+	log_open(STDERR_FILENO, set->log_level, false);
 	d = daemon_new(set, &err);
 	if (!d)
 		return fail(err);
@@ -97,7 +120,7 @@
 			printf("chestnuthinged %s\n", version);
 			code = 0;
 		} else {
-			code = run(&o);
+			code = o.edge ? run_edge(&o) : run(&o);
 		}
 	}
 	g_free(o.conf);
--- a/lib/base/fns.h
+++ b/lib/base/fns.h
@@ -19,7 +19,10 @@
 GQuark code_quark(void);
 
 /* log.c */
-void log_open(FILE *to, log_level_t least);
+void log_open(int fd, log_level_t least, bool hold);
+void log_flush(void);
+bool log_wants(log_level_t level);
+uint64_t log_dropped(void);
 void log_line(log_level_t level, const char *event, const char *fmt, ...)
 	G_GNUC_PRINTF(3, 4);
 
--- a/lib/conf/dat.h
+++ b/lib/conf/dat.h
@@ -58,6 +58,24 @@
 	log_level_t log_level;
 } settings_t;
 
+/* The settings file of an edge host. docs/SETTINGS.md describes each key. */
+typedef struct edge_settings {
+	char *name;
+	char *data_center;
+	log_level_t log_level;
+	addr_t callers;
+	addr_t ready;
+	addr_t store;
+	ms_t drain;	     /* a leaving server gets nothing new after this */
+	ms_t config;	     /* a configuration acts within this */
+	size_t grace_s;	     /* from the order to stop to the kill, seconds */
+	double retry_ratio;  /* repeated sends, by requests, over all hosts */
+	size_t retry_slack;  /* repeated sends beyond that, over all hosts */
+	size_t retry_window_s;
+	size_t quota_window_s;
+	size_t connections_max;
+} edge_settings_t;
+
 /* The settings file of the operators' tool. */
 typedef struct operator_conf {
 	addr_t platform;
--- /dev/null
+++ b/lib/conf/edge.c
@@ -0,0 +1,127 @@
+/* The settings file of an edge host. */
+#include "conf/priv.h"
+
+enum {
+	SPAN_MAX = 600000,  /* milliseconds */
+	SECONDS_MAX = 3600,
+	SLACK_MAX = 1000000,
+	RATIO_MAX = 1,
+	CONNECTIONS_MAX = 100000,
+};
+
+static const char *const level_names[] = { "error", "warn", "info", "debug",
+					   NULL };
+
+#define AT(m) offsetof(edge_settings_t, m)
+
+static const field_t process_fields[] = {
+	{ "name", FIELD_NAME, AT(name), true, 0, 0, NULL },
+	{ "data_center", FIELD_NAME, AT(data_center), true, 0, 0, NULL },
+	{ "log_level", FIELD_CHOICE, AT(log_level), false, 0, 0, level_names },
+};
+
+static const field_t listen_fields[] = {
+	{ "callers", FIELD_ADDR, AT(callers), true, 0, 0, NULL },
+	{ "ready", FIELD_ADDR, AT(ready), true, 0, 0, NULL },
+};
+
+static const field_t store_fields[] = {
+	{ "address", FIELD_ADDR, AT(store), true, 0, 0, NULL },
+};
+
+static const field_t limits_fields[] = {
+	{ "connections", FIELD_SIZE, AT(connections_max), false, 1,
+	  CONNECTIONS_MAX, NULL },
+};
+
+static const field_t bounds_fields[] = {
+	{ "drain_ms", FIELD_SPAN, AT(drain), false, 1, SPAN_MAX, NULL },
+	{ "config_ms", FIELD_SPAN, AT(config), false, 1, SPAN_MAX, NULL },
+	{ "grace_s", FIELD_SIZE, AT(grace_s), false, 1, SECONDS_MAX, NULL },
+	{ "retry_ratio", FIELD_RATIO, AT(retry_ratio), false, 0, RATIO_MAX,
+	  NULL },
+	{ "retry_slack", FIELD_SIZE, AT(retry_slack), false, 0, SLACK_MAX,
+	  NULL },
+	{ "retry_window_s", FIELD_SIZE, AT(retry_window_s), false, 1,
+	  SECONDS_MAX, NULL },
+	{ "quota_window_s", FIELD_SIZE, AT(quota_window_s), false, 1,
+	  SECONDS_MAX, NULL },
+};
+
+static void *begin(scan_t *s, const char *arg)
+{
+	(void)arg;
+	return s->ctx;
+}
+
+#define ROW(name, fields, needed)                                              \
+	{                                                                      \
+		name, false, fields, G_N_ELEMENTS(fields), begin, needed       \
+	}
+
+static const section_t sections[] = {
+	ROW("process", process_fields, true),
+	ROW("listen", listen_fields, true),
+	ROW("store", store_fields, true),
+	ROW("limits", limits_fields, false),
+	ROW("bounds", bounds_fields, false),
+};
+
+static void set_defaults(edge_settings_t *s)
+{
+	s->log_level = LOG_INFO;
+	s->drain = 2000;
+	s->config = 2000;
+	s->grace_s = 8;
+	s->retry_ratio = 0.1;
+	s->retry_slack = 0;
+	s->retry_window_s = 10;
+	s->quota_window_s = 8;
+	s->connections_max = 3000;
+}
+
+/*
+ * Reads settings from text; name is the file's name, for messages. Returns
+ * NULL with an error whose code is one of the 1xx group.
+ */
+edge_settings_t *edge_settings_parse(const char *text, const char *name,
+				     GError **err)
+{
+	edge_settings_t *out = g_new0(edge_settings_t, 1);
+	scan_t s;
+	bool ok;
+
+	set_defaults(out);
+	scan_init(&s, name, text, sections, G_N_ELEMENTS(sections), out);
+	ok = scan_run(&s);
+	if (!ok)
+		g_propagate_error(err, s.err);
+	scan_clear(&s);
+	if (ok)
+		return out;
+	edge_settings_free(out);
+	return NULL;
+}
+
+/* Reads a settings file. Errors as edge_settings_parse, and CODE_FILE. */
+edge_settings_t *edge_settings_load(const char *path, GError **err)
+{
+	char *text = file_read(path, err);
+	edge_settings_t *s;
+
+	if (!text)
+		return NULL;
+	s = edge_settings_parse(text, path, err);
+	g_free(text);
+	return s;
+}
+
+/* Frees settings; NULL is allowed. */
+void edge_settings_free(edge_settings_t *s)
+{
+	if (!s)
+		return;
+	g_free(s->name);
+	g_free(s->data_center);
+	g_free(s);
+}
--- a/lib/conf/field.c
+++ b/lib/conf/field.c
@@ -123,6 +123,18 @@
 	return true;
 }
 
+static bool set_ratio(scan_t *s, const field_t *f, double *to,
+		      const char *value)
+{
+	char *end;
+	double v = g_ascii_strtod(value, &end);
+
+	if (end == value || *end || !(v >= 0 && v <= (double)f->max))
+		return bad_type(s, f, "a fraction", value);
+	*to = v;
+	return true;
+}
+
 static bool set_number(scan_t *s, const field_t *f, void *to, const char *value)
 {
 	uint64_t n = 0;
@@ -172,6 +184,8 @@
 		       bad_type(s, f, "64 hexadecimal digits", value);
 	case FIELD_TIME:
 		return set_time(s, f, to, value);
+	case FIELD_RATIO:
+		return set_ratio(s, f, to, value);
 	case FIELD_COUNT:
 	case FIELD_SIZE:
 	case FIELD_SPAN:
--- a/lib/conf/fns.h
+++ b/lib/conf/fns.h
@@ -10,6 +10,12 @@
 settings_t *settings_parse(const char *text, const char *name, GError **err);
 void settings_free(settings_t *s);
 
+/* edge.c: as settings.c, for an edge host. */
+edge_settings_t *edge_settings_load(const char *path, GError **err);
+edge_settings_t *edge_settings_parse(const char *text, const char *name,
+				     GError **err);
+void edge_settings_free(edge_settings_t *s);
+
 /* operator.c */
 bool operator_load(const char *path, operator_conf_t *c, GError **err);
 
--- a/lib/conf/priv.h
+++ b/lib/conf/priv.h
@@ -20,6 +20,7 @@
 	FIELD_SIZE,   /* size_t */
 	FIELD_SPAN,   /* ms_t, from milliseconds */
 	FIELD_INT,    /* int */
+	FIELD_RATIO,  /* double, from 0 to max */
 	FIELD_FLAG,   /* bool, from yes and no */
 	FIELD_CHOICE, /* int, the index in choices */
 	FIELD_ADDR,   /* addr_t */
--- /dev/null
+++ b/lib/edge/cost.c
@@ -0,0 +1,43 @@
+/*
+ * How long a server takes to the first event, learned from answers. Servers
+ * are unlike, so each has its own straight line over the prompt's length.
+ */
+#include "edge/priv.h"
+
+static const double fade = 0.97;       /* a sample counts for about 30 more */
+static const double least_samples = 4; /* before the slope is believed */
+
+/* Adds one measured time to the first event. */
+void fit_add(fit_t *f, double tokens, double ms)
+{
+	f->n = f->n * fade + 1;
+	f->x = f->x * fade + tokens;
+	f->y = f->y * fade + ms;
+	f->xx = f->xx * fade + tokens * tokens;
+	f->xy = f->xy * fade + tokens * ms;
+}
+
+/*
+ * Expected time to the first event in ms; otherwise when nothing was seen.
+ * Never less than half of the mean, so that a short prompt isn't thought free.
+ */
+double fit_guess(const fit_t *f, double tokens, double otherwise)
+{
+	double mean;
+	double spread;
+	double slope = 0;
+
+	if (f->n < 0.5)
+		return otherwise;
+	mean = f->y / f->n;
+	spread = f->xx - f->x * f->x / f->n;
+	if (f->n >= least_samples && spread > 1)
+		slope = MAX((f->xy - f->x * f->y / f->n) / spread, 0);
+	return MAX(mean + slope * (tokens - f->x / f->n), mean / 2);
+}
+
+/* Expected time to the first event of a request at a server, in ms. */
+double cost_first(const pool_t *p, const backend_t *b, double prompt)
+{
+	return fit_guess(&b->fit, prompt, p->first_mean);
+}
--- /dev/null
+++ b/lib/edge/dat.h
@@ -0,0 +1,205 @@
+/*
+ * Decisions of an edge host, which sends callers' requests straight to
+ * backend servers: routes, quotas, queueing, placing, retries. No I/O.
+ */
+#ifndef EDGE_DAT_H
+#define EDGE_DAT_H
+
+#include "conf/dat.h"
+
+typedef struct edge edge_t;
+typedef struct pool pool_t;
+typedef struct backend backend_t;
+
+/* What may be repeated of a request. */
+typedef enum repeat {
+	REPEAT_SAFE,   /* may run any number of times */
+	REPEAT_NEVER,  /* may run once at most */
+	REPEAT_RESUME, /* a stream that may go on at another server */
+} repeat_t;
+
+/* A part of a route's traffic and the service it goes to. */
+typedef struct split {
+	char *service;
+	uint64_t weight;
+} split_t;
+
+/* Where requests of one host and path go, and what they are owed. */
+typedef struct edge_route {
+	char *name;
+	char *host;
+	char *prefix;
+	repeat_t repeat;
+	bool stream;
+	bool public; /* needs no key */
+	ms_t timeout;
+	ms_t first_target; /* to the first byte, or event of a stream */
+	ms_t gap_target;   /* between events; 0 none */
+	unsigned int attempts;
+	unsigned int rank; /* 0 is the most urgent */
+	size_t nsplits;
+	split_t *splits;
+} edge_route_t;
+
+/* A customer, its keys are in desired_t. */
+typedef struct edge_customer {
+	char *name;
+	int rank;	   /* goes before the route's; -1 none */
+	bool by_tokens;	   /* rate and burst are in tokens, else requests */
+	double rate;	   /* a second; 0 no limit */
+	double burst;
+	double plain_cost; /* of a request that gives no tokens */
+} edge_customer_t;
+
+/* What is known of a service before any of its servers is seen. */
+typedef struct edge_service {
+	char *name;
+	unsigned int conns_max; /* of one server, from all callers; 0 unknown */
+	bool is_model;
+	bool backups; /* runs can be copied to another server as they grow */
+} edge_service_t;
+
+/* Limits on what a caller may send and how long it may take. */
+typedef struct edge_limits {
+	size_t header_max;
+	size_t body_max;
+	ms_t header_time;
+	ms_t idle_time;
+} edge_limits_t;
+
+/* One accepted configuration. Never changed once it is made. */
+typedef struct desired {
+	unsigned int refs;
+	uint64_t version;
+	edge_limits_t limits;
+	GPtrArray *routes;    /* of edge_route_t */
+	GHashTable *by_host;  /* GPtrArray of edge_route_t, longest first */
+	GPtrArray *customers; /* of edge_customer_t */
+	GHashTable *by_key;   /* edge_customer_t by API key */
+	GPtrArray *services;  /* of edge_service_t */
+} desired_t;
+
+/* A backend server as the platform lists it. */
+typedef struct backend_info {
+	const char *id;
+	const char *service;
+	const char *version;
+	const char *data_center;
+	addr_t addr;
+	int64_t born; /* unix milliseconds; 0 unknown */
+	unsigned int slots;
+	bool leaving;
+} backend_info_t;
+
+/* How long the first event takes there, fitted to what was seen. */
+typedef struct fit {
+	double n, x, y, xx, xy; /* fading sums */
+} fit_t;
+
+/* A backend server and what was learned of it. */
+struct backend {
+	list_t link; /* in its pool */
+	pool_t *pool;
+	uint32_t serial; /* of this incarnation, within this process */
+	char *id;
+	char *version;
+	char *data_center;
+	addr_t addr;
+	int64_t born;
+	unsigned int slots;
+	bool leaving;
+	bool gone;	      /* off the list; kept while requests run there */
+	unsigned int running; /* requests of this host there */
+	unsigned int others;  /* of other hosts, at the last answer */
+	ms_t others_at;
+	list_t runs;	 /* request_t, by run */
+	ms_t heard;	 /* last byte of an answer */
+	fit_t fit;	 /* first event, by prompt tokens */
+	double step;	 /* ms between events */
+	double failures; /* fading share, 0 to 1 */
+	double samples;	 /* fading number of ended requests */
+	unsigned int lost_in_row;
+	ms_t aside_until;
+	ms_t aside_span;
+	bool trying; /* back from being set aside, one request at a time */
+	void *user;  /* connections kept there */
+};
+
+typedef enum request_state {
+	REQUEST_NEW,
+	REQUEST_WAITING,
+	REQUEST_RUNNING,
+	REQUEST_ENDED,
+} request_state_t;
+
+enum {
+	TRIED_MAX = 4, /* servers remembered of one request */
+};
+
+/* A caller's request, from its arrival to its final answer. */
+typedef struct request {
+	list_t link; /* in the queue */
+	bool late;   /* waits in the queue of those past their target */
+	list_t run;  /* at the server */
+	request_state_t state;
+	const char *id;
+	desired_t *desired;
+	const edge_route_t *route;
+	const edge_customer_t *customer; /* NULL on public routes */
+	pool_t *pool;
+	backend_t *server; /* while running */
+	unsigned int rank;
+	ms_t arrived;
+	ms_t deadline; /* of the final answer */
+	ms_t first_by; /* the target for the first event */
+	ms_t leaves;   /* the caller gives up a stream without an event */
+	double prompt; /* tokens */
+	double output; /* tokens, expected */
+	double tokens; /* that count against the customer's quota */
+	double worth;  /* relative to its kind, by size */
+	unsigned int sends; /* that may have run */
+	unsigned int arrivals;
+	uint32_t tried[TRIED_MAX]; /* serials of servers */
+	unsigned int ntried;
+	ms_t sent_at;
+	ms_t last_event;
+	bool started; /* the first event has come, over all sends */
+	bool first_here; /* and from this server */
+} request_t;
+
+/* How one send ended. */
+typedef enum sent {
+	SENT_WHOLE,    /* a whole answer, whatever its status */
+	SENT_FAILED,   /* a whole answer that says the server failed */
+	SENT_REJECTED, /* the server did not run it, and says so */
+	SENT_NOT,      /* no byte was written */
+	SENT_LOST,     /* bytes were written; no whole answer came */
+	SENT_BAD,      /* the answer broke the protocol */
+	SENT_WRONG,    /* another server is at the address; not run */
+} sent_t;
+
+/* What to do about a request after a send, or when it arrives. */
+typedef enum verdict_next {
+	NEXT_ANSWER, /* give the caller what came, or the code's status */
+	NEXT_AGAIN,  /* it waits for another server, or is already sent */
+} verdict_next_t;
+
+typedef struct edge_conf {
+	const char *data_center;
+	uint64_t seed;
+	double retry_ratio; /* sends beyond the first, by requests */
+	ms_t retry_window;
+	ms_t quota_window;
+	ms_t drain;
+} edge_conf_t;
+
+typedef struct edge_ops {
+	/* Send the request to r->server. Must not call the edge back. */
+	void (*send)(void *ctx, request_t *r);
+	/* The request is given up, not run: code and when to come back. */
+	void (*refuse)(void *ctx, request_t *r, code_t code, ms_t after);
+	/* A server was forgotten: close what is kept open to it. */
+	void (*forget)(void *ctx, backend_t *b);
+} edge_ops_t;
+
+#endif
--- /dev/null
+++ b/lib/edge/edge.c
@@ -0,0 +1,357 @@
+/* The life of a request: admitted, waiting, sent, sent again, ended. */
+#include "edge/priv.h"
+
+enum {
+	ARRIVALS_MAX = 4, /* servers that a request is shown to, with those
+			     that reject it */
+	STALL_LEAST_MS = 250, /* shorter silences are ordinary */
+	STALL_GAPS = 2,	      /* times the target between events */
+	STALL_FIRSTS = 2,     /* times the target of the first event */
+};
+
+static const double first_guess = 60;	/* ms, before any answer was seen */
+static const double learn = 0.05;	/* weight of a sample in the means */
+static const double stall_times = 6;	/* the expected time to an event */
+
+static void pool_free(gpointer v)
+{
+	pool_t *p = v;
+
+	g_free(p->name);
+	g_free(p);
+}
+
+/* Returns an edge that knows no configuration and no servers. */
+edge_t *edge_new(const edge_conf_t *conf, const edge_ops_t *ops, void *ctx,
+		 counters_t *counters)
+{
+	edge_t *e = g_new0(edge_t, 1);
+
+	e->conf = *conf;
+	e->ops = ops;
+	e->ctx = ctx;
+	e->rand = g_rand_new_with_seed((guint32)conf->seed);
+	e->pools = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+					 pool_free);
+	e->by_id = g_hash_table_new(g_str_hash, g_str_equal);
+	e->quotas = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					  g_free);
+	e->quota_share = 1;
+	e->counters = counters;
+	return e;
+}
+
+/* Frees the edge. No request may be in it any more. */
+void edge_free(edge_t *e)
+{
+	GPtrArray *ids = edge_server_ids(e);
+
+	for (guint i = 0; i < ids->len; i++)
+		edge_server_gone(e, ids->pdata[i], 0);
+	g_ptr_array_free(ids, TRUE);
+	desired_unref(e->desired);
+	g_hash_table_destroy(e->pools);
+	g_hash_table_destroy(e->by_id);
+	g_hash_table_destroy(e->quotas);
+	g_rand_free(e->rand);
+	g_free(e);
+}
+
+/*
+ * Puts a configuration in force and takes over the reference. Returns false,
+ * and drops it, when it is no newer than the one in force.
+ */
+bool edge_configure(edge_t *e, desired_t *d)
+{
+	if (e->desired && d->version <= e->desired->version) {
+		desired_unref(d);
+		return false;
+	}
+	desired_unref(e->desired);
+	e->desired = d;
+	return true;
+}
+
+/* The configuration in force, or NULL. Not a new reference. */
+desired_t *edge_desired(const edge_t *e)
+{
+	return e->desired;
+}
+
+/* Sets the part of shared limits that this host may use by itself. */
+void edge_set_share(edge_t *e, double quota_share, double retry_slack)
+{
+	GHashTableIter it;
+	gpointer q;
+
+	e->quota_share = quota_share;
+	e->retry_slack = retry_slack;
+	g_hash_table_iter_init(&it, e->quotas);
+	while (g_hash_table_iter_next(&it, NULL, &q))
+		((quota_t *)q)->share = quota_share;
+}
+
+static void run(edge_t *e, request_t *r, backend_t *b, ms_t now)
+{
+	r->state = REQUEST_RUNNING;
+	r->server = b;
+	r->sent_at = now;
+	r->last_event = now;
+	r->first_here = false;
+	r->arrivals++;
+	if (r->ntried < TRIED_MAX)
+		r->tried[r->ntried++] = b->serial;
+	b->running++;
+	list_add_tail(&b->runs, &r->run);
+	e->ops->send(e->ctx, r);
+}
+
+/* Sends waiting requests while there are places for them. */
+static void dispatch(edge_t *e, pool_t *p, ms_t now)
+{
+	request_t *r;
+	backend_t *b;
+
+	while ((r = queue_next(p, now)) != NULL) {
+		b = place_pick(e, p, r, now);
+		if (!b)
+			return;
+		queue_remove(r);
+		run(e, r, b, now);
+	}
+}
+
+/* Chooses the service of a request among those its route is split over. */
+static const char *choose_split(edge_t *e, const edge_route_t *route)
+{
+	uint64_t sum = 0;
+	double at;
+
+	for (size_t i = 0; i < route->nsplits; i++)
+		sum += route->splits[i].weight;
+	at = g_rand_double(e->rand) * (double)sum;
+	for (size_t i = 0; i + 1 < route->nsplits; i++) {
+		at -= (double)route->splits[i].weight;
+		if (at < 0)
+			return route->splits[i].service;
+	}
+	return route->splits[route->nsplits - 1].service;
+}
+
+static void refuse(edge_t *e, request_t *r, code_t code, ms_t after)
+{
+	r->state = REQUEST_ENDED;
+	e->ops->refuse(e->ctx, r, code, after);
+}
+
+/*
+ * Takes a new request whose route and customer are set. It is sent, queued or
+ * refused; send and refuse may be called before this returns.
+ */
+void edge_submit(edge_t *e, request_t *r, ms_t now)
+{
+	const edge_customer_t *c = r->customer;
+	pool_t *p = pool_get(e, choose_split(e, r->route));
+	double cost;
+	ms_t wait;
+
+	r->pool = p;
+	r->state = REQUEST_NEW;
+	budget_earn(p, now);
+	if (!place_free(p, now) && refuse_hopeless(p, r, now)) {
+		refuse(e, r, CODE_CANNOT_FINISH, refuse_after(e, p, r, now));
+		return;
+	}
+	if (c) {
+		cost = quota_cost(c, r->tokens);
+		wait = quota_take(e, c, cost, now);
+		if (wait > 0) {
+			refuse(e, r, CODE_OVER_LIMIT, wait);
+			return;
+		}
+	}
+	queue_push(p, r, now);
+	dispatch(e, p, now);
+}
+
+/* Tells that the first event, or byte of an answer, has come. */
+void edge_first(edge_t *e, request_t *r, ms_t now)
+{
+	backend_t *b = r->server;
+	double ms = (double)(now - r->sent_at);
+
+	b->heard = now;
+	r->last_event = now;
+	if (r->first_here)
+		return;
+	r->first_here = true;
+	r->started = true;
+	fit_add(&b->fit, r->prompt, ms);
+	b->pool->first_mean += learn * (ms - b->pool->first_mean);
+}
+
+/* Tells that another event has come. */
+void edge_event(edge_t *e, request_t *r, ms_t now)
+{
+	backend_t *b = r->server;
+
+	b->heard = now;
+	b->step += learn * ((double)(now - r->last_event) - b->step);
+	r->last_event = now;
+}
+
+/* Takes the load that an answer told; it includes our own requests. */
+void edge_load(edge_t *e, backend_t *b, unsigned int running,
+	       unsigned int waiting, ms_t now)
+{
+	unsigned int all = running + waiting;
+
+	b->others = all > b->running ? all - b->running : 0;
+	b->others_at = now;
+}
+
+/* Takes the request off its server and lets waiting ones have the place. */
+static void leave_server(edge_t *e, request_t *r, ms_t now)
+{
+	backend_t *b = r->server;
+	pool_t *p = r->pool;
+
+	list_del(&r->run);
+	b->running--;
+	r->server = NULL;
+	window_add(&p->ended, 1, now);
+	backend_release(e, b);
+}
+
+static bool may_repeat(const request_t *r, sent_t how, bool resumable)
+{
+	if (r->sends >= r->route->attempts)
+		return false;
+	switch (r->route->repeat) {
+	case REPEAT_SAFE:
+		return true;
+	case REPEAT_RESUME:
+		return resumable && how != SENT_FAILED;
+	case REPEAT_NEVER:
+		break;
+	}
+	return false;
+}
+
+static bool worth_again(edge_t *e, request_t *r, sent_t how, bool resumable,
+			ms_t now)
+{
+	bool not_run = how == SENT_REJECTED || how == SENT_NOT ||
+		       how == SENT_WRONG;
+
+	if (how == SENT_WHOLE || now >= r->deadline ||
+	    r->arrivals >= ARRIVALS_MAX)
+		return false;
+	if (!not_run && !may_repeat(r, how, resumable))
+		return false;
+	if (how == SENT_NOT)
+		return true;
+	return budget_spend(e, r->pool, now);
+}
+
+/*
+ * Decides what follows a send that ended. resumable says that the stream can
+ * go on elsewhere where it broke. With NEXT_AGAIN the request waits again, or
+ * has been sent already when this returns.
+ */
+verdict_next_t edge_sent(edge_t *e, request_t *r, sent_t how, bool resumable,
+			 ms_t now)
+{
+	pool_t *p = r->pool;
+	backend_t *b = r->server;
+	bool again;
+
+	b->heard = how == SENT_LOST || how == SENT_NOT ? b->heard : now;
+	if (how != SENT_REJECTED && how != SENT_NOT && how != SENT_WRONG)
+		r->sends++;
+	health_note(e, b, how, now);
+	leave_server(e, r, now);
+	again = worth_again(e, r, how, resumable, now);
+	if (again)
+		queue_push(p, r, now);
+	else
+		r->state = REQUEST_ENDED;
+	dispatch(e, p, now);
+	return again ? NEXT_AGAIN : NEXT_ANSWER;
+}
+
+/* Forgets a request whose caller is gone, or whose time is up. */
+void edge_drop(edge_t *e, request_t *r, ms_t now)
+{
+	pool_t *p = r->pool;
+
+	if (r->state == REQUEST_WAITING)
+		queue_remove(r);
+	else if (r->state == REQUEST_RUNNING)
+		leave_server(e, r, now);
+	r->state = REQUEST_ENDED;
+	if (p)
+		dispatch(e, p, now);
+}
+
+/*
+ * Whether a running request that may be repeated has been silent for so long
+ * that it seems lost. What may not be repeated is left to its server.
+ */
+bool edge_stalled(const edge_t *e, const request_t *r, ms_t now)
+{
+	const backend_t *b = r->server;
+	const edge_route_t *rt = r->route;
+	double usual = r->first_here ? b->step
+				     : cost_first(b->pool, b, r->prompt);
+	ms_t least = r->first_here ? rt->gap_target * STALL_GAPS
+				   : rt->first_target * STALL_FIRSTS;
+
+	if (rt->repeat == REPEAT_NEVER || r->sends + 1 >= rt->attempts)
+		return false;
+	return (double)(now - r->last_event) >
+	       MAX(MAX(least, STALL_LEAST_MS), usual * stall_times);
+}
+
+/* When a caller whose request has not run should come back, in ms. */
+ms_t edge_come_back(edge_t *e, const request_t *r, ms_t now)
+{
+	return refuse_after(e, r->pool, r, now);
+}
+
+/* Looks after what waits. To be called every few tens of ms. */
+void edge_tick(edge_t *e, ms_t now)
+{
+	GHashTableIter it;
+	gpointer p;
+
+	g_hash_table_iter_init(&it, e->pools);
+	while (g_hash_table_iter_next(&it, NULL, &p)) {
+		if (((pool_t *)p)->first_mean == 0)
+			((pool_t *)p)->first_mean = first_guess;
+		if (((pool_t *)p)->nwaiting == 0)
+			continue;
+		queue_expire(e, p, now);
+		dispatch(e, p, now);
+	}
+}
+
+/* Appends a line for each server, for operators. */
+void edge_print(const edge_t *e, GString *out, ms_t now)
+{
+	GHashTableIter it;
+	gpointer v;
+
+	g_hash_table_iter_init(&it, e->by_id);
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		const backend_t *b = v;
+
+		g_string_append_printf(
+			out,
+			"server=%s service=%s slots=%u running=%u load=%u "
+			"usable=%d first_ms=%.1f step_ms=%.1f\n",
+			b->id, b->pool->name, b->slots, b->running,
+			place_load(b, now), health_usable(b, now),
+			cost_first(b->pool, b, 1000), b->step);
+	}
+}
--- /dev/null
+++ b/lib/edge/fleet.c
@@ -0,0 +1,128 @@
+/* The table of backend servers, as the platform lists them. */
+#include <string.h>
+#include "edge/priv.h"
+
+enum {
+	ENDED_WINDOW_MS = 2000, /* over which the rate of free places is seen */
+};
+
+/* Returns the pool of a service, made empty when it is new. */
+pool_t *pool_get(edge_t *e, const char *service)
+{
+	pool_t *p = g_hash_table_lookup(e->pools, service);
+
+	if (p)
+		return p;
+	p = g_new0(pool_t, 1);
+	p->name = g_strdup(service);
+	list_init(&p->servers);
+	for (int i = 0; i < RANKS; i++) {
+		list_init(&p->waiting[i]);
+		list_init(&p->late[i]);
+	}
+	window_init(&p->asked, e->conf.retry_window);
+	window_init(&p->repeats, e->conf.retry_window);
+	window_init(&p->ended, ENDED_WINDOW_MS);
+	g_hash_table_insert(e->pools, p->name, p);
+	return p;
+}
+
+static void backend_free(backend_t *b)
+{
+	g_free(b->id);
+	g_free(b->version);
+	g_free(b->data_center);
+	g_free(b);
+}
+
+/* Forgets a server that is off the list once nothing runs there. */
+void backend_release(edge_t *e, backend_t *b)
+{
+	if (!b->gone || b->running > 0)
+		return;
+	e->ops->forget(e->ctx, b);
+	backend_free(b);
+}
+
+static void take_off(edge_t *e, backend_t *b, const char *why)
+{
+	log_line(LOG_INFO, "server_gone",
+		 "server=%s service=%s why=%s running=%u", b->id,
+		 b->pool->name, why, b->running);
+	g_hash_table_remove(e->by_id, b->id);
+	list_del(&b->link);
+	b->gone = true;
+	backend_release(e, b);
+}
+
+static bool same_incarnation(const backend_t *b, const backend_info_t *info)
+{
+	return b->born == info->born && b->addr.port == info->addr.port &&
+	       strcmp(b->addr.ip, info->addr.ip) == 0 &&
+	       strcmp(b->pool->name, info->service) == 0;
+}
+
+static backend_t *backend_new(edge_t *e, const backend_info_t *info)
+{
+	backend_t *b = g_new0(backend_t, 1);
+
+	b->serial = ++e->serials;
+	b->pool = pool_get(e, info->service);
+	b->id = g_strdup(info->id);
+	b->version = g_strdup(info->version);
+	b->data_center = g_strdup(info->data_center);
+	b->addr = info->addr;
+	b->born = info->born;
+	list_init(&b->runs);
+	list_add_tail(&b->pool->servers, &b->link);
+	g_hash_table_insert(e->by_id, b->id, b);
+	log_line(LOG_INFO, "server_new",
+		 "server=%s service=%s version=%s zone=%s slots=%u leaving=%d",
+		 b->id, info->service, b->version, b->data_center, info->slots,
+		 info->leaving);
+	return b;
+}
+
+/*
+ * Takes what the platform says of a server. One that started anew under its
+ * id, or moved, is another one: what was learned of it is dropped.
+ */
+void edge_server_put(edge_t *e, const backend_info_t *info, ms_t now)
+{
+	backend_t *b = g_hash_table_lookup(e->by_id, info->id);
+
+	if (b && !same_incarnation(b, info)) {
+		take_off(e, b, "reborn");
+		b = NULL;
+	}
+	if (!b)
+		b = backend_new(e, info);
+	if (info->leaving && !b->leaving)
+		log_line(LOG_INFO, "server_leaving", "server=%s running=%u",
+			 b->id, b->running);
+	b->slots = info->slots;
+	b->leaving = info->leaving;
+	edge_tick(e, now);
+}
+
+/* Takes a server off the list; requests that run there go on. */
+void edge_server_gone(edge_t *e, const char *id, ms_t now)
+{
+	backend_t *b = g_hash_table_lookup(e->by_id, id);
+
+	if (b)
+		take_off(e, b, "unlisted");
+}
+
+/* Returns the ids of all listed servers; the array is the caller's. */
+GPtrArray *edge_server_ids(const edge_t *e)
+{
+	GPtrArray *ids = g_ptr_array_new();
+	GHashTableIter it;
+	gpointer id;
+
+	g_hash_table_iter_init(&it, e->by_id);
+	while (g_hash_table_iter_next(&it, &id, NULL))
+		g_ptr_array_add(ids, id);
+	return ids;
+}
--- /dev/null
+++ b/lib/edge/fns.h
@@ -0,0 +1,72 @@
+/* Prototypes of lib/edge. */
+#ifndef EDGE_FNS_H
+#define EDGE_FNS_H
+
+#include "base/fns.h"
+#include "edge/dat.h"
+
+/* desired.c */
+desired_t *desired_new(uint64_t version);
+desired_t *desired_ref(desired_t *d);
+void desired_unref(desired_t *d);
+void desired_index(desired_t *d);
+const edge_route_t *desired_route(const desired_t *d, str_t host, str_t path);
+const edge_customer_t *desired_customer(const desired_t *d, str_t key);
+const edge_service_t *desired_service(const desired_t *d, const char *name);
+
+/* window.c */
+enum {
+	WINDOW_SPANS = 20,
+};
+typedef struct window {
+	ms_t span;
+	int64_t turn;
+	double sum;
+	double spans[WINDOW_SPANS + 1];
+} window_t;
+void window_init(window_t *w, ms_t length);
+void window_add(window_t *w, double n, ms_t now);
+double window_sum(window_t *w, ms_t now);
+
+/* quota.c */
+double quota_cost(const edge_customer_t *c, double tokens);
+ms_t quota_take(edge_t *e, const edge_customer_t *c, double cost, ms_t now);
+void quota_return(edge_t *e, const edge_customer_t *c, double cost);
+
+/* edge.c */
+edge_t *edge_new(const edge_conf_t *conf, const edge_ops_t *ops, void *ctx,
+		 counters_t *counters);
+void edge_free(edge_t *e);
+bool edge_configure(edge_t *e, desired_t *d);
+desired_t *edge_desired(const edge_t *e);
+void edge_set_share(edge_t *e, double quota_share, double retry_slack);
+void edge_submit(edge_t *e, request_t *r, ms_t now);
+void edge_first(edge_t *e, request_t *r, ms_t now);
+void edge_event(edge_t *e, request_t *r, ms_t now);
+void edge_load(edge_t *e, backend_t *b, unsigned int running,
+	       unsigned int waiting, ms_t now);
+verdict_next_t edge_sent(edge_t *e, request_t *r, sent_t how, bool resumable,
+			 ms_t now);
+void edge_drop(edge_t *e, request_t *r, ms_t now);
+bool edge_stalled(const edge_t *e, const request_t *r, ms_t now);
+ms_t edge_come_back(edge_t *e, const request_t *r, ms_t now);
+void edge_tick(edge_t *e, ms_t now);
+void edge_print(const edge_t *e, GString *out, ms_t now);
+
+/* fleet.c */
+void edge_server_put(edge_t *e, const backend_info_t *info, ms_t now);
+void edge_server_gone(edge_t *e, const char *id, ms_t now);
+GPtrArray *edge_server_ids(const edge_t *e); /* of char*, not owned */
+
+/* roster.c */
+typedef struct roster roster_t;
+roster_t *roster_new(edge_t *e);
+void roster_free(roster_t *r);
+void roster_put(roster_t *r, const backend_info_t *info, ms_t now);
+void roster_drop(roster_t *r, const char *id, ms_t now);
+void roster_listing(roster_t *r);
+void roster_listed(roster_t *r, ms_t now);
+void roster_reachable(roster_t *r, bool yes, ms_t now);
+void roster_tick(roster_t *r, ms_t now);
+
+#endif
--- /dev/null
+++ b/lib/edge/health.c
@@ -0,0 +1,125 @@
+/*
+ * Setting servers aside on evidence from answers, and trying them again.
+ * Health calls are not used: they cost a place, and may be false.
+ */
+#include "edge/priv.h"
+
+enum {
+	SILENT_LEAST_MS = 300, /* several times a slow first event */
+	ASIDE_FIRST_MS = 500,  /* long enough for a restart to show */
+	ASIDE_MOST_MS = 4000,  /* a server that is back is found this late */
+	LOST_IN_ROW = 2,       /* one lost answer may be the connection's */
+};
+
+static const double silent_times = 4;	/* the expected time to an event */
+static const double weight = 0.12;	/* of one ended request */
+static const double least_samples = 5;	/* before failures are believed */
+static const double failures_over = .3; /* above all servers' mean share */
+
+/*
+ * Whether nothing has come from a server for much longer than it usually
+ * takes, though requests run there.
+ */
+bool health_silent(const backend_t *b, ms_t now)
+{
+	const request_t *oldest;
+	double usual;
+	ms_t since;
+
+	if (list_empty(&b->runs))
+		return false;
+	oldest = list_entry(b->runs.next, request_t, run);
+	since = MAX(b->heard, oldest->sent_at);
+	usual = cost_first(b->pool, b, oldest->prompt);
+	return (double)(now - since) >
+	       MAX(SILENT_LEAST_MS, usual * silent_times);
+}
+
+/* Whether new requests may go to the server now. */
+bool health_usable(const backend_t *b, ms_t now)
+{
+	if (b->leaving || b->gone || now < b->aside_until)
+		return false;
+	if (b->trying && b->running > 0)
+		return false;
+	return !health_silent(b, now);
+}
+
+static bool most_are_aside(const pool_t *p, ms_t now)
+{
+	unsigned int all = 0;
+	unsigned int aside = 0;
+
+	for (list_t *l = p->servers.next; l != &p->servers; l = l->next) {
+		const backend_t *b = list_entry(l, backend_t, link);
+
+		if (b->leaving)
+			continue;
+		all++;
+		aside += now < b->aside_until;
+	}
+	return aside * 2 >= all;
+}
+
+static double mean_failures(const pool_t *p)
+{
+	double sum = 0;
+	double n = 0;
+
+	for (list_t *l = p->servers.next; l != &p->servers; l = l->next) {
+		const backend_t *b = list_entry(l, backend_t, link);
+
+		sum += b->failures;
+		n += 1;
+	}
+	return n > 0 ? sum / n : 0;
+}
+
+static void set_aside(edge_t *e, backend_t *b, const char *why, ms_t now)
+{
+	if (most_are_aside(b->pool, now))
+		return;
+	b->aside_span = CLAMP(b->aside_span * 2, ASIDE_FIRST_MS, ASIDE_MOST_MS);
+	b->aside_until = now + b->aside_span;
+	b->trying = true;
+	b->samples = 0;
+	b->failures = 0;
+	log_line(LOG_INFO, "server_aside",
+		 "server=%s service=%s why=%s for_ms=%d running=%u", b->id,
+		 b->pool->name, why, (int)b->aside_span, b->running);
+	counter_get(e->counters, "edge_servers_set_aside_total", NULL)->value++;
+}
+
+static void back(backend_t *b, ms_t now)
+{
+	log_line(LOG_INFO, "server_back", "server=%s service=%s", b->id,
+		 b->pool->name);
+	b->trying = false;
+	b->aside_span = 0;
+}
+
+/* Learns from how a send ended. */
+void health_note(edge_t *e, backend_t *b, sent_t how, ms_t now)
+{
+	bool lost = how == SENT_LOST || how == SENT_NOT;
+	bool failed = lost || how == SENT_FAILED || how == SENT_BAD;
+
+	if (how == SENT_WRONG) {
+		set_aside(e, b, "other_server_there", now);
+		return;
+	}
+	if (how == SENT_REJECTED)
+		return;
+	b->samples += 1;
+	b->failures += weight * ((failed ? 1 : 0) - b->failures);
+	b->lost_in_row = lost ? b->lost_in_row + 1 : 0;
+	if (!failed && b->trying && now >= b->aside_until)
+		back(b, now);
+	if (now < b->aside_until)
+		return;
+	if (b->lost_in_row >= LOST_IN_ROW || (failed && b->trying))
+		set_aside(e, b, lost ? "lost" : "failed_again", now);
+	else if (b->samples >= least_samples &&
+		 b->failures > failures_over + mean_failures(b->pool))
+		set_aside(e, b, "fails", now);
+}
--- /dev/null
+++ b/lib/edge/place.c
@@ -0,0 +1,90 @@
+/*
+ * Which server a request goes to. Answers load from many callers that each see
+ * a part: own requests are known, others' are estimated from the last answer.
+ */
+#include <string.h>
+#include "edge/priv.h"
+
+enum {
+	OTHERS_FADE_MS = 2000, /* an estimate of others' load is worth nothing
+				  after this: most runs are shorter */
+};
+
+static const double full_cost = 0.6;  /* more time, relative, when full */
+static const double away_ms = 12;     /* what another data centre counts */
+static const double spread = 0.15;    /* random part, so hosts differ */
+
+/* Requests at the server, ours and, as far as they are known, others'. */
+unsigned int place_load(const backend_t *b, ms_t now)
+{
+	ms_t age = now - b->others_at;
+	double left = 1 - (double)age / OTHERS_FADE_MS;
+
+	if (left <= 0)
+		return b->running;
+	return b->running + (unsigned int)(b->others * left + 0.5);
+}
+
+/* Places of the pool that seem free now. */
+unsigned int place_free(const pool_t *p, ms_t now)
+{
+	unsigned int n = 0;
+
+	for (list_t *l = p->servers.next; l != &p->servers; l = l->next) {
+		const backend_t *b = list_entry(l, backend_t, link);
+		unsigned int load = place_load(b, now);
+
+		if (health_usable(b, now) && load < b->slots)
+			n += b->slots - load;
+	}
+	return n;
+}
+
+static bool was_tried(const request_t *r, const backend_t *b)
+{
+	for (unsigned int i = 0; i < r->ntried; i++) {
+		if (r->tried[i] == b->serial)
+			return true;
+	}
+	return false;
+}
+
+/* Expected cost of sending the request there, in ms; lower is better. */
+static double score(edge_t *e, const backend_t *b, const request_t *r,
+		    unsigned int load)
+{
+	double ms = cost_first(b->pool, b, r->prompt) + b->step;
+
+	ms *= 1 + full_cost * load / MAX(b->slots, 1);
+	if (strcmp(b->data_center, e->conf.data_center) != 0)
+		ms += away_ms;
+	return ms * (1 + spread * g_rand_double(e->rand));
+}
+
+/* Returns the best server with a free place for the request, or NULL. */
+backend_t *place_pick(edge_t *e, pool_t *p, const request_t *r, ms_t now)
+{
+	backend_t *best[2] = { NULL, NULL };
+	double least[2] = { 0, 0 };
+	bool untried = false;
+
+	for (list_t *l = p->servers.next; l != &p->servers; l = l->next) {
+		backend_t *b = list_entry(l, backend_t, link);
+		int again = was_tried(r, b);
+		unsigned int load;
+		double s;
+
+		if (!health_usable(b, now))
+			continue;
+		untried = untried || !again;
+		load = place_load(b, now);
+		if (load >= b->slots)
+			continue;
+		s = score(e, b, r, load);
+		if (!best[again] || s < least[again]) {
+			best[again] = b;
+			least[again] = s;
+		}
+	}
+	return untried ? best[0] : best[1];
+}
--- /dev/null
+++ b/lib/edge/priv.h
@@ -0,0 +1,83 @@
+/* Tables of an edge host, shared by the files of lib/edge. */
+#ifndef EDGE_PRIV_H
+#define EDGE_PRIV_H
+
+#include "edge/fns.h"
+
+enum {
+	RANKS = 4, /* queues of a service; less urgent ranks share the last */
+};
+
+/* A customer's quota on this host. */
+typedef struct quota {
+	double share; /* of the customer's rate that this host may use */
+	double level; /* left now; below zero after a large request */
+	ms_t filled_at;
+	window_t asked;
+} quota_t;
+
+/* The servers of one service and what waits for them. */
+struct pool {
+	char *name;
+	list_t servers; /* backend_t */
+	list_t waiting[RANKS]; /* may still be in time */
+	list_t late[RANKS];    /* cannot be any more */
+	unsigned int nwaiting;
+	window_t asked;	  /* requests of callers */
+	window_t repeats; /* sends beyond the first of each */
+	window_t ended;	  /* sends that ended and freed their place */
+	double mean_tokens;
+	double first_mean; /* ms to the first event, over all servers */
+};
+
+struct edge {
+	edge_conf_t conf;
+	const edge_ops_t *ops;
+	void *ctx;
+	GRand *rand;
+	desired_t *desired; /* in force; NULL before the first */
+	GHashTable *pools;  /* pool_t by service */
+	GHashTable *by_id;  /* backend_t by id */
+	GHashTable *quotas; /* quota_t by customer */
+	uint32_t serials;   /* given to servers so far */
+	double quota_share; /* of a customer that is new here */
+	double retry_slack; /* sends, beyond the ratio */
+	counters_t *counters;
+};
+
+/* fleet.c */
+pool_t *pool_get(edge_t *e, const char *service);
+void backend_release(edge_t *e, backend_t *b);
+
+/* health.c */
+bool health_usable(const backend_t *b, ms_t now);
+void health_reset(backend_t *b);
+bool health_silent(const backend_t *b, ms_t now);
+void health_note(edge_t *e, backend_t *b, sent_t how, ms_t now);
+
+/* cost.c */
+void fit_add(fit_t *f, double tokens, double ms);
+double fit_guess(const fit_t *f, double tokens, double otherwise);
+double cost_first(const pool_t *p, const backend_t *b, double prompt);
+
+/* place.c */
+backend_t *place_pick(edge_t *e, pool_t *p, const request_t *r, ms_t now);
+unsigned int place_load(const backend_t *b, ms_t now);
+unsigned int place_free(const pool_t *p, ms_t now);
+
+/* queue.c */
+void queue_push(pool_t *p, request_t *r, ms_t now);
+void queue_remove(request_t *r);
+unsigned int queue_ahead(const pool_t *p, const request_t *r);
+request_t *queue_next(pool_t *p, ms_t now);
+void queue_expire(edge_t *e, pool_t *p, ms_t now);
+
+/* refuse.c */
+ms_t refuse_after(edge_t *e, const pool_t *p, const request_t *r, ms_t now);
+bool refuse_hopeless(const pool_t *p, const request_t *r, ms_t now);
+
+/* budget.c */
+void budget_earn(pool_t *p, ms_t now);
+bool budget_spend(edge_t *e, pool_t *p, ms_t now);
+
+#endif
--- /dev/null
+++ b/lib/edge/queue.c
@@ -0,0 +1,99 @@
+/*
+ * Requests that wait here for a place, rather than in a server's own queue,
+ * which knows no order but that of arrival. More urgent ranks go first; within
+ * a rank those that can still be in time, then the rest, each in order.
+ */
+#include "edge/priv.h"
+
+static unsigned int rank_of(const request_t *r)
+{
+	return MIN(r->rank, RANKS - 1);
+}
+
+/* Puts a request at the end of its queue. */
+void queue_push(pool_t *p, request_t *r, ms_t now)
+{
+	unsigned int rank = rank_of(r);
+
+	r->state = REQUEST_WAITING;
+	r->late = now >= r->first_by;
+	list_add_tail(r->late ? &p->late[rank] : &p->waiting[rank], &r->link);
+	p->nwaiting++;
+}
+
+/* Takes a waiting request out of its queue. */
+void queue_remove(request_t *r)
+{
+	list_del(&r->link);
+	r->pool->nwaiting--;
+}
+
+/* Requests that would be sent before this one. */
+unsigned int queue_ahead(const pool_t *p, const request_t *r)
+{
+	unsigned int n = 0;
+
+	for (unsigned int i = 0; i <= rank_of(r); i++)
+		n += list_len(&p->waiting[i]) + list_len(&p->late[i]);
+	return n;
+}
+
+/* Returns the request that is to be sent next, or NULL. */
+request_t *queue_next(pool_t *p, ms_t now)
+{
+	for (int i = 0; i < RANKS; i++) {
+		if (!list_empty(&p->waiting[i]))
+			return list_entry(p->waiting[i].next, request_t, link);
+		if (!list_empty(&p->late[i]))
+			return list_entry(p->late[i].next, request_t, link);
+	}
+	return NULL;
+}
+
+/* Moves requests that can no longer be in time behind those that can. */
+static void sort_late(pool_t *p, int rank, ms_t now)
+{
+	list_t *pos;
+	list_t *tmp;
+
+	list_for_each_safe(pos, tmp, &p->waiting[rank])
+	{
+		request_t *r = list_entry(pos, request_t, link);
+
+		if (now + p->first_mean < r->first_by)
+			continue;
+		list_del(&r->link);
+		r->late = true;
+		list_add_tail(&p->late[rank], &r->link);
+	}
+}
+
+static void expire(edge_t *e, list_t *head, ms_t now)
+{
+	list_t *pos;
+	list_t *tmp;
+
+	list_for_each_safe(pos, tmp, head)
+	{
+		request_t *r = list_entry(pos, request_t, link);
+		pool_t *p = r->pool;
+		ms_t need = (ms_t)p->first_mean;
+
+		if (now < r->deadline - need && now < r->leaves - need)
+			continue;
+		queue_remove(r);
+		r->state = REQUEST_ENDED;
+		e->ops->refuse(e->ctx, r, CODE_EXPIRED_WAITING,
+			       refuse_after(e, p, r, now));
+	}
+}
+
+/* Gives up requests that no server could answer in time any more. */
+void queue_expire(edge_t *e, pool_t *p, ms_t now)
+{
+	for (int i = 0; i < RANKS; i++) {
+		sort_late(p, i, now);
+		expire(e, &p->waiting[i], now);
+		expire(e, &p->late[i], now);
+	}
+}
--- /dev/null
+++ b/lib/edge/refuse.c
@@ -0,0 +1,46 @@
+/*
+ * Refusing early. A request that would wait until its caller leaves is told
+ * so at once, and when a place is expected; so callers neither wait in vain
+ * nor come back all together.
+ */
+#include "edge/priv.h"
+
+enum {
+	AFTER_LEAST_MS = 100,	 /* a shorter pause only adds load */
+	AFTER_MOST_MS = 2500,	 /* callers wait a third of their time at most */
+	RATE_SAMPLES = 8,	 /* ended requests before a rate is believed */
+	RATE_SPAN_MS = 2000,	 /* as the window of ended requests */
+	AFTER_UNKNOWN_MS = 400,	 /* with no rate to go by */
+};
+
+static const double spread = 0.5; /* of the pause, so that few come together */
+
+/* Expected wait for a place, in ms; 0 when the rate is not known. */
+static double expected_wait(const pool_t *p, const request_t *r, ms_t now)
+{
+	double ended = window_sum((window_t *)&p->ended, now);
+
+	if (ended < RATE_SAMPLES)
+		return 0;
+	return queue_ahead(p, r) * (double)RATE_SPAN_MS / ended;
+}
+
+/* When a refused caller should come back, in ms from now. */
+ms_t refuse_after(edge_t *e, const pool_t *p, const request_t *r, ms_t now)
+{
+	double wait = expected_wait(p, r, now);
+
+	if (wait <= 0)
+		wait = AFTER_UNKNOWN_MS;
+	wait *= 1 + spread * (g_rand_double(e->rand) - 0.5);
+	return CLAMP((ms_t)wait, AFTER_LEAST_MS, AFTER_MOST_MS);
+}
+
+/* Whether a request that has just come would get its place too late. */
+bool refuse_hopeless(const pool_t *p, const request_t *r, ms_t now)
+{
+	ms_t until = MIN(r->deadline, r->leaves);
+	double wait = expected_wait(p, r, now);
+
+	return (double)now + wait + p->first_mean > (double)until;
+}
--- /dev/null
+++ b/lib/edge/roster.c
@@ -0,0 +1,118 @@
+/*
+ * Which servers are listed. Entries lapse while the platform's store is away
+ * though their servers live, so those that are missing after an outage get
+ * time to come back before they are taken as gone.
+ */
+#include "edge/fns.h"
+
+enum {
+	RETURN_MS = 2300, /* lapsed entries are back about 2 s after the store */
+};
+
+struct roster {
+	edge_t *edge;
+	bool up;
+	ms_t back_at;	     /* when the store answered again; 0 never lost */
+	GHashTable *missing; /* id: when it is taken as gone, ms_t */
+	GHashTable *listed;  /* during a listing: ids that it named */
+};
+
+/* Returns a roster that feeds the edge's table of servers. */
+roster_t *roster_new(edge_t *e)
+{
+	roster_t *r = g_new0(roster_t, 1);
+
+	r->edge = e;
+	r->missing = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					   g_free);
+	return r;
+}
+
+/* Frees the roster. */
+void roster_free(roster_t *r)
+{
+	g_hash_table_destroy(r->missing);
+	if (r->listed)
+		g_hash_table_destroy(r->listed);
+	g_free(r);
+}
+
+/* A server's entry was read. */
+void roster_put(roster_t *r, const backend_info_t *info, ms_t now)
+{
+	g_hash_table_remove(r->missing, info->id);
+	if (r->listed)
+		g_hash_table_add(r->listed, g_strdup(info->id));
+	edge_server_put(r->edge, info, now);
+}
+
+/* A server's entry is not there any more. */
+void roster_drop(roster_t *r, const char *id, ms_t now)
+{
+	ms_t *until;
+
+	if (r->up && (r->back_at == 0 || now - r->back_at >= RETURN_MS)) {
+		g_hash_table_remove(r->missing, id);
+		edge_server_gone(r->edge, id, now);
+		return;
+	}
+	if (g_hash_table_contains(r->missing, id))
+		return;
+	log_line(LOG_INFO, "server_missing", "server=%s store_up=%d", id,
+		 r->up);
+	until = g_new(ms_t, 1);
+	*until = MAX(now, r->back_at) + RETURN_MS;
+	g_hash_table_insert(r->missing, g_strdup(id), until);
+}
+
+/* A whole listing begins. */
+void roster_listing(roster_t *r)
+{
+	if (r->listed)
+		g_hash_table_destroy(r->listed);
+	r->listed = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					  NULL);
+}
+
+/* The listing is complete: servers that it did not name are missing. */
+void roster_listed(roster_t *r, ms_t now)
+{
+	GPtrArray *ids = edge_server_ids(r->edge);
+	GHashTable *listed = r->listed;
+
+	if (!listed)
+		listed = g_hash_table_new(g_str_hash, g_str_equal);
+	for (guint i = 0; i < ids->len; i++) {
+		if (!g_hash_table_contains(listed, ids->pdata[i]))
+			roster_drop(r, ids->pdata[i], now);
+	}
+	g_ptr_array_free(ids, TRUE);
+	g_hash_table_destroy(listed);
+	r->listed = NULL;
+}
+
+/* The store answers again, or has stopped answering. */
+void roster_reachable(roster_t *r, bool yes, ms_t now)
+{
+	if (yes && !r->up)
+		r->back_at = now;
+	r->up = yes;
+}
+
+/* Takes as gone what has not come back in time. */
+void roster_tick(roster_t *r, ms_t now)
+{
+	GHashTableIter it;
+	gpointer id;
+	gpointer until;
+
+	if (!r->up)
+		return;
+	g_hash_table_iter_init(&it, r->missing);
+	while (g_hash_table_iter_next(&it, &id, &until)) {
+		if (now < MAX(*(ms_t *)until, r->back_at + RETURN_MS))
+			continue;
+		edge_server_gone(r->edge, id, now);
+		g_hash_table_iter_remove(&it);
+	}
+}
--- /dev/null
+++ b/lib/http/check.c
@@ -0,0 +1,94 @@
+/*
+ * Checks of heads that keep two readers of one message from seeing two
+ * different ones. The library lets these pass.
+ */
+#include <string.h>
+#include "http/fns.h"
+
+static bool is_token(unsigned char c)
+{
+	return g_ascii_isalnum(c) || (c && strchr("!#$%&'*+-.^_`|~", c));
+}
+
+static bool name_ok(const char *p, const char *colon)
+{
+	if (!colon || colon == p)
+		return false;
+	for (; p < colon; p++) {
+		if (!is_token((unsigned char)*p))
+			return false;
+	}
+	return true;
+}
+
+static bool line_ok(const char *p, size_t n, bool first)
+{
+	for (size_t i = 0; i < n; i++) {
+		unsigned char c = (unsigned char)p[i];
+
+		if ((c < ' ' && c != '\t') || c == 0x7f)
+			return false;
+	}
+	return first ? n > 0 : name_ok(p, memchr(p, ':', n));
+}
+
+/*
+ * Checks the lines of a head that ends in an empty line: each ends in CR LF,
+ * none is folded, and no name is followed by a blank. Returns CODE_BAD_REQUEST
+ * for one that is not so.
+ */
+code_t http_head_check(const char *p, size_t n)
+{
+	const char *end = p + n - 2; /* the empty line */
+	bool first = true;
+
+	while (p < end) {
+		const char *nl = memchr(p, '\n', (size_t)(end - p));
+
+		if (!nl || nl == p || nl[-1] != '\r' ||
+		    !line_ok(p, (size_t)(nl - 1 - p), first))
+			return CODE_BAD_REQUEST;
+		p = nl + 1;
+		first = false;
+	}
+	return CODE_OK;
+}
+
+static unsigned int count(const http_head_t *h, const char *name)
+{
+	unsigned int n = 0;
+
+	for (size_t i = 0; i < h->nfields; i++)
+		n += http_name_is(h->fields[i].name, name);
+	return n;
+}
+
+static bool digits_only(str_t s)
+{
+	for (size_t i = 0; i < s.n; i++) {
+		if (!g_ascii_isdigit(s.p[i]))
+			return false;
+	}
+	return s.n > 0;
+}
+
+/*
+ * Checks that the head says in one way only how its body ends, and that a
+ * request names one host. Returns CODE_BAD_REQUEST otherwise.
+ */
+code_t http_fields_check(const http_head_t *h, bool request)
+{
+	unsigned int lengths = count(h, "content-length");
+	unsigned int codings = count(h, "transfer-encoding");
+
+	if (lengths + codings > 1)
+		return CODE_BAD_REQUEST;
+	if (lengths && !digits_only(http_value(h, "content-length")))
+		return CODE_BAD_REQUEST;
+	if (codings &&
+	    !http_name_is(http_value(h, "transfer-encoding"), "chunked"))
+		return CODE_BAD_REQUEST;
+	if (request && count(h, "host") != 1)
+		return CODE_BAD_REQUEST;
+	return CODE_OK;
+}
--- /dev/null
+++ b/lib/http/dat.h
@@ -0,0 +1,55 @@
+/* Reading HTTP/1.1 messages: strict heads, bodies as they come. No I/O. */
+#ifndef HTTP_DAT_H
+#define HTTP_DAT_H
+
+#include <http_parser.h>
+#include "base/dat.h"
+
+enum {
+	HTTP_FIELDS_MAX = 96, /* header fields of a message; more are refused */
+};
+
+typedef struct http_field {
+	str_t name;
+	str_t value;
+} http_field_t;
+
+/* A parsed head. The strings point into the bytes that were fed. */
+typedef struct http_head {
+	str_t method; /* requests */
+	str_t target; /* requests: path and query */
+	int status;   /* answers */
+	size_t nfields;
+	http_field_t fields[HTTP_FIELDS_MAX];
+	bool keep_alive;
+	bool chunked;
+	bool measured; /* has a Content-Length */
+	uint64_t length;
+} http_head_t;
+
+/*
+ * What a message consists of. head comes once, body any number of times, end
+ * once when the message is complete. The head is valid during the call only.
+ * A reader must not be freed from inside a call; http_in_stop ends feeding.
+ */
+typedef struct http_in_ops {
+	/* Returns true when no body follows whatever the head says (HEAD). */
+	bool (*head)(void *ctx, const http_head_t *h);
+	void (*body)(void *ctx, str_t data);
+	void (*end)(void *ctx);
+} http_in_ops_t;
+
+/* Reads the messages of one direction of one connection. */
+typedef struct http_in {
+	http_parser parser;
+	const http_in_ops_t *ops;
+	void *ctx;
+	GByteArray *held; /* the start of a head that is not complete */
+	size_t head_max;  /* bytes */
+	size_t scanned;	  /* bytes of held without the head's end */
+	bool in_body;
+	bool stopped;
+	bool too_large; /* the last failure was the head's size */
+} http_in_t;
+
+#endif
--- /dev/null
+++ b/lib/http/field.c
@@ -0,0 +1,127 @@
+/* Header fields: finding them in a head and writing them. */
+#include <string.h>
+#include "http/fns.h"
+
+/* Fields that concern one connection only, and are never passed on. */
+static const char *const hop_names[] = { "connection",	     "keep-alive",
+					 "proxy-connection", "proxy-authenticate",
+					 "proxy-authorization", "te",
+					 "trailer",	     "transfer-encoding",
+					 "upgrade" };
+
+/* Whether a name equals another, without regard to case. */
+bool http_name_is(str_t name, const char *is)
+{
+	return strlen(is) == name.n &&
+	       g_ascii_strncasecmp(name.p, is, name.n) == 0;
+}
+
+/* Returns the first field of that name, or NULL. */
+const http_field_t *http_find(const http_head_t *h, const char *name)
+{
+	for (size_t i = 0; i < h->nfields; i++) {
+		if (http_name_is(h->fields[i].name, name))
+			return &h->fields[i];
+	}
+	return NULL;
+}
+
+/* Returns the value of the first field of that name; empty when none is. */
+str_t http_value(const http_head_t *h, const char *name)
+{
+	const http_field_t *f = http_find(h, name);
+
+	return f ? f->value : (str_t){ "", 0 };
+}
+
+/* Reads a decimal number without sign that fits; false for anything else. */
+bool http_number(str_t text, uint64_t *n)
+{
+	uint64_t v = 0;
+
+	if (text.n == 0 || text.n > 18)
+		return false;
+	for (size_t i = 0; i < text.n; i++) {
+		if (!g_ascii_isdigit(text.p[i]))
+			return false;
+		v = v * 10 + (uint64_t)(text.p[i] - '0');
+	}
+	*n = v;
+	return true;
+}
+
+/* Whether a comma-separated list holds the name. */
+static bool listed(str_t list, str_t name)
+{
+	size_t at = 0;
+
+	while (at < list.n) {
+		size_t end = at;
+
+		while (end < list.n && list.p[end] != ',')
+			end++;
+		while (at < end && list.p[at] == ' ')
+			at++;
+		if (end - at == name.n &&
+		    g_ascii_strncasecmp(list.p + at, name.p, name.n) == 0)
+			return true;
+		at = end + 1;
+	}
+	return false;
+}
+
+/* Whether the field concerns this connection only and is not passed on. */
+bool http_hop_field(const http_head_t *h, str_t name)
+{
+	const http_field_t *c = http_find(h, "connection");
+
+	for (size_t i = 0; i < G_N_ELEMENTS(hop_names); i++) {
+		if (http_name_is(name, hop_names[i]))
+			return true;
+	}
+	return c && listed(c->value, name);
+}
+
+/* Returns the usual text beside a status. */
+const char *http_reason(int status)
+{
+	switch (status) {
+#define REASON(num, name, text)                                                \
+	case num:                                                              \
+		return #text;
+		HTTP_STATUS_MAP(REASON)
+#undef REASON
+	default:
+		return "Other";
+	}
+}
+
+/* Appends text. */
+void http_put(GByteArray *out, const char *text)
+{
+	g_byte_array_append(out, (const guint8 *)text, strlen(text));
+}
+
+/* Appends a string. */
+void http_put_str(GByteArray *out, str_t s)
+{
+	g_byte_array_append(out, (const guint8 *)s.p, s.n);
+}
+
+/* Appends a header field. */
+void http_put_field(GByteArray *out, str_t name, str_t value)
+{
+	http_put_str(out, name);
+	http_put(out, ": ");
+	http_put_str(out, value);
+	http_put(out, "\r\n");
+}
+
+/* Appends a header field with a number as its value. */
+void http_put_number(GByteArray *out, const char *name, uint64_t n)
+{
+	char text[24];
+
+	g_snprintf(text, sizeof(text), "%" G_GUINT64_FORMAT, n);
+	http_put_field(out, str_of(name), str_of(text));
+}
--- /dev/null
+++ b/lib/http/sse.c
@@ -0,0 +1,100 @@
+/*
+ * Cuts a stream into events, so that only whole ones are passed on and the
+ * place to go on from is known when the stream breaks.
+ */
+#include <string.h>
+#include "http/fns.h"
+
+enum {
+	EVENT_MAX = 1 << 20, /* bytes; an event that never ends is an error */
+};
+
+/* Prepares for the start of a stream. */
+void events_init(events_t *e)
+{
+	e->held = g_byte_array_new();
+	e->has_id = false;
+	e->last_id = 0;
+}
+
+/* Frees what is held of an event that did not end. */
+void events_clear(events_t *e)
+{
+	if (e->held)
+		g_byte_array_free(e->held, TRUE);
+	e->held = NULL;
+}
+
+/* Finds the line "id: N" of an event. */
+static bool event_id(str_t ev, uint64_t *id)
+{
+	const char *p = ev.p;
+	const char *end = ev.p + ev.n;
+
+	while (p < end) {
+		const char *nl = memchr(p, '\n', (size_t)(end - p));
+		size_t n = (size_t)((nl ? nl : end) - p);
+
+		if (n > 3 && memcmp(p, "id:", 3) == 0) {
+			size_t at = p[3] == ' ' ? 4 : 3;
+			size_t len = n - (p[n - 1] == '\r');
+
+			return http_number((str_t){ p + at, len - at }, id);
+		}
+		p += n + 1;
+	}
+	return false;
+}
+
+/* Length of the first event in the bytes with its empty line; 0 if none. */
+static size_t event_length(const char *p, size_t n)
+{
+	const char *lf = memmem(p, n, "\n\n", 2);
+	const char *crlf = memmem(p, n, "\r\n\r\n", 4);
+
+	if (lf && (!crlf || lf < crlf))
+		return (size_t)(lf - p) + 2;
+	return crlf ? (size_t)(crlf - p) + 4 : 0;
+}
+
+static size_t pass_whole(const char *p, size_t n, event_fn_t fn, void *ctx,
+			 events_t *e)
+{
+	size_t at = 0;
+	size_t len;
+
+	while ((len = event_length(p + at, n - at)) > 0) {
+		str_t ev = { p + at, len };
+		uint64_t id = 0;
+		bool has = event_id(ev, &id);
+
+		if (has) {
+			e->has_id = true;
+			e->last_id = id;
+		}
+		fn(ctx, ev, has, id);
+		at += len;
+	}
+	return at;
+}
+
+/*
+ * Takes bytes of the stream and gives each event that is now whole. Returns
+ * false when an event is longer than any may be.
+ */
+bool events_feed(events_t *e, str_t data, event_fn_t fn, void *ctx)
+{
+	size_t used;
+
+	if (e->held->len == 0) {
+		used = pass_whole(data.p, data.n, fn, ctx, e);
+		g_byte_array_append(e->held, (const guint8 *)data.p + used,
+				    data.n - used);
+	} else {
+		g_byte_array_append(e->held, (const guint8 *)data.p, data.n);
+		used = pass_whole((char *)e->held->data, e->held->len, fn, ctx,
+				  e);
+		g_byte_array_remove_range(e->held, 0, used);
+	}
+	return e->held->len <= EVENT_MAX;
+}
--- /dev/null
+++ b/lib/relay/caller.c
@@ -0,0 +1,339 @@
+/* Connections from callers: requests in, answers out, and their ends. */
+#include "relay/priv.h"
+
+enum {
+	READ_SIZE = 64 << 10,  /* bytes */
+	LINGER_MS = 1000,      /* read on after the last answer, so that it is
+				  not lost to a reset */
+	HEADER_MAX = 16 << 10, /* bytes, until a configuration says */
+	HEADER_MS = 3000,      /* the same */
+	IDLE_MS = 15000,       /* the same */
+	TAKES_NOTHING_MS = 10000, /* an answer that isn't taken is cut */
+};
+
+static char read_buffer[READ_SIZE];
+
+static void on_closed(uv_handle_t *h)
+{
+	caller_t *c = (caller_t *)h;
+
+	c->relay->ncallers--;
+	http_in_clear(&c->in);
+	writer_clear(&c->out);
+	g_byte_array_free(c->pending, TRUE);
+	g_free(c);
+}
+
+/* Closes the connection at once. The request in progress must be over. */
+void caller_close(caller_t *c)
+{
+	if (c->closed)
+		return;
+	c->closed = true;
+	http_in_stop(&c->in);
+	list_del(&c->link);
+	list_del(&c->later);
+	list_init(&c->later);
+	uv_close((uv_handle_t *)&c->tcp, on_closed);
+}
+
+/* Has the caller looked at soon, outside of the present call. */
+void caller_wake(caller_t *c)
+{
+	if (c->closed || !list_empty(&c->later))
+		return;
+	list_add_tail(&c->relay->wake, &c->later);
+	relay_soon(c->relay);
+}
+
+/* Closes so that the other end sees the answer break off. */
+void caller_cut(caller_t *c)
+{
+	c->gone = true;
+	c->x = NULL;
+	c->running = false;
+	caller_wake(c);
+}
+
+static void on_shutdown(uv_shutdown_t *req, int status)
+{
+	(void)status;
+	g_free(req);
+}
+
+/* Says that nothing more follows and reads what still comes for a while. */
+static void begin_close(caller_t *c, ms_t now)
+{
+	uv_shutdown_t *req;
+
+	c->closing = true;
+	c->since = now;
+	if (c->shut || c->closed)
+		return;
+	c->shut = true;
+	req = g_new0(uv_shutdown_t, 1);
+	if (uv_shutdown(req, (uv_stream_t *)&c->tcp, on_shutdown))
+		g_free(req);
+}
+
+/* Writes bytes of an answer. */
+void caller_write(caller_t *c, const GByteArray *a)
+{
+	writer_put(&c->out, a->data, a->len);
+	if (c->out.failed) {
+		c->gone = true;
+		caller_wake(c);
+	}
+}
+
+/* The answer to the request in progress is complete. */
+void caller_done(caller_t *c, bool keep)
+{
+	ms_t now = clock_now();
+
+	c->x = NULL;
+	c->running = false;
+	c->since = now;
+	if (!keep)
+		begin_close(c, now);
+	else if (c->pending->len > 0)
+		caller_wake(c);
+}
+
+/* Answers by ourselves; the request in progress must be over. */
+void caller_answer(caller_t *c, int status, ms_t after, const char *text)
+{
+	GByteArray *out = g_byte_array_new();
+	exchange_t *x = c->x;
+	bool close = !c->running || c->relay->draining || (x && x->close);
+	str_t id = x && x->id ? str_of(x->id) : (str_t){ "", 0 };
+
+	c->relay->codec->write_own(status, after, id, text, close, out);
+	caller_write(c, out);
+	g_byte_array_free(out, TRUE);
+	caller_done(c, !close);
+}
+
+static const edge_limits_t *limits(const caller_t *c)
+{
+	static const edge_limits_t none = { HEADER_MAX, 4 << 20, HEADER_MS,
+					    IDLE_MS };
+	desired_t *d = edge_desired(c->relay->edge);
+
+	return d ? &d->limits : &none;
+}
+
+/* Refuses what cannot be read as a request, before it reaches a server. */
+static void refuse_read(caller_t *c, int status, const char *text)
+{
+	exchange_t *x = c->x;
+
+	log_line(LOG_INFO, "request_malformed", "status=%d why=\"%s\" id=%s",
+		 status, text, x && x->id ? x->id : "-");
+	if (x)
+		exchange_abort(x, text, clock_now());
+	c->x = NULL;
+	http_in_stop(&c->in);
+	c->running = false;
+	caller_answer(c, status, 0, text);
+}
+
+static bool on_head(void *ctx, const http_head_t *h)
+{
+	caller_t *c = ctx;
+	const edge_limits_t *lim = limits(c);
+	str_t expect = http_value(h, "expect");
+
+	c->since = clock_now();
+	if (h->measured && h->length > lim->body_max) {
+		refuse_read(c, 413, "body too large");
+		return false;
+	}
+	c->x = exchange_new(c, h);
+	if (expect.n > 0 && http_name_is(expect, "100-continue"))
+		writer_put(&c->out, "HTTP/1.1 100 Continue\r\n\r\n", 25);
+	return false;
+}
+
+static void on_body(void *ctx, str_t data)
+{
+	caller_t *c = ctx;
+
+	if (!c->x)
+		return;
+	if (c->x->body->len + data.n > limits(c)->body_max) {
+		refuse_read(c, 413, "body too large");
+		return;
+	}
+	g_byte_array_append(c->x->body, (const guint8 *)data.p, data.n);
+}
+
+static void on_end(void *ctx)
+{
+	caller_t *c = ctx;
+
+	if (!c->x)
+		return;
+	c->running = true;
+	exchange_start(c->x, clock_now());
+}
+
+static const http_in_ops_t in_ops = { on_head, on_body, on_end };
+
+/* Reads requests up to the first that has to be answered. */
+static void feed(caller_t *c, const char *p, size_t n)
+{
+	code_t code = CODE_OK;
+	size_t used = 0;
+	bool fresh = http_in_idle(&c->in);
+
+	c->in.head_max = limits(c)->header_max;
+	if (fresh)
+		c->since = clock_now();
+	while (n > 0 && !c->running && !c->closing && !c->closed) {
+		code = http_in_feed(&c->in, p, n, &used);
+		p += used;
+		n -= used;
+		if (code != CODE_OK)
+			break;
+	}
+	if (c->closed || c->closing)
+		return;
+	if (code == CODE_TOO_LARGE)
+		refuse_read(c, 431, "header too large");
+	else if (code != CODE_OK)
+		refuse_read(c, 400, "malformed request");
+	else if (n > 0)
+		g_byte_array_append(c->pending, (const guint8 *)p, n);
+}
+
+static void on_alloc(uv_handle_t *h, size_t size, uv_buf_t *buf)
+{
+	(void)h;
+	(void)size;
+	*buf = uv_buf_init(read_buffer, sizeof(read_buffer));
+}
+
+/* The caller has closed: what it asked for is cancelled. */
+static void hang_up(caller_t *c)
+{
+	if (c->x)
+		exchange_abort(c->x, "caller gone", clock_now());
+	c->x = NULL;
+	caller_close(c);
+}
+
+static void on_read(uv_stream_t *s, ssize_t n, const uv_buf_t *buf)
+{
+	caller_t *c = (caller_t *)s;
+
+	if (n < 0) {
+		hang_up(c);
+		return;
+	}
+	if (n == 0 || c->closing || c->closed)
+		return;
+	if (!c->running && c->pending->len == 0) {
+		feed(c, buf->base, (size_t)n);
+		return;
+	}
+	g_byte_array_append(c->pending, (const guint8 *)buf->base, (guint)n);
+	if (c->pending->len > PENDING_MAX)
+		hang_up(c);
+}
+
+/* Goes on with requests that came during the last one. */
+static void resume(caller_t *c)
+{
+	GByteArray *had = c->pending;
+
+	if (c->running || had->len == 0 || c->closing)
+		return;
+	c->pending = g_byte_array_new();
+	feed(c, (const char *)had->data, had->len);
+	g_byte_array_free(had, TRUE);
+}
+
+/* Looks at a caller that caller_wake was called for. */
+static void look(caller_t *c)
+{
+	if (c->gone)
+		hang_up(c);
+	else
+		resume(c);
+}
+
+/* Looks at all callers that wait for it. */
+void relay_wake_callers(relay_t *r);
+void relay_wake_callers(relay_t *r)
+{
+	while (!list_empty(&r->wake)) {
+		caller_t *c = list_entry(r->wake.next, caller_t, later);
+
+		list_del(&c->later);
+		list_init(&c->later);
+		look(c);
+	}
+}
+
+static void on_drained(void *ctx)
+{
+	caller_t *c = ctx;
+
+	if (c->out.failed) {
+		c->gone = true;
+		caller_wake(c);
+	} else if (c->x && c->x->lane) {
+		link_pause(c->x->lane->conn, false);
+	}
+}
+
+/* Takes a connection that waits at the listener. */
+void caller_accept(relay_t *r)
+{
+	caller_t *c = g_new0(caller_t, 1);
+
+	c->relay = r;
+	r->ncallers++;
+	list_add_tail(&r->callers, &c->link);
+	list_init(&c->later);
+	c->pending = g_byte_array_new();
+	c->since = clock_now();
+	uv_tcp_init(r->loop, &c->tcp);
+	http_in_init(&c->in, true, HEADER_MAX, &in_ops, c);
+	writer_init(&c->out, (uv_stream_t *)&c->tcp, on_drained, c);
+	if (uv_accept((uv_stream_t *)&r->listener, (uv_stream_t *)&c->tcp) ||
+	    r->ncallers > r->conf.connections_max) {
+		log_line(LOG_WARN, "caller_refused", "connections=%zu",
+			 r->ncallers);
+		caller_close(c);
+		return;
+	}
+	uv_tcp_nodelay(&c->tcp, 1);
+	uv_read_start((uv_stream_t *)&c->tcp, on_alloc, on_read);
+}
+
+/* Ends connections whose time is over. */
+void caller_tick(caller_t *c, ms_t now)
+{
+	const edge_limits_t *lim = limits(c);
+	ms_t age = now - c->since;
+	bool reading = c->x || !http_in_idle(&c->in);
+
+	if (c->closing) {
+		if (age > LINGER_MS && writer_kept(&c->out) == 0)
+			caller_close(c);
+		else if (age > TAKES_NOTHING_MS)
+			caller_close(c);
+		return;
+	}
+	if (c->running)
+		return;
+	if (reading && age > lim->header_time)
+		refuse_read(c, 408, "request not complete in time");
+	else if (!reading &&
+		 (age > lim->idle_time ||
+		  (c->relay->draining &&
+		   now - c->relay->drain_at > c->relay->conf.stop_wait)))
+		begin_close(c, now);
+}
--- /dev/null
+++ b/lib/relay/exchange.c
@@ -0,0 +1,453 @@
+/* One caller's request: read, decided on, sent, and its answer passed on. */
+#include <string.h>
+#include "relay/priv.h"
+
+enum {
+	CONTENT_MAX = 32 << 20, /* bytes of an answer that is not a stream */
+	STREAM_SILENCE_MS = 2000, /* callers leave a stream that is silent for
+				     this long at least */
+	SILENCE_FIRST = 4, /* or for so many times the first event's target */
+	SILENCE_GAP = 8,   /* or for so many times the gap's target */
+};
+
+static char *copy_of(str_t s)
+{
+	return s.n > 0 ? g_strndup(s.p, s.n) : NULL;
+}
+
+static str_t or_empty(const char *s)
+{
+	return s ? str_of(s) : (str_t){ "", 0 };
+}
+
+/* Makes an exchange from a request's head. */
+exchange_t *exchange_new(caller_t *c, const http_head_t *h)
+{
+	exchange_t *x = g_new0(exchange_t, 1);
+
+	x->relay = c->relay;
+	x->caller = c;
+	list_init(&x->later);
+	list_add_tail(&c->relay->exchanges, &x->link);
+	x->pass = g_byte_array_sized_new(512);
+	x->body = g_byte_array_new();
+	c->relay->codec->read_call(h, &x->call, x->pass);
+	x->id = copy_of(x->call.id);
+	x->key = copy_of(x->call.key);
+	x->host = copy_of(x->call.host);
+	x->target = copy_of(x->call.target);
+	x->call.id = or_empty(x->id);
+	x->call.key = or_empty(x->key);
+	x->call.host = or_empty(x->host);
+	x->call.target = or_empty(x->target);
+	x->is_head = http_name_is(h->method, "HEAD");
+	x->has_body = h->chunked || h->measured;
+	x->close = !h->keep_alive;
+	c->relay->requests->value++;
+	return x;
+}
+
+static void buffer_free(GByteArray *b)
+{
+	if (b)
+		g_byte_array_free(b, TRUE);
+}
+
+static void exchange_free(exchange_t *x)
+{
+	list_del(&x->link);
+	list_del(&x->later);
+	if (x->lane)
+		lane_drop(x->lane);
+	events_clear(&x->ev);
+	buffer_free(x->pass);
+	buffer_free(x->body);
+	buffer_free(x->head);
+	buffer_free(x->content);
+	buffer_free(x->chunk);
+	desired_unref(x->req.desired);
+	g_free(x->id);
+	g_free(x->key);
+	g_free(x->host);
+	g_free(x->target);
+	g_free(x);
+}
+
+/* One line for a request that ended, with what decided it. */
+static void log_end(const exchange_t *x, const char *outcome, int status,
+		    ms_t now)
+{
+	const request_t *r = &x->req;
+
+	log_line(status >= 400 || status == 0 ? LOG_INFO : LOG_DEBUG,
+		 "request_end",
+		 "id=%s outcome=%s status=%d route=%s customer=%s config=%llu "
+		 "sends=%u arrivals=%u events=%u took_ms=%lld first_ms=%lld "
+		 "left_ms=%lld",
+		 x->id ? x->id : "-", outcome, status,
+		 r->route ? r->route->name : "-",
+		 r->customer ? r->customer->name : "-",
+		 r->desired ? (unsigned long long)r->desired->version : 0,
+		 r->sends, r->arrivals, x->events,
+		 r->arrived ? (long long)(now - r->arrived) : 0,
+		 x->first_at ? (long long)(x->first_at - r->arrived) : -1,
+		 r->deadline ? (long long)(r->deadline - now) : 0);
+}
+
+/* Answers by ourselves and ends the exchange. */
+static void answer_own(exchange_t *x, int status, ms_t after, const char *text)
+{
+	log_end(x, text, status, clock_now());
+	caller_answer(x->caller, status, after, text);
+	exchange_free(x);
+}
+
+/* The caller sees the answer break off. */
+static void cut(exchange_t *x, const char *why)
+{
+	log_end(x, why, 0, clock_now());
+	caller_cut(x->caller);
+	exchange_free(x);
+}
+
+/* Ends the exchange without an answer: its caller is gone. */
+void exchange_abort(exchange_t *x, const char *why, ms_t now)
+{
+	if (x->req.pool) {
+		log_end(x, why, 0, now);
+		if (x->lane)
+			lane_drop(x->lane);
+		if (x->req.state != REQUEST_ENDED)
+			edge_drop(x->relay->edge, &x->req, now);
+	}
+	exchange_free(x);
+}
+
+static void set_times(exchange_t *x, ms_t now)
+{
+	const edge_route_t *rt = x->req.route;
+	request_t *r = &x->req;
+	ms_t wait = rt->timeout;
+
+	if (x->call.patience > 0)
+		wait = MIN(wait, x->call.patience);
+	r->arrived = now;
+	r->deadline = now + wait;
+	r->first_by = now + rt->first_target;
+	r->leaves = r->deadline;
+	if (rt->stream)
+		r->leaves = now + MAX(MAX(STREAM_SILENCE_MS,
+					  rt->first_target * SILENCE_FIRST),
+				      rt->gap_target * SILENCE_GAP);
+}
+
+/* Finds route and customer. Returns 0, or the status that refuses. */
+static int admit(exchange_t *x, desired_t *d, const char **text)
+{
+	request_t *r = &x->req;
+
+	r->route = desired_route(d, x->call.host, x->call.target);
+	if (!r->route) {
+		*text = "no such route";
+		return 404;
+	}
+	r->customer = desired_customer(d, x->call.key);
+	if (!r->customer && !r->route->public && d->customers->len > 0) {
+		*text = "unknown key";
+		return 401;
+	}
+	return 0;
+}
+
+/* Takes a request that has been read whole. */
+void exchange_start(exchange_t *x, ms_t now)
+{
+	desired_t *d = edge_desired(x->relay->edge);
+	request_t *r = &x->req;
+	const char *text = NULL;
+	int status;
+
+	if (!d) {
+		answer_own(x, 503, MS_PER_S, "no configuration yet");
+		return;
+	}
+	r->desired = desired_ref(d);
+	status = admit(x, d, &text);
+	if (status) {
+		answer_own(x, status, 0, text);
+		return;
+	}
+	set_times(x, now);
+	r->id = x->id ? x->id : "-";
+	r->rank = r->route->rank;
+	r->prompt = x->call.prompt;
+	r->output = x->call.output > 0 ? x->call.output : x->call.output_max;
+	r->tokens = x->call.prompt + x->call.output_max;
+	edge_submit(x->relay->edge, r, now);
+}
+
+/* The edge gave the request up; it has not run, unless it was sent before. */
+void exchange_refuse(exchange_t *x, code_t code, ms_t after)
+{
+	int status = code == CODE_OVER_LIMIT ? 429 : 503;
+
+	if (x->begun)
+		cut(x, "no server to go on at");
+	else if (x->req.sends > 0)
+		answer_own(x, 502, 0, "server lost, none to repeat at");
+	else
+		answer_own(x, status, after, code_name(code));
+}
+
+/* Starts the answer's head as the caller gets it. */
+static void make_head(exchange_t *x, const http_head_t *h)
+{
+	GByteArray *out = g_byte_array_sized_new(512);
+	char line[64];
+
+	g_snprintf(line, sizeof(line), "HTTP/1.1 %d %s\r\n", h->status,
+		   http_reason(h->status));
+	http_put(out, line);
+	for (size_t i = 0; i < h->nfields; i++) {
+		const http_field_t *f = &h->fields[i];
+
+		if (http_hop_field(h, f->name) ||
+		    (http_name_is(f->name, "content-length") && !x->is_head))
+			continue;
+		http_put_field(out, f->name, f->value);
+	}
+	if (x->relay->draining || x->close)
+		http_put(out, "Connection: close\r\n");
+	buffer_free(x->head);
+	x->head = out;
+}
+
+/* Reads the head of an answer on the exchange's connection. */
+void exchange_head(exchange_t *x, const http_head_t *h)
+{
+	relay_t *r = x->relay;
+	answer_t a = { 0 };
+	ms_t now = clock_now();
+
+	r->codec->read_answer(h, &a);
+	if (a.has_idle)
+		x->lane->idle_max = a.idle;
+	x->stray = x->id && a.id.n > 0 && !str_eq(a.id, str_of(x->id));
+	if (x->stray)
+		return;
+	if (a.has_load)
+		edge_load(r->edge, x->req.server, a.running, a.waiting, now);
+	x->status = h->status;
+	x->rejected = a.not_run;
+	x->wrong = a.wrong;
+	x->unstamped = h->status < 300 && !a.stamped;
+	x->streaming = h->status < 300 && x->req.route->stream &&
+		       !x->unstamped;
+	if (!x->content)
+		x->content = g_byte_array_new();
+	g_byte_array_set_size(x->content, 0);
+	if (!x->begun)
+		make_head(x, h);
+	if (!x->streaming)
+		return;
+	events_clear(&x->ev);
+	events_init(&x->ev);
+	if (!x->chunk)
+		x->chunk = g_byte_array_new();
+}
+
+static void on_event(void *ctx, str_t event, bool has_id, uint64_t id)
+{
+	exchange_t *x = ctx;
+
+	if (has_id && x->has_last && id <= x->last_event)
+		return;
+	if (has_id) {
+		x->has_last = true;
+		x->last_event = id;
+	}
+	x->events++;
+	http_put_str(x->chunk, event);
+}
+
+/* Writes the whole events of this read, with the head before the first. */
+static void pass_events(exchange_t *x, ms_t now)
+{
+	GByteArray *out;
+	char size[24];
+
+	if (x->chunk->len == 0)
+		return;
+	if (!x->first_at)
+		x->first_at = now;
+	out = g_byte_array_sized_new(x->chunk->len + 640);
+	if (!x->begun) {
+		x->begun = true;
+		g_byte_array_append(out, x->head->data, x->head->len);
+		http_put(out, "Transfer-Encoding: chunked\r\n\r\n");
+	}
+	g_snprintf(size, sizeof(size), "%x\r\n", x->chunk->len);
+	http_put(out, size);
+	g_byte_array_append(out, x->chunk->data, x->chunk->len);
+	http_put(out, "\r\n");
+	g_byte_array_set_size(x->chunk, 0);
+	caller_write(x->caller, out);
+	g_byte_array_free(out, TRUE);
+	if (writer_kept(&x->caller->out) > KEPT_MAX && x->lane)
+		link_pause(x->lane->conn, true);
+}
+
+/* Takes bytes of an answer's body. */
+void exchange_body(exchange_t *x, str_t data)
+{
+	ms_t now = clock_now();
+
+	if (x->stray)
+		return;
+	if (!x->streaming) {
+		if (x->content->len + data.n <= CONTENT_MAX)
+			g_byte_array_append(x->content, (const guint8 *)data.p,
+					    data.n);
+		else
+			x->unstamped = true;
+		return;
+	}
+	if (!x->req.first_here)
+		edge_first(x->relay->edge, &x->req, now);
+	else
+		edge_event(x->relay->edge, &x->req, now);
+	if (!events_feed(&x->ev, data, on_event, x))
+		x->unstamped = true;
+	pass_events(x, now);
+}
+
+/* The answer's body is complete. Returns whether it can be passed on whole. */
+bool exchange_end(exchange_t *x)
+{
+	if (x->streaming)
+		return x->ev.held->len == 0 && !x->unstamped;
+	if (!x->req.first_here && x->req.state == REQUEST_RUNNING)
+		edge_first(x->relay->edge, &x->req, clock_now());
+	return !x->unstamped;
+}
+
+/* Ends a stream that was passed on to its last event. */
+static void end_stream(exchange_t *x)
+{
+	GByteArray *out = g_byte_array_new();
+
+	if (!x->begun) {
+		g_byte_array_append(out, x->head->data, x->head->len);
+		http_put(out, "Transfer-Encoding: chunked\r\n\r\n");
+	}
+	http_put(out, "0\r\n\r\n");
+	caller_write(x->caller, out);
+	g_byte_array_free(out, TRUE);
+}
+
+/* Gives the caller an answer that came whole. */
+static void give_whole(exchange_t *x)
+{
+	GByteArray *out;
+
+	if (x->streaming) {
+		end_stream(x);
+		return;
+	}
+	out = x->head;
+	if (!x->is_head && x->status != 204 && x->status != 304)
+		http_put_number(out, "Content-Length", x->content->len);
+	http_put(out, "\r\n");
+	if (!x->is_head)
+		g_byte_array_append(out, x->content->data, x->content->len);
+	caller_write(x->caller, out);
+}
+
+static void finish(exchange_t *x)
+{
+	bool keep = !x->close && !x->relay->draining;
+
+	give_whole(x);
+	log_end(x, "answered", x->status, clock_now());
+	caller_done(x->caller, keep);
+	exchange_free(x);
+}
+
+static bool not_run(sent_t how)
+{
+	return how == SENT_REJECTED || how == SENT_NOT || how == SENT_WRONG;
+}
+
+/* Tells the caller of a request that failed for good. */
+static void fail(exchange_t *x, sent_t how, ms_t now)
+{
+	if (x->begun)
+		cut(x, "server lost in the stream");
+	else if (not_run(how) && x->req.sends == 0)
+		answer_own(x, 503,
+			   edge_come_back(x->relay->edge, &x->req, now),
+			   "no server took it");
+	else
+		answer_own(x, 502, 0, "server lost");
+}
+
+/* A send is over: the answer is passed on, or the request goes elsewhere. */
+void exchange_over(exchange_t *x, sent_t how, ms_t now)
+{
+	bool resumable = x->req.route->stream && (!x->begun || x->has_last);
+	bool answered = how == SENT_WHOLE || how == SENT_FAILED;
+	verdict_next_t next;
+
+	if (how != SENT_WHOLE)
+		log_line(LOG_INFO, "send_failed",
+			 "id=%s server=%s how=%d status=%d events=%u",
+			 x->id ? x->id : "-", x->req.server->id, how,
+			 x->status, x->events);
+	if (x->begun && how == SENT_FAILED)
+		answered = false;
+	next = edge_sent(x->relay->edge, &x->req, how, resumable, now);
+	if (next == NEXT_AGAIN)
+		return;
+	if (answered)
+		finish(x);
+	else
+		fail(x, how, now);
+}
+
+static void expire(exchange_t *x, ms_t now)
+{
+	bool unsent = x->lane && link_connecting(x->lane->conn) &&
+		      x->req.sends == 0;
+
+	if (x->lane)
+		lane_drop(x->lane);
+	edge_drop(x->relay->edge, &x->req, now);
+	if (x->begun)
+		cut(x, "time is up");
+	else if (unsent)
+		answer_own(x, 503, 0, "time is up, not sent");
+	else
+		answer_own(x, 504, 0, "time is up");
+}
+
+/* Looks after a request that is at a server. */
+void exchange_tick(exchange_t *x, ms_t now)
+{
+	relay_t *r = x->relay;
+	lane_t *l = x->lane;
+	request_t *q = &x->req;
+
+	if (q->state != REQUEST_RUNNING || !l)
+		return;
+	if (now >= q->deadline) {
+		expire(x, now);
+	} else if (link_connecting(l->conn)) {
+		if (now - link_opened(l->conn) <= r->conf.connect_time)
+			return;
+		lane_drop(l);
+		exchange_over(x, SENT_NOT, now);
+	} else if (edge_stalled(r->edge, q, now)) {
+		lane_drop(l);
+		exchange_over(x, SENT_LOST, now);
+	}
+}
--- /dev/null
+++ b/lib/relay/priv.h
@@ -0,0 +1,134 @@
+/* Connections and requests in progress, shared by the files of lib/relay. */
+#ifndef RELAY_PRIV_H
+#define RELAY_PRIV_H
+
+#include "net/fns.h"
+#include "relay/fns.h"
+
+enum {
+	KEPT_MAX = 1 << 20,   /* bytes waiting for a caller that takes none */
+	PENDING_MAX = 64 << 10, /* bytes of a caller's next requests */
+};
+
+/* A connection from a caller. */
+struct caller {
+	uv_tcp_t tcp;
+	list_t link;  /* in relay_t.callers */
+	list_t later; /* in relay_t.wake, or alone */
+	relay_t *relay;
+	http_in_t in;
+	writer_t out;
+	exchange_t *x; /* the request in progress */
+	bool running;  /* x has been read whole */
+	GByteArray *pending; /* bytes after the request in progress */
+	ms_t since;	 /* the start of a head, a body or of being idle */
+	bool closing;	 /* nothing more is read; closed once written */
+	bool closed;
+	bool gone;	 /* the other end has closed */
+	bool shut;	 /* our end has said that nothing more follows */
+};
+
+/* A connection to a backend server. */
+typedef struct lane {
+	list_t link; /* in lanes_t.idle, or alone */
+	relay_t *relay;
+	backend_t *server; /* NULL once it is forgotten */
+	link_t *conn;
+	exchange_t *x; /* whose request was sent; NULL while idle */
+	ms_t idle_since;
+	ms_t idle_max;
+} lane_t;
+
+/* The idle connections to one backend server. */
+typedef struct lanes {
+	list_t idle;
+} lanes_t;
+
+/* A caller's request and the answer to it. */
+struct exchange {
+	list_t link;  /* in relay_t.exchanges */
+	list_t later; /* in relay_t.failed, or alone */
+	relay_t *relay;
+	caller_t *caller;
+	request_t req;
+	char *id;
+	char *key;
+	char *host;
+	char *target;
+	call_t call; /* its strings are the ones above */
+	bool is_head;
+	bool has_body;
+	bool close; /* the caller asks to close after the answer */
+	GByteArray *pass;
+	GByteArray *body;
+
+	lane_t *lane;
+	int status;
+	bool stray;   /* the answer being read belongs to another request */
+	bool rejected; /* it says that the request was not run */
+	bool wrong;    /* it comes from another server */
+	bool unstamped;
+	bool streaming;
+	bool begun; /* bytes of an answer went to the caller */
+	bool has_last;
+	uint64_t last_event;
+	unsigned int events;
+	events_t ev;
+	GByteArray *head; /* of the answer, as the caller gets it */
+	GByteArray *content;
+	GByteArray *chunk; /* whole events of this read */
+	ms_t first_at;
+};
+
+struct relay {
+	uv_loop_t *loop;
+	relay_conf_t conf;
+	edge_t *edge;
+	const codec_t *codec;
+	counters_t *counters;
+	uv_tcp_t listener;
+	bool listening;
+	uv_timer_t soon;
+	list_t wake;   /* callers to look at again */
+	list_t failed; /* exchanges whose send failed at once */
+	list_t callers;
+	list_t exchanges;
+	size_t ncallers;
+	bool draining;
+	ms_t drain_at;
+	counter_t *requests;
+	counter_t *connects;
+	counter_t *reused;
+	counter_t *strays;
+};
+
+/* caller.c */
+void caller_accept(relay_t *r);
+void caller_answer(caller_t *c, int status, ms_t after, const char *text);
+void caller_write(caller_t *c, const GByteArray *a);
+void caller_done(caller_t *c, bool keep);
+void caller_cut(caller_t *c);
+void caller_wake(caller_t *c);
+void caller_close(caller_t *c);
+void caller_tick(caller_t *c, ms_t now);
+
+/* exchange.c */
+exchange_t *exchange_new(caller_t *c, const http_head_t *h);
+void exchange_start(exchange_t *x, ms_t now);
+void exchange_abort(exchange_t *x, const char *why, ms_t now);
+void exchange_tick(exchange_t *x, ms_t now);
+void exchange_over(exchange_t *x, sent_t how, ms_t now);
+void exchange_refuse(exchange_t *x, code_t code, ms_t after);
+void exchange_head(exchange_t *x, const http_head_t *h);
+void exchange_body(exchange_t *x, str_t data);
+bool exchange_end(exchange_t *x);
+
+/* lane.c */
+void lane_send(exchange_t *x);
+void lane_drop(lane_t *l);
+void lane_tick(backend_t *b, ms_t now);
+
+/* relay.c */
+void relay_soon(relay_t *r);
+
+#endif
--- /dev/null
+++ b/lib/relay/relay.c
@@ -0,0 +1,161 @@
+/* The relay as a whole: listener, clock, and the end of the process. */
+#include "relay/priv.h"
+
+enum {
+	BACKLOG = 1024,
+};
+
+void relay_wake_callers(relay_t *r);
+
+static void on_soon(uv_timer_t *t)
+{
+	relay_t *r = t->data;
+	ms_t now = clock_now();
+
+	while (!list_empty(&r->failed)) {
+		exchange_t *x = list_entry(r->failed.next, exchange_t, later);
+
+		list_del(&x->later);
+		list_init(&x->later);
+		exchange_over(x, SENT_NOT, now);
+	}
+	relay_wake_callers(r);
+}
+
+/* Has what was put off looked at in the next turn of the loop. */
+void relay_soon(relay_t *r)
+{
+	if (!uv_is_active((uv_handle_t *)&r->soon))
+		uv_timer_start(&r->soon, on_soon, 0, 0);
+}
+
+/* Makes a relay that does not listen yet. */
+relay_t *relay_new(uv_loop_t *loop, const relay_conf_t *conf, edge_t *edge,
+		   const codec_t *codec, counters_t *counters)
+{
+	relay_t *r = g_new0(relay_t, 1);
+
+	r->loop = loop;
+	r->conf = *conf;
+	r->edge = edge;
+	r->codec = codec;
+	r->counters = counters;
+	list_init(&r->wake);
+	list_init(&r->failed);
+	list_init(&r->callers);
+	list_init(&r->exchanges);
+	uv_timer_init(loop, &r->soon);
+	r->soon.data = r;
+	r->requests = counter_get(counters, "edge_requests_total", NULL);
+	r->connects = counter_get(counters, "edge_server_connects_total", NULL);
+	r->reused = counter_get(counters, "edge_server_reuses_total", NULL);
+	r->strays = counter_get(counters, "edge_stray_answers_total", NULL);
+	return r;
+}
+
+static void on_accept(uv_stream_t *listener, int status)
+{
+	relay_t *r = listener->data;
+
+	if (status < 0)
+		log_line(LOG_WARN, "accept_failed", "why=%s",
+			 uv_err_name(status));
+	else
+		caller_accept(r);
+}
+
+/* Takes callers. CODE_UNREACHABLE: the address is not to be had. */
+code_t relay_listen(relay_t *r)
+{
+	int err;
+
+	uv_tcp_init(r->loop, &r->listener);
+	r->listener.data = r;
+	r->listening = true;
+	err = tcp_listen(&r->listener, &r->conf.callers, BACKLOG, on_accept);
+	if (err)
+		log_line(LOG_ERROR, "listen_failed", "port=%u why=%s",
+			 r->conf.callers.port, uv_err_name(err));
+	return err ? CODE_UNREACHABLE : CODE_OK;
+}
+
+static exchange_t *exchange_of(request_t *req)
+{
+	return list_entry(req, exchange_t, req);
+}
+
+/* Sends a request to the server that the edge chose. */
+void relay_send(relay_t *r, request_t *req)
+{
+	(void)r;
+	lane_send(exchange_of(req));
+}
+
+/* Answers a request that the edge gave up. */
+void relay_refuse(relay_t *r, request_t *req, code_t code, ms_t after)
+{
+	(void)r;
+	exchange_refuse(exchange_of(req), code, after);
+}
+
+/* Begins the end: answers are finished, connections then closed. */
+void relay_drain(relay_t *r, ms_t now)
+{
+	r->draining = true;
+	r->drain_at = now;
+}
+
+/* Whether no caller is connected any more. */
+bool relay_idle(const relay_t *r)
+{
+	return list_empty(&r->callers);
+}
+
+/* Looks after everything in progress. To be called every few tens of ms. */
+void relay_tick(relay_t *r, ms_t now)
+{
+	list_t *pos;
+	list_t *tmp;
+
+	list_for_each_safe(pos, tmp, &r->exchanges)
+	{
+		exchange_tick(list_entry(pos, exchange_t, link), now);
+	}
+	list_for_each_safe(pos, tmp, &r->callers)
+	{
+		caller_tick(list_entry(pos, caller_t, link), now);
+	}
+	if (r->draining && r->listening &&
+	    now - r->drain_at > r->conf.stop_wait) {
+		r->listening = false;
+		uv_close((uv_handle_t *)&r->listener, NULL);
+	}
+}
+
+/* Cuts what is left open. */
+void relay_close(relay_t *r)
+{
+	ms_t now = clock_now();
+	list_t *pos;
+	list_t *tmp;
+
+	list_for_each_safe(pos, tmp, &r->callers)
+	{
+		caller_t *c = list_entry(pos, caller_t, link);
+
+		if (c->x)
+			exchange_abort(c->x, "stopping", now);
+		c->x = NULL;
+		caller_close(c);
+	}
+	if (r->listening)
+		uv_close((uv_handle_t *)&r->listener, NULL);
+	r->listening = false;
+	uv_close((uv_handle_t *)&r->soon, NULL);
+}
+
+/* Frees the relay once the loop has run to its end. */
+void relay_free(relay_t *r)
+{
+	g_free(r);
+}
--- /dev/null
+++ b/lib/relay/writer.c
@@ -0,0 +1,92 @@
+/* Writing: at once where the system takes it, else as it has room. */
+#include <string.h>
+#include "relay/fns.h"
+
+/* Prepares a writer; drained is told when nothing is kept any more. */
+void writer_init(writer_t *w, uv_stream_t *to, void (*drained)(void *ctx),
+		 void *ctx)
+{
+	memset(w, 0, sizeof(*w));
+	w->to = to;
+	w->drained = drained;
+	w->ctx = ctx;
+}
+
+static void next(writer_t *w);
+
+static void on_written(uv_write_t *req, int status)
+{
+	writer_t *w = req->data;
+
+	w->busy = false;
+	if (w->writing)
+		g_byte_array_set_size(w->writing, 0);
+	if (status < 0) {
+		w->failed = true;
+		return;
+	}
+	w->wrote = true;
+	next(w);
+	if (!w->busy && w->drained)
+		w->drained(w->ctx);
+}
+
+/* Hands what is kept to the loop. */
+static void next(writer_t *w)
+{
+	GByteArray *was = w->writing;
+	uv_buf_t buf;
+
+	if (w->busy || !w->kept || w->kept->len == 0)
+		return;
+	w->writing = w->kept;
+	w->kept = was;
+	buf = uv_buf_init((char *)w->writing->data, w->writing->len);
+	w->req.data = w;
+	w->busy = uv_write(&w->req, w->to, &buf, 1, on_written) == 0;
+	if (!w->busy)
+		w->failed = true;
+}
+
+/* Writes bytes, or keeps a copy of those that the system doesn't take now. */
+void writer_put(writer_t *w, const void *p, size_t n)
+{
+	uv_buf_t buf = uv_buf_init((char *)p, (unsigned int)n);
+	int took = 0;
+
+	if (w->failed || n == 0)
+		return;
+	if (!w->busy && (!w->kept || w->kept->len == 0)) {
+		took = uv_try_write(w->to, &buf, 1);
+		if (took < 0 && took != UV_EAGAIN) {
+			w->failed = true;
+			return;
+		}
+		took = MAX(took, 0);
+		w->wrote = w->wrote || took > 0;
+	}
+	if ((size_t)took == n)
+		return;
+	if (!w->kept)
+		w->kept = g_byte_array_new();
+	g_byte_array_append(w->kept, (const guint8 *)p + took, n - took);
+	next(w);
+}
+
+/* Bytes that the system has not taken yet. */
+size_t writer_kept(const writer_t *w)
+{
+	return (w->kept ? w->kept->len : 0) +
+	       (w->busy && w->writing ? w->writing->len : 0);
+}
+
+/* Frees the buffers; the connection must be closed. */
+void writer_clear(writer_t *w)
+{
+	if (w->kept)
+		g_byte_array_free(w->kept, TRUE);
+	if (w->writing)
+		g_byte_array_free(w->writing, TRUE);
+	w->kept = NULL;
+	w->writing = NULL;
+}
--- a/test/peers.c
+++ b/test/peers.c
@@ -583,7 +583,7 @@
 	tcase_add_test(t, greetings_are_bounded);
 	tcase_add_test(t, busy_port_is_told);
 	suite_add_tcase(s, t);
-	log_open(stderr, LOG_ERROR);
+	log_open(2, LOG_ERROR, false);
 	srunner_run_all(run, CK_NORMAL);
 	failed = srunner_ntests_failed(run);
 	srunner_free(run);
