Quotas over all hosts; a reset that comes with the last data is no end

Each now keeps a view of one bucket, emptied by what the others say they sent (direct connections, lib/net/peers, found through a topic of our own); a host not heard counts as using an equal part. Ruled out: a wrong framing decision (the head had no length) and the engine closing in order.

--- a/cmd/chestnuthinged/edged.c
+++ b/cmd/chestnuthinged/edged.c
@@ -6,6 +6,7 @@
 #include <signal.h>
 #include "adapter.h"
 #include "edged.h"
+#include "mates.h"
 #include "net/fns.h"
 
 enum {
@@ -18,6 +19,8 @@
 	SERVERS_PAUSE_MS = 250, /* entries are rewritten by heartbeats: read a
 				   few at a time */
 	SERVERS_WAIT_MS = 1200,
+	HOSTS_WAIT_MS = 10000, /* hosts come seldom, and are told of late
+				  without harm */
 };
 
 static const double retry_use = 0.85; /* of the ratio: windows overlap */
@@ -36,6 +39,11 @@
 	pages_t *pages;
 	follow_t *orders;
 	follow_t *servers;
+	follow_t *hosts;
+	announce_t *announce;
+	mates_t *mates;
+	GString *config_text; /* of the configuration in force */
+	uint64_t inc;
 	bool servers_known;
 	bool stopping;
 	ms_t stop_at;
@@ -72,40 +80,74 @@
 		 key.p, why);
 }
 
-/* What the operator wrote. */
-static void on_order(void *ctx, str_t key, str_t value)
+static void take_config(edged_t *d, str_t key, str_t text, const char *from)
 {
-	edged_t *d = ctx;
 	desired_t *desired = NULL;
 	const char *why;
 	uint64_t version;
 
-	if (!adapter_is_config(key) || value.n == 0)
-		return;
-	if (adapter_desired(value, &desired, &why)) {
+	if (adapter_desired(text, &desired, &why)) {
 		bad_record(d, key, why);
 		return;
 	}
 	version = desired->version;
-	if (edge_configure(d->edge, desired))
-		log_line(LOG_INFO, "config_in_force", "version=%" PRIu64,
-			 version);
+	if (!edge_configure(d->edge, desired))
+		return;
+	g_string_truncate(d->config_text, 0);
+	g_string_append_len(d->config_text, text.p, (gssize)text.n);
+	log_line(LOG_INFO, "config_in_force", "version=%" PRIu64 " from=%s",
+		 version, from);
+}
+
+/* What the operator wrote. */
+static void on_order(void *ctx, str_t key, str_t value)
+{
+	edged_t *d = ctx;
+
+	if (adapter_is_config(key) && value.n > 0)
+		take_config(d, key, value, "store");
+}
+
+static str_t config_text(void *ctx)
+{
+	edged_t *d = ctx;
+
+	return (str_t){ d->config_text->str, d->config_text->len };
+}
+
+static void on_mate_config(void *ctx, str_t text)
+{
+	take_config(ctx, str_of("config"), text, "host");
+}
+
+static const mates_ops_t mates_ops = { config_text, on_mate_config };
+
+/* Where another edge host is. */
+static void on_host(void *ctx, str_t key, str_t value)
+{
+	edged_t *d = ctx;
+
+	mates_host(d->mates, key, value);
 }
 
-static void on_orders_listing(void *ctx)
+static void ignore_listing(void *ctx)
 {
 	(void)ctx;
 }
 
-static void on_orders_reachable(void *ctx, bool yes)
+static void ignore_reachable(void *ctx, bool yes)
 {
 	(void)ctx;
 	(void)yes;
 }
 
-static const follow_ops_t orders_ops = { on_order, on_orders_listing,
-					 on_orders_listing,
-					 on_orders_reachable };
+static const follow_ops_t orders_ops = { on_order, ignore_listing,
+					 ignore_listing,
+					 ignore_reachable };
+
+static const follow_ops_t hosts_ops = { on_host, ignore_listing,
+					ignore_listing,
+					ignore_reachable };
 
 /* What the backend servers wrote. */
 static void on_server(void *ctx, str_t key, str_t value)
@@ -195,6 +237,9 @@
 	pages_close(d->pages);
 	follow_free(d->orders);
 	follow_free(d->servers);
+	follow_free(d->hosts);
+	announce_free(d->announce);
+	mates_close(d->mates);
 }
 
 static void check_end(edged_t *d, ms_t now)
@@ -213,6 +258,9 @@
 
 	follow_tick(d->orders, now);
 	follow_tick(d->servers, now);
+	follow_tick(d->hosts, now);
+	announce_tick(d->announce, now);
+	mates_tick(d->mates, now);
 	roster_tick(d->roster, now);
 	edge_tick(d->edge, now);
 	relay_tick(d->relay, now);
@@ -249,7 +297,8 @@
 		.seed = random_u64(),
 		.retry_ratio = set->retry_ratio * retry_use,
 		.retry_window = (ms_t)set->retry_window_s * MS_PER_S,
-		.quota_window = (ms_t)set->quota_window_s * MS_PER_S,
+		.retry_slack = (double)set->retry_slack,
+		.quota_tolerance = set->quota_tolerance,
 		.drain = set->drain,
 	};
 	relay_conf_t rconf = {
@@ -264,6 +313,8 @@
 	d->relay = relay_new(&d->loop, &rconf, d->edge, &adapter_codec,
 			     d->counters);
 	d->roster = roster_new(d->edge);
+	d->mates = mates_new(&d->loop, d->edge, set, d->inc, &mates_ops, d,
+			     d->counters);
 }
 
 static void follow_all(edged_t *d)
@@ -271,19 +322,27 @@
 	follow_conf_t conf = { .store = d->set->store,
 			       .topic = adapter_topic_orders(),
 			       .wait = ORDERS_WAIT_MS };
+	char where[64];
 
 	d->orders = follow_new(&d->loop, &conf, &orders_ops, d, d->counters);
 	conf.topic = adapter_topic_servers();
 	conf.wait = SERVERS_WAIT_MS;
 	conf.pause = SERVERS_PAUSE_MS;
 	d->servers = follow_new(&d->loop, &conf, &servers_ops, d, d->counters);
+	conf.topic = adapter_topic_hosts();
+	conf.wait = HOSTS_WAIT_MS;
+	d->hosts = follow_new(&d->loop, &conf, &hosts_ops, d, d->counters);
+	addr_print(&d->set->peers, where);
+	d->announce = announce_new(&d->loop, &d->set->store, d->set->name,
+				   where);
 }
 
 static bool listen_all(edged_t *d, GError **err)
 {
 	d->pages = pages_new(&d->loop, on_page, d);
 	if (relay_listen(d->relay) == CODE_OK &&
-	    pages_listen(d->pages, &d->set->ready) == CODE_OK)
+	    pages_listen(d->pages, &d->set->ready) == CODE_OK &&
+	    mates_listen(d->mates) == CODE_OK)
 		return true;
 	g_set_error(err, code_quark(), CODE_UNREACHABLE,
 		    "cannot listen for callers on port %u, ready on port %u",
@@ -294,6 +353,7 @@
 static void dispose(edged_t *d)
 {
 	uv_run(&d->loop, UV_RUN_DEFAULT);
+	mates_free(d->mates);
 	roster_free(d->roster);
 	edge_free(d->edge);
 	uv_run(&d->loop, UV_RUN_DEFAULT);
@@ -302,6 +362,7 @@
 	uv_loop_close(&d->loop);
 	counters_free(d->counters);
 	edge_settings_free(d->set);
+	g_string_free(d->config_text, TRUE);
 	g_free(d);
 }
 
@@ -310,6 +371,8 @@
 	edged_t *d = g_new0(edged_t, 1);
 
 	d->set = set;
+	d->inc = random_u64();
+	d->config_text = g_string_new(NULL);
 	d->counters = counters_new();
 	d->bad_records =
 		counter_get(d->counters, "edge_bad_records_total", NULL);
--- /dev/null
+++ b/cmd/chestnuthinged/mates.c
@@ -0,0 +1,236 @@
+/*
+ * What edge hosts tell one another directly: that they live, what they sent
+ * for each customer, and which configuration they hold. Each speaks for itself
+ * only, so a message costs the same whatever the number of hosts.
+ */
+#include <inttypes.h>
+#include <string.h>
+#include "mates.h"
+
+enum {
+	TELL_MS = 100,	      /* quotas are off by what is sent meanwhile */
+	TELL_FOR_EACH_MS = 8, /* more for each host, so that a host's messages
+				 cost a few hundred writes a second at most */
+	FRAME_MAX = 8 << 20,  /* bytes: a configuration */
+	QUEUE_MAX = 16 << 20, /* bytes */
+	HEARTBEAT_MS = 400,
+	SILENT_MS = 1500,
+	RETRY_BASE_MS = 100,
+	RETRY_MAX_MS = 3000,
+	KEYS_MAX = 512, /* customers told in one message */
+};
+
+/* Names of what a message tells. */
+static const char key_config[] = "config";
+static const char key_sent[] = "sent/";
+
+struct mates {
+	edge_t *edge;
+	const edge_settings_t *set;
+	const mates_ops_t *ops;
+	void *ctx;
+	peers_t *peers;
+	GHashTable *names; /* name by incarnation, of those that are up */
+	ms_t next;
+	GArray *kv;    /* fact_kv_t, of the message being made */
+	GPtrArray *keys; /* its strings */
+	ms_t asked_at; /* for a configuration */
+};
+
+static void on_up(void *ctx, const msg_hello_t *who)
+{
+	mates_t *m = ctx;
+	uint64_t *inc = g_memdup2(&who->inc, sizeof(who->inc));
+
+	g_hash_table_replace(m->names, inc, str_dup(who->name));
+}
+
+static void on_down(void *ctx, uint64_t inc)
+{
+	mates_t *m = ctx;
+
+	g_hash_table_remove(m->names, &inc);
+}
+
+static void ask_config(mates_t *m, uint64_t inc, uint64_t version, ms_t now)
+{
+	desired_t *d = edge_desired(m->edge);
+	msg_t ask = { .type = MSG_CONF_GET };
+
+	if ((d && d->version >= version) ||
+	    now - m->asked_at < m->set->config / 4)
+		return;
+	m->asked_at = now;
+	ask.u.conf_get.newer_than = d ? d->version : 0;
+	peers_send(m->peers, inc, &ask);
+}
+
+static void take_facts(mates_t *m, uint64_t inc, const char *name,
+		       const msg_facts_t *f)
+{
+	ms_t now = clock_now();
+	size_t skip = strlen(key_sent);
+
+	edge_host_heard(m->edge, name, inc, now);
+	for (size_t i = 0; i < f->n; i++) {
+		str_t key = f->kv[i].key;
+		char *customer;
+
+		if (str_eq(key, str_of(key_config))) {
+			ask_config(m, inc, f->kv[i].value, now);
+		} else if (key.n > skip && memcmp(key.p, key_sent, skip) == 0) {
+			customer = g_strndup(key.p + skip, key.n - skip);
+			edge_host_sent(m->edge, name, customer,
+				       (double)f->kv[i].value);
+			g_free(customer);
+		}
+	}
+}
+
+static void give_config(mates_t *m, uint64_t inc, uint64_t newer_than)
+{
+	desired_t *d = edge_desired(m->edge);
+	msg_t give = { .type = MSG_CONF };
+
+	if (!d || d->version <= newer_than)
+		return;
+	give.u.conf.offset = d->version;
+	give.u.conf.text = m->ops->config_text(m->ctx);
+	peers_send(m->peers, inc, &give);
+}
+
+static void on_recv(void *ctx, uint64_t inc, const msg_t *msg)
+{
+	mates_t *m = ctx;
+	const char *name = g_hash_table_lookup(m->names, &inc);
+
+	if (!name)
+		return;
+	if (msg->type == MSG_FACTS)
+		take_facts(m, inc, name, &msg->u.facts);
+	else if (msg->type == MSG_CONF_GET)
+		give_config(m, inc, msg->u.conf_get.newer_than);
+	else if (msg->type == MSG_CONF)
+		m->ops->config(m->ctx, msg->u.conf.text);
+}
+
+/* Makes the table of other hosts; nobody is connected to yet. */
+mates_t *mates_new(uv_loop_t *loop, edge_t *edge, const edge_settings_t *set,
+		   uint64_t inc, const mates_ops_t *ops, void *ctx,
+		   counters_t *counters)
+{
+	static const peers_ops_t peers_ops = { on_up, on_down, on_recv };
+	mates_t *m = g_new0(mates_t, 1);
+	peers_conf_t conf = { .role = ROLE_EDGE,
+			      .name = set->name,
+			      .data_center = set->data_center,
+			      .inc = inc,
+			      .key = { (char *)set->key, set->key_len },
+			      .frame_max = FRAME_MAX,
+			      .queue_max = QUEUE_MAX,
+			      .heartbeat = HEARTBEAT_MS,
+			      .silent = SILENT_MS,
+			      .retry_base = RETRY_BASE_MS,
+			      .retry_max = RETRY_MAX_MS };
+
+	m->edge = edge;
+	m->set = set;
+	m->ops = ops;
+	m->ctx = ctx;
+	m->names = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
+					 g_free);
+	m->kv = g_array_new(FALSE, FALSE, sizeof(fact_kv_t));
+	m->keys = g_ptr_array_new_with_free_func(g_free);
+	m->peers = peers_new(loop, &conf, &peers_ops, m, counters);
+	return m;
+}
+
+/* Takes connections of other hosts. CODE_UNREACHABLE: no such address. */
+code_t mates_listen(mates_t *m)
+{
+	return peers_listen(m->peers, &m->set->peers);
+}
+
+/*
+ * A host's record in the store. Of two hosts the one whose name comes first
+ * connects, so that there is one connection between them.
+ */
+void mates_host(mates_t *m, str_t name, str_t value)
+{
+	char *who = str_dup(name);
+	char *where = str_dup(value);
+	addr_t at;
+
+	if (strcmp(who, m->set->name) == 0) {
+		g_free(who);
+		g_free(where);
+		return;
+	}
+	if (value.n == 0) {
+		edge_host_unlisted(m->edge, who);
+		peers_forget(m->peers, who);
+	} else if (!addr_parse(where, &at)) {
+		log_line(LOG_WARN, "host_bad", "host=%s address=\"%s\"", who,
+			 where);
+	} else {
+		log_line(LOG_INFO, "host_listed", "host=%s address=%s", who,
+			 where);
+		edge_host_listed(m->edge, who);
+		if (strcmp(m->set->name, who) < 0)
+			peers_connect(m->peers, who, &at);
+	}
+	g_free(who);
+	g_free(where);
+}
+
+static void add(mates_t *m, char *key, uint64_t value)
+{
+	fact_kv_t kv = { str_of(key), value };
+
+	g_ptr_array_add(m->keys, key);
+	if (m->kv->len < KEYS_MAX)
+		g_array_append_val(m->kv, kv);
+}
+
+static void add_use(void *ctx, const char *customer, double sent)
+{
+	add(ctx, g_strconcat(key_sent, customer, NULL), (uint64_t)sent);
+}
+
+/* Tells the other hosts, when it is time to. */
+void mates_tick(mates_t *m, ms_t now)
+{
+	unsigned int up = g_hash_table_size(m->names);
+	desired_t *d = edge_desired(m->edge);
+	msg_t msg = { .type = MSG_FACTS };
+	GHashTableIter it;
+	gpointer inc;
+
+	if (now < m->next || up == 0)
+		return;
+	m->next = now + TELL_MS + (ms_t)up * TELL_FOR_EACH_MS;
+	g_array_set_size(m->kv, 0);
+	g_ptr_array_set_size(m->keys, 0);
+	add(m, g_strdup(key_config), d ? d->version : 0);
+	edge_each_use(m->edge, add_use, m);
+	msg.u.facts.n = m->kv->len;
+	msg.u.facts.kv = (fact_kv_t *)m->kv->data;
+	g_hash_table_iter_init(&it, m->names);
+	while (g_hash_table_iter_next(&it, &inc, NULL))
+		peers_send(m->peers, *(uint64_t *)inc, &msg);
+}
+
+/* Closes all connections; the loop must run before mates_free. */
+void mates_close(mates_t *m)
+{
+	peers_close(m->peers, NULL, NULL);
+}
+
+/* Frees the table. */
+void mates_free(mates_t *m)
+{
+	g_hash_table_destroy(m->names);
+	g_array_free(m->kv, TRUE);
+	g_ptr_array_free(m->keys, TRUE);
+	g_free(m);
+}
--- /dev/null
+++ b/cmd/chestnuthinged/mates.h
@@ -0,0 +1,26 @@
+/* What edge hosts tell one another directly. */
+#ifndef MATES_H
+#define MATES_H
+
+#include "edge/fns.h"
+#include "net/fns.h"
+
+typedef struct mates mates_t;
+
+typedef struct mates_ops {
+	/* The text of the configuration in force; empty before the first. */
+	str_t (*config_text)(void *ctx);
+	/* Another host sent its configuration. */
+	void (*config)(void *ctx, str_t text);
+} mates_ops_t;
+
+mates_t *mates_new(uv_loop_t *loop, edge_t *edge, const edge_settings_t *set,
+		   uint64_t inc, const mates_ops_t *ops, void *ctx,
+		   counters_t *counters);
+code_t mates_listen(mates_t *m);
+void mates_host(mates_t *m, str_t name, str_t value);
+void mates_tick(mates_t *m, ms_t now);
+void mates_close(mates_t *m);
+void mates_free(mates_t *m);
+
+#endif
--- a/lib/conf/dat.h
+++ b/lib/conf/dat.h
@@ -7,6 +7,7 @@
 typedef enum role {
 	ROLE_ENTRY,
 	ROLE_SIDECAR,
+	ROLE_EDGE, /* has settings of its own, edge_settings_t */
 } role_t;
 
 /* An IP address with a port. */
@@ -65,14 +66,18 @@
 	log_level_t log_level;
 	addr_t callers;
 	addr_t ready;
+	addr_t peers; /* where other edge hosts connect */
 	addr_t store;
+	uint8_t *key; /* the fleet's key */
+	size_t key_len;
+	char *key_text;
 	ms_t drain;	     /* a leaving server gets nothing new after this */
 	ms_t config;	     /* a configuration acts within this */
 	size_t grace_s;	     /* from the order to stop to the kill, seconds */
 	double retry_ratio;  /* repeated sends, by requests, over all hosts */
 	size_t retry_slack;  /* repeated sends beyond that, over all hosts */
 	size_t retry_window_s;
-	size_t quota_window_s;
+	double quota_tolerance; /* more than a quota, by it, that is let pass */
 	size_t connections_max;
 } edge_settings_t;
 
--- a/lib/conf/edge.c
+++ b/lib/conf/edge.c
@@ -1,4 +1,5 @@
 /* The settings file of an edge host. */
+#include <string.h>
 #include "conf/priv.h"
 
 enum {
@@ -23,12 +24,17 @@
 static const field_t listen_fields[] = {
 	{ "callers", FIELD_ADDR, AT(callers), true, 0, 0, NULL },
 	{ "ready", FIELD_ADDR, AT(ready), true, 0, 0, NULL },
+	{ "peers", FIELD_ADDR, AT(peers), true, 0, 0, NULL },
 };
 
 static const field_t store_fields[] = {
 	{ "address", FIELD_ADDR, AT(store), true, 0, 0, NULL },
 };
 
+static const field_t fleet_fields[] = {
+	{ "key", FIELD_TEXT, AT(key_text), true, 0, 0, NULL },
+};
+
 static const field_t limits_fields[] = {
 	{ "connections", FIELD_SIZE, AT(connections_max), false, 1,
 	  CONNECTIONS_MAX, NULL },
@@ -44,8 +50,8 @@
 	  NULL },
 	{ "retry_window_s", FIELD_SIZE, AT(retry_window_s), false, 1,
 	  SECONDS_MAX, NULL },
-	{ "quota_window_s", FIELD_SIZE, AT(quota_window_s), false, 1,
-	  SECONDS_MAX, NULL },
+	{ "quota_tolerance", FIELD_RATIO, AT(quota_tolerance), false, 0,
+	  RATIO_MAX, NULL },
 };
 
 static void *begin(scan_t *s, const char *arg)
@@ -62,6 +68,7 @@
 static const section_t sections[] = {
 	ROW("process", process_fields, true),
 	ROW("listen", listen_fields, true),
+	ROW("fleet", fleet_fields, true),
 	ROW("store", store_fields, true),
 	ROW("limits", limits_fields, false),
 	ROW("bounds", bounds_fields, false),
@@ -76,10 +83,24 @@
 	s->retry_ratio = 0.1;
 	s->retry_slack = 0;
 	s->retry_window_s = 10;
-	s->quota_window_s = 8;
 	s->connections_max = 3000;
 }
 
+/* Decodes the fleet's key. */
+static bool key_set(scan_t *s, edge_settings_t *out)
+{
+	out->key_len = strlen(out->key_text) / 2;
+	out->key = g_malloc0(out->key_len + 1);
+	if (out->key_len >= KEY_BYTES_MIN &&
+	    hex_decode(out->key_text, out->key, out->key_len))
+		return true;
+	s->err = g_error_new(code_quark(), CODE_BAD_TYPE,
+			     "%s: [fleet] key: expected at least %d bytes as "
+			     "hexadecimal digits",
+			     s->file, KEY_BYTES_MIN);
+	return false;
+}
+
 /*
  * Reads settings from text; name is the file's name, for messages. Returns
  * NULL with an error whose code is one of the 1xx group.
@@ -93,7 +114,7 @@
 
 	set_defaults(out);
 	scan_init(&s, name, text, sections, G_N_ELEMENTS(sections), out);
-	ok = scan_run(&s);
+	ok = scan_run(&s) && key_set(&s, out);
 	if (!ok)
 		g_propagate_error(err, s.err);
 	scan_clear(&s);
@@ -123,5 +144,7 @@
 		return;
 	g_free(s->name);
 	g_free(s->data_center);
+	g_free(s->key_text);
+	g_free(s->key);
 	g_free(s);
 }
--- a/lib/edge/budget.c
+++ b/lib/edge/budget.c
@@ -5,6 +5,8 @@
  */
 #include "edge/priv.h"
 
+static const double slack_use = 0.5; /* the rest is for hosts not listed yet */
+
 /* Counts a request that callers sent for the service. */
 void budget_earn(pool_t *p, ms_t now)
 {
@@ -15,7 +17,7 @@
 bool budget_spend(edge_t *e, pool_t *p, ms_t now)
 {
 	double most = window_sum(&p->asked, now) * e->conf.retry_ratio +
-		      e->retry_slack;
+		      e->conf.retry_slack * slack_use / e->hosts;
 
 	if (window_sum(&p->repeats, now) + 1 > most)
 		return false;
--- a/lib/edge/dat.h
+++ b/lib/edge/dat.h
@@ -156,7 +156,8 @@
 	double prompt; /* tokens */
 	double output; /* tokens, expected */
 	double tokens; /* that count against the customer's quota */
-	double worth;  /* relative to its kind, by size */
+	double cost;   /* taken from the customer's quota */
+	bool charged;  /* and told to the other hosts */
 	unsigned int sends; /* that may have run */
 	unsigned int arrivals;
 	uint32_t tried[TRIED_MAX]; /* serials of servers */
@@ -189,7 +190,8 @@
 	uint64_t seed;
 	double retry_ratio; /* sends beyond the first, by requests */
 	ms_t retry_window;
-	ms_t quota_window;
+	double quota_tolerance; /* more than the quota, by it, that is let pass */
+	double retry_slack; /* sends beyond the ratio, over all hosts */
 	ms_t drain;
 } edge_conf_t;
 
--- a/lib/edge/edge.c
+++ b/lib/edge/edge.c
@@ -36,7 +36,7 @@
 	e->by_id = g_hash_table_new(g_str_hash, g_str_equal);
 	e->quotas = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 					  g_free);
-	e->quota_share = 1;
+	hosts_init(e);
 	e->counters = counters;
 	return e;
 }
@@ -53,6 +53,7 @@
 	g_hash_table_destroy(e->pools);
 	g_hash_table_destroy(e->by_id);
 	g_hash_table_destroy(e->quotas);
+	hosts_clear(e);
 	g_rand_free(e->rand);
 	g_free(e);
 }
@@ -78,19 +79,6 @@
 	return e->desired;
 }
 
-/* Sets the part of shared limits that this host may use by itself. */
-void edge_set_share(edge_t *e, double quota_share, double retry_slack)
-{
-	GHashTableIter it;
-	gpointer q;
-
-	e->quota_share = quota_share;
-	e->retry_slack = retry_slack;
-	g_hash_table_iter_init(&it, e->quotas);
-	while (g_hash_table_iter_next(&it, NULL, &q))
-		((quota_t *)q)->share = quota_share;
-}
-
 static void run(edge_t *e, request_t *r, backend_t *b, ms_t now)
 {
 	r->state = REQUEST_RUNNING;
@@ -101,6 +89,9 @@
 	r->arrivals++;
 	if (r->ntried < TRIED_MAX)
 		r->tried[r->ntried++] = b->serial;
+	if (r->customer && !r->charged)
+		quota_sent(e, r->customer, r->cost);
+	r->charged = true;
 	b->running++;
 	list_add_tail(&b->runs, &r->run);
 	e->ops->send(e->ctx, r);
@@ -152,7 +143,6 @@
 {
 	const edge_customer_t *c = r->customer;
 	pool_t *p = pool_get(e, choose_split(e, r->route));
-	double cost;
 	ms_t wait;
 
 	r->pool = p;
@@ -163,8 +153,8 @@
 		return;
 	}
 	if (c) {
-		cost = quota_cost(c, r->tokens);
-		wait = quota_take(e, c, cost, now);
+		r->cost = quota_cost(c, r->tokens);
+		wait = quota_take(e, c, r->cost, now);
 		if (wait > 0) {
 			refuse(e, r, CODE_OVER_LIMIT, wait);
 			return;
@@ -286,7 +276,7 @@
 	pool_t *p = r->pool;
 
 	if (r->state == REQUEST_WAITING)
-		queue_remove(r);
+		queue_abandon(e, r);
 	else if (r->state == REQUEST_RUNNING)
 		leave_server(e, r, now);
 	r->state = REQUEST_ENDED;
@@ -325,6 +315,7 @@
 	GHashTableIter it;
 	gpointer p;
 
+	hosts_tick(e, now);
 	g_hash_table_iter_init(&it, e->pools);
 	while (g_hash_table_iter_next(&it, NULL, &p)) {
 		if (((pool_t *)p)->first_mean == 0)
--- a/lib/edge/fns.h
+++ b/lib/edge/fns.h
@@ -29,9 +29,16 @@
 double window_sum(window_t *w, ms_t now);
 
 /* quota.c */
-double quota_cost(const edge_customer_t *c, double tokens);
-ms_t quota_take(edge_t *e, const edge_customer_t *c, double cost, ms_t now);
-void quota_return(edge_t *e, const edge_customer_t *c, double cost);
+void edge_each_use(const edge_t *e,
+		   void (*fn)(void *ctx, const char *customer, double sent),
+		   void *ctx);
+
+/* hosts.c */
+void edge_host_listed(edge_t *e, const char *name);
+void edge_host_unlisted(edge_t *e, const char *name);
+void edge_host_heard(edge_t *e, const char *name, uint64_t inc, ms_t now);
+void edge_host_sent(edge_t *e, const char *name, const char *customer,
+		    double sent);
 
 /* edge.c */
 edge_t *edge_new(const edge_conf_t *conf, const edge_ops_t *ops, void *ctx,
@@ -39,7 +46,6 @@
 void edge_free(edge_t *e);
 bool edge_configure(edge_t *e, desired_t *d);
 desired_t *edge_desired(const edge_t *e);
-void edge_set_share(edge_t *e, double quota_share, double retry_slack);
 void edge_submit(edge_t *e, request_t *r, ms_t now);
 void edge_first(edge_t *e, request_t *r, ms_t now);
 void edge_event(edge_t *e, request_t *r, ms_t now);
--- /dev/null
+++ b/lib/edge/hosts.c
@@ -0,0 +1,123 @@
+/*
+ * The other edge hosts: who is listed, who is heard, and what each has sent
+ * for the customers. Only what a host says of itself is taken from it.
+ */
+#include <string.h>
+#include "edge/priv.h"
+
+enum {
+	SILENT_MS = 700, /* several times the period of their messages */
+};
+
+/* Another host. */
+typedef struct other {
+	uint64_t inc;	  /* of its process; 0 not heard yet */
+	ms_t heard;	  /* 0 never */
+	GHashTable *sent; /* double by customer */
+} other_t;
+
+static void other_free(gpointer p)
+{
+	other_t *o = p;
+
+	g_hash_table_destroy(o->sent);
+	g_free(o);
+}
+
+static other_t *other_get(edge_t *e, const char *name)
+{
+	other_t *o = g_hash_table_lookup(e->others, name);
+
+	if (o)
+		return o;
+	o = g_new0(other_t, 1);
+	o->sent = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					g_free);
+	g_hash_table_insert(e->others, g_strdup(name), o);
+	return o;
+}
+
+/* Makes the table of other hosts. */
+void hosts_init(edge_t *e)
+{
+	e->others = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					  other_free);
+	e->hosts = 1;
+}
+
+/* A host other than this one is listed. */
+void edge_host_listed(edge_t *e, const char *name)
+{
+	other_get(e, name);
+	e->hosts = g_hash_table_size(e->others) + 1;
+	e->hosts_silent = e->hosts - 1;
+}
+
+/* A host is off the list. */
+void edge_host_unlisted(edge_t *e, const char *name)
+{
+	g_hash_table_remove(e->others, name);
+	e->hosts = g_hash_table_size(e->others) + 1;
+}
+
+/* Any word from another host; inc tells its process from earlier ones. */
+void edge_host_heard(edge_t *e, const char *name, uint64_t inc, ms_t now)
+{
+	other_t *o = other_get(e, name);
+
+	if (o->inc != inc)
+		g_hash_table_remove_all(o->sent);
+	if (o->heard == 0 || now - o->heard > SILENT_MS)
+		log_line(LOG_INFO, "host_heard", "host=%s silent_ms=%lld", name,
+			 o->heard ? (long long)(now - o->heard) : -1);
+	o->inc = inc;
+	o->heard = now;
+	e->hosts = g_hash_table_size(e->others) + 1;
+}
+
+/*
+ * Another host's count of what it has sent for a customer, over the life of
+ * its process. The first count heard is where counting begins.
+ */
+void edge_host_sent(edge_t *e, const char *name, const char *customer,
+		    double sent)
+{
+	other_t *o = other_get(e, name);
+	double *had = g_hash_table_lookup(o->sent, customer);
+
+	if (!had) {
+		had = g_new(double, 1);
+		g_hash_table_insert(o->sent, g_strdup(customer), had);
+		*had = sent;
+		return;
+	}
+	if (sent > *had)
+		quota_elsewhere(e, customer, sent - *had);
+	*had = MAX(*had, sent);
+}
+
+/* Counts the hosts that are not heard now. */
+void hosts_tick(edge_t *e, ms_t now)
+{
+	unsigned int silent = 0;
+	GHashTableIter it;
+	gpointer name;
+	gpointer v;
+
+	g_hash_table_iter_init(&it, e->others);
+	while (g_hash_table_iter_next(&it, &name, &v)) {
+		const other_t *o = v;
+
+		silent += o->heard == 0 || now - o->heard > SILENT_MS;
+	}
+	if (silent != e->hosts_silent)
+		log_line(LOG_INFO, "hosts_silent", "silent=%u of=%u", silent,
+			 e->hosts);
+	e->hosts_silent = silent;
+}
+
+/* Frees the table. */
+void hosts_clear(edge_t *e)
+{
+	g_hash_table_destroy(e->others);
+}
--- a/lib/edge/priv.h
+++ b/lib/edge/priv.h
@@ -10,10 +10,9 @@
 
 /* A customer's quota on this host. */
 typedef struct quota {
-	double share; /* of the customer's rate that this host may use */
 	double level; /* left now; below zero after a large request */
 	ms_t filled_at;
-	window_t asked;
+	double sent; /* by this process, since its start */
 } quota_t;
 
 /* The servers of one service and what waits for them. */
@@ -40,8 +39,9 @@
 	GHashTable *by_id;  /* backend_t by id */
 	GHashTable *quotas; /* quota_t by customer */
 	uint32_t serials;   /* given to servers so far */
-	double quota_share; /* of a customer that is new here */
-	double retry_slack; /* sends, beyond the ratio */
+	GHashTable *others; /* other hosts, by name */
+	unsigned int hosts; /* listed, with this one */
+	unsigned int hosts_silent; /* of those, not heard */
 	counters_t *counters;
 };
 
@@ -68,6 +68,7 @@
 /* queue.c */
 void queue_push(pool_t *p, request_t *r, ms_t now);
 void queue_remove(request_t *r);
+void queue_abandon(edge_t *e, request_t *r);
 unsigned int queue_ahead(const pool_t *p, const request_t *r);
 request_t *queue_next(pool_t *p, ms_t now);
 void queue_expire(edge_t *e, pool_t *p, ms_t now);
@@ -76,6 +77,18 @@
 ms_t refuse_after(edge_t *e, const pool_t *p, const request_t *r, ms_t now);
 bool refuse_hopeless(const pool_t *p, const request_t *r, ms_t now);
 
+/* quota.c */
+double quota_cost(const edge_customer_t *c, double tokens);
+ms_t quota_take(edge_t *e, const edge_customer_t *c, double cost, ms_t now);
+void quota_return(edge_t *e, const edge_customer_t *c, double cost);
+void quota_sent(edge_t *e, const edge_customer_t *c, double cost);
+void quota_elsewhere(edge_t *e, const char *customer, double cost);
+
+/* hosts.c */
+void hosts_init(edge_t *e);
+void hosts_tick(edge_t *e, ms_t now);
+void hosts_clear(edge_t *e);
+
 /* budget.c */
 void budget_earn(pool_t *p, ms_t now);
 bool budget_spend(edge_t *e, pool_t *p, ms_t now);
--- a/lib/edge/queue.c
+++ b/lib/edge/queue.c
@@ -28,6 +28,14 @@
 	r->pool->nwaiting--;
 }
 
+/* Takes out a request that is given up; its quota is free again. */
+void queue_abandon(edge_t *e, request_t *r)
+{
+	queue_remove(r);
+	if (r->customer && !r->charged)
+		quota_return(e, r->customer, r->cost);
+}
+
 /* Requests that would be sent before this one. */
 unsigned int queue_ahead(const pool_t *p, const request_t *r)
 {
@@ -81,7 +89,7 @@
 
 		if (now < r->deadline - need && now < r->leaves - need)
 			continue;
-		queue_remove(r);
+		queue_abandon(e, r);
 		r->state = REQUEST_ENDED;
 		e->ops->refuse(e->ctx, r, CODE_EXPIRED_WAITING,
 			       refuse_after(e, p, r, now));
--- a/lib/edge/quota.c
+++ b/lib/edge/quota.c
@@ -1,7 +1,9 @@
 /*
- * Customers' quotas. Each host admits against its share of a customer's rate;
- * shares follow what the customer asks of each host, and add up to one, so the
- * sum over hosts holds also when they are out of touch.
+ * Customers' quotas, over all hosts. Every host keeps its own view of one
+ * bucket for each customer: it is filled at the customer's rate and emptied by
+ * what this host sends and by what the others say that they sent. A host that
+ * is not heard is taken to use an equal part of the rate, and one that hears
+ * nobody uses no more than that, so the sum holds for hosts out of touch too.
  */
 #include <string.h>
 #include "edge/priv.h"
@@ -9,9 +11,13 @@
 enum {
 	RETRY_FLOOR_MS = 100,	/* a shorter pause would only add load */
 	RETRY_CEIL_MS = 2000,	/* callers cap what they honour well below */
-	DEMAND_SPAN_MS = 2000,	/* demand is averaged over about this long */
 };
 
+static const double first_level = 0.1; /* of the burst, in a new process: what
+					  an earlier one used is not known */
+static const double tolerance_use = 0.5; /* of what is tolerated: the rest is
+					    for what hosts learn late */
+
 static quota_t *quota_of(edge_t *e, const char *customer)
 {
 	quota_t *q = g_hash_table_lookup(e->quotas, customer);
@@ -19,19 +25,25 @@
 	if (q)
 		return q;
 	q = g_new0(quota_t, 1);
-	q->share = e->quota_share;
-	window_init(&q->asked, DEMAND_SPAN_MS);
 	g_hash_table_insert(e->quotas, g_strdup(customer), q);
 	return q;
 }
 
-static void refill(quota_t *q, const edge_customer_t *c, ms_t now)
+/* The part of a customer's rate that hosts out of touch may be using. */
+static double unheard(const edge_t *e)
+{
+	return e->hosts > 0 ? (double)e->hosts_silent / e->hosts : 0;
+}
+
+static void refill(const edge_t *e, quota_t *q, const edge_customer_t *c,
+		   ms_t now)
 {
-	double rate = c->rate * q->share;
-	double full = MAX(c->burst * q->share, rate);
+	double more = 1 + e->conf.quota_tolerance * tolerance_use;
+	double rate = c->rate * more * (1 - unheard(e));
+	double full = c->burst * more * (1 - unheard(e));
 
 	if (q->filled_at == 0)
-		q->level = full;
+		q->level = full * first_level;
 	else
 		q->level += rate * (double)(now - q->filled_at) / MS_PER_S;
 	q->level = MIN(q->level, full);
@@ -47,10 +59,10 @@
 }
 
 /*
- * Takes the cost from the customer's quota on this host. Returns 0 when it was
- * there, else how long until it will be, in milliseconds. A request is let in
- * while the level is above zero and may take it below: one that is larger than
- * the burst would otherwise never run.
+ * Takes the cost from the customer's bucket. Returns 0 when there was room,
+ * else how long until there will be, in ms. A request is let in while the
+ * level is above zero and may take it below: one that is larger than the burst
+ * would otherwise never run.
  */
 ms_t quota_take(edge_t *e, const edge_customer_t *c, double cost, ms_t now)
 {
@@ -60,21 +72,45 @@
 	if (c->rate <= 0)
 		return 0;
 	q = quota_of(e, c->name);
-	window_add(&q->asked, cost, now);
-	refill(q, c, now);
+	refill(e, q, c, now);
 	if (q->level > 0) {
 		q->level -= cost;
 		return 0;
 	}
-	wait = (cost - q->level) * MS_PER_S / MAX(c->rate * q->share, 1e-9);
+	wait = (cost - q->level) * MS_PER_S / c->rate;
 	return CLAMP((ms_t)wait, RETRY_FLOOR_MS, RETRY_CEIL_MS);
 }
 
-/* Gives back what a request took that never reached a server. */
+/* Gives back what was taken for a request that was never sent. */
 void quota_return(edge_t *e, const edge_customer_t *c, double cost)
 {
-	quota_t *q = g_hash_table_lookup(e->quotas, c->name);
+	if (c->rate > 0)
+		quota_of(e, c->name)->level += cost;
+}
 
-	if (q)
-		q->level += cost;
+/* Notes that a request which was let in is sent: other hosts are told. */
+void quota_sent(edge_t *e, const edge_customer_t *c, double cost)
+{
+	if (c->rate > 0)
+		quota_of(e, c->name)->sent += cost;
+}
+
+/* Takes what another host has sent for the customer since it was last heard. */
+void quota_elsewhere(edge_t *e, const char *customer, double cost)
+{
+	quota_of(e, customer)->level -= cost;
+}
+
+/* Tells fn the customers and what this process sent for each in all. */
+void edge_each_use(const edge_t *e,
+		   void (*fn)(void *ctx, const char *customer, double sent),
+		   void *ctx)
+{
+	GHashTableIter it;
+	gpointer name;
+	gpointer q;
+
+	g_hash_table_iter_init(&it, e->quotas);
+	while (g_hash_table_iter_next(&it, &name, &q))
+		fn(ctx, name, ((quota_t *)q)->sent);
 }
--- a/lib/net/conn.c
+++ b/lib/net/conn.c
@@ -26,6 +26,15 @@
 		counters, "chestnuthinge_peer_frames_total", "dir=\"out\"");
 }
 
+static const char *role_name(role_t role)
+{
+	static const char *const names[] = { [ROLE_ENTRY] = "entry",
+					     [ROLE_SIDECAR] = "sidecar",
+					     [ROLE_EDGE] = "edge" };
+
+	return names[role];
+}
+
 static void make_hello(conn_t *c)
 {
 	const peers_conf_t *conf = &c->env->conf;
@@ -36,7 +45,7 @@
 		memcpy(c->nonce + i, &r, sizeof(r));
 	}
 	c->mine.version = WIRE_VERSION;
-	c->mine.role = str_of(conf->role == ROLE_ENTRY ? "entry" : "sidecar");
+	c->mine.role = str_of(role_name(conf->role));
 	c->mine.name = str_of(conf->name);
 	c->mine.data_center = str_of(conf->data_center);
 	c->mine.inc = conf->inc;
@@ -192,7 +201,9 @@
 {
 	if (h->version != WIRE_VERSION)
 		return CODE_WRONG_VERSION;
-	if (h->nonce.n != WIRE_NONCE_SIZE || str_eq(h->role, c->mine.role))
+	if (h->nonce.n != WIRE_NONCE_SIZE || h->inc == c->mine.inc)
+		return CODE_BAD_FIELD;
+	if (str_eq(h->role, c->mine.role) && c->env->conf.role != ROLE_EDGE)
 		return CODE_BAD_FIELD;
 	if (c->want_name && !str_eq(h->name, str_of(c->want_name)))
 		return CODE_BAD_FIELD;
--- a/lib/relay/link.c
+++ b/lib/relay/link.c
@@ -116,6 +116,20 @@
 		fail(l, CODE_BAD_ANSWER);
 }
 
+/*
+ * Whether the other end closed, rather than reset, the connection. The event
+ * loop reports both as the end when a reset comes together with the last data.
+ */
+static bool closed_in_order(link_t *l)
+{
+	uv_os_fd_t fd;
+	char byte;
+
+	if (uv_fileno((uv_handle_t *)&l->tcp, &fd))
+		return false;
+	return recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+}
+
 static void on_read(uv_stream_t *s, ssize_t n, const uv_buf_t *buf)
 {
 	link_t *l = (link_t *)s;
@@ -124,11 +138,9 @@
 		feed(l, buf->base, (size_t)n);
 	if (n >= 0 || l->closed)
 		return;
-	if (n == UV_EOF && l->by_eof && http_in_eof(&l->in) == CODE_OK &&
-	    l->closed)
-		return;
-	if (!l->closed)
-		fail(l, lost_code(l));
+	if (n == UV_EOF && l->by_eof && closed_in_order(l))
+		http_in_eof(&l->in);
+	fail(l, lost_code(l));
 }
 
 static void on_connected(uv_connect_t *req, int status)
