--- a/cmd/chestnuthinged/edged.c
+++ b/cmd/chestnuthinged/edged.c
@@ -299,6 +299,8 @@
 		.retry_window = (ms_t)set->retry_window_s * MS_PER_S,
 		.retry_slack = (double)set->retry_slack,
 		.quota_tolerance = set->quota_tolerance,
+		.quota_slack = (double)set->quota_slack,
+		.quota_window = (ms_t)set->quota_window_s * MS_PER_S,
 		.drain = set->drain,
 	};
 	relay_conf_t rconf = {
--- a/lib/conf/dat.h
+++ b/lib/conf/dat.h
@@ -78,6 +78,8 @@
 	size_t retry_slack;  /* repeated sends beyond that, over all hosts */
 	size_t retry_window_s;
 	double quota_tolerance; /* more than a quota, by it, that is let pass */
+	size_t quota_slack;
+	size_t quota_window_s;
 	size_t connections_max;
 } edge_settings_t;
 
--- a/lib/conf/edge.c
+++ b/lib/conf/edge.c
@@ -6,6 +6,7 @@
 	SPAN_MAX = 600000,  /* milliseconds */
 	SECONDS_MAX = 3600,
 	SLACK_MAX = 1000000,
+	QUOTA_SLACK_MAX = 1000000000,
 	RATIO_MAX = 1,
 	CONNECTIONS_MAX = 100000,
 };
@@ -52,6 +53,10 @@
 	  SECONDS_MAX, NULL },
 	{ "quota_tolerance", FIELD_RATIO, AT(quota_tolerance), false, 0,
 	  RATIO_MAX, NULL },
+	{ "quota_slack", FIELD_SIZE, AT(quota_slack), false, 0,
+	  QUOTA_SLACK_MAX, NULL },
+	{ "quota_window_s", FIELD_SIZE, AT(quota_window_s), false, 1,
+	  SECONDS_MAX, NULL },
 };
 
 static void *begin(scan_t *s, const char *arg)
@@ -83,6 +88,7 @@
 	s->retry_ratio = 0.1;
 	s->retry_slack = 0;
 	s->retry_window_s = 10;
+	s->quota_window_s = 8;
 	s->connections_max = 3000;
 }
 
--- a/lib/edge/dat.h
+++ b/lib/edge/dat.h
@@ -191,6 +191,8 @@
 	double retry_ratio; /* sends beyond the first, by requests */
 	ms_t retry_window;
 	double quota_tolerance; /* more than the quota, by it, that is let pass */
+	double quota_slack; /* more than the quota in a window, the same */
+	ms_t quota_window;
 	double retry_slack; /* sends beyond the ratio, over all hosts */
 	ms_t drain;
 } edge_conf_t;
--- a/lib/edge/edge.c
+++ b/lib/edge/edge.c
@@ -70,6 +70,14 @@
 	}
 	desired_unref(e->desired);
 	e->desired = d;
+	for (guint i = 0; i < d->customers->len; i++) {
+		const edge_customer_t *c = d->customers->pdata[i];
+
+		log_line(LOG_DEBUG, "config_customer",
+			 "version=%llu customer=%s rank=%d rate=%.0f burst=%.0f",
+			 (unsigned long long)d->version, c->name, c->rank,
+			 c->rate, c->burst);
+	}
 	return true;
 }
 
--- a/lib/edge/quota.c
+++ b/lib/edge/quota.c
@@ -15,8 +15,13 @@
 
 static const double first_level = 0.1; /* of the burst, in a new process: what
 					  an earlier one used is not known */
-static const double tolerance_use = 0.5; /* of what is tolerated: the rest is
+static const double tolerance_use = 0.8; /* of what is tolerated: the rest is
 					    for what hosts learn late */
+static const double slack_use = 0.25;	 /* of the slack, for the same reason */
+static const double small = 0.005; /* of the burst: so cheap a request is let
+				      in on credit, for it serves a caller at
+				      next to no cost to the others */
+static const double credit = 0.5;  /* of the burst */
 
 static quota_t *quota_of(edge_t *e, const char *customer)
 {
@@ -39,7 +44,9 @@
 		   ms_t now)
 {
 	double more = 1 + e->conf.quota_tolerance * tolerance_use;
-	double rate = c->rate * more * (1 - unheard(e));
+	double slack = e->conf.quota_slack * slack_use * MS_PER_S /
+		       (double)e->conf.quota_window;
+	double rate = (c->rate * more + slack) * (1 - unheard(e));
 	double full = c->burst * more * (1 - unheard(e));
 
 	if (q->filled_at == 0)
@@ -73,7 +80,7 @@
 		return 0;
 	q = quota_of(e, c->name);
 	refill(e, q, c, now);
-	if (q->level > 0) {
+	if (q->level > (cost < c->burst * small ? -c->burst * credit : 0)) {
 		q->level -= cost;
 		return 0;
 	}
--- a/lib/edge/roster.c
+++ b/lib/edge/roster.c
@@ -61,7 +61,7 @@
 	log_line(LOG_INFO, "server_missing", "server=%s store_up=%d", id,
 		 r->up);
 	until = g_new(ms_t, 1);
-	*until = MAX(now, r->back_at) + RETURN_MS;
+	*until = r->up ? r->back_at + RETURN_MS : now + RETURN_MS;
 	g_hash_table_insert(r->missing, g_strdup(id), until);
 }
 
--- a/lib/relay/exchange.c
+++ b/lib/relay/exchange.c
@@ -83,7 +83,7 @@
 		 "request_end",
 		 "id=%s outcome=%s status=%d route=%s customer=%s config=%llu "
 		 "sends=%u arrivals=%u events=%u took_ms=%lld first_ms=%lld "
-		 "left_ms=%lld",
+		 "left_ms=%lld cost=%.0f",
 		 x->id ? x->id : "-", outcome, status,
 		 r->route ? r->route->name : "-",
 		 r->customer ? r->customer->name : "-",
@@ -91,7 +91,7 @@
 		 r->sends, r->arrivals, x->events,
 		 r->arrived ? (long long)(now - r->arrived) : 0,
 		 x->first_at ? (long long)(x->first_at - r->arrived) : -1,
-		 r->deadline ? (long long)(r->deadline - now) : 0);
+		 r->deadline ? (long long)(r->deadline - now) : 0, r->cost);
 }
 
 /* Answers by ourselves and ends the exchange. */
