--- a/cmd/chestnuthinged/edged.c
+++ b/cmd/chestnuthinged/edged.c
@@ -12,8 +12,9 @@
 enum {
 	TICK_MS = 10,	      /* the finest that any bound here needs */
 	CONNECT_MS = 600,     /* a server in the region takes a few ms */
-	STOP_WAIT_MS = 3300,  /* callers come for three seconds after the
-				 ready address first said no */
+	STOP_WAIT_MS = 2700,  /* two probes of the ready address, a second
+				 apart, take this host out; what comes later
+				 could not be finished within the grace */
 	GRACE_LEFT_MS = 700,  /* of the grace, kept for closing */
 	ORDERS_WAIT_MS = 1200, /* a silent path to the store shows after this */
 	SERVERS_PAUSE_MS = 250, /* entries are rewritten by heartbeats: read a
--- a/lib/relay/caller.c
+++ b/lib/relay/caller.c
@@ -264,7 +264,6 @@
 }
 
 /* Looks at all callers that wait for it. */
-void relay_wake_callers(relay_t *r);
 void relay_wake_callers(relay_t *r)
 {
 	while (!list_empty(&r->wake)) {
@@ -332,8 +331,6 @@
 	if (reading && age > lim->header_time)
 		refuse_read(c, 408, "request not complete in time");
 	else if (!reading &&
-		 (age > lim->idle_time ||
-		  (c->relay->draining &&
-		   now - c->relay->drain_at > c->relay->conf.stop_wait)))
+		 (age > lim->idle_time || relay_stopped(c->relay, now)))
 		begin_close(c, now);
 }
--- a/lib/relay/exchange.c
+++ b/lib/relay/exchange.c
@@ -8,6 +8,7 @@
 				     this long at least */
 	SILENCE_FIRST = 4, /* or for so many times the first event's target */
 	SILENCE_GAP = 8,   /* or for so many times the gap's target */
+	STOPPED_RETRY_MS = 50, /* another host answers the next connection */
 };
 
 static char *copy_of(str_t s)
@@ -171,6 +172,10 @@
 		answer_own(x, 503, MS_PER_S, "no configuration yet");
 		return;
 	}
+	if (relay_stopped(x->relay, now)) {
+		answer_own(x, 503, STOPPED_RETRY_MS, "stopping");
+		return;
+	}
 	r->desired = desired_ref(d);
 	status = admit(x, d, &text);
 	if (status) {
--- a/lib/relay/priv.h
+++ b/lib/relay/priv.h
@@ -129,6 +129,8 @@
 void lane_tick(backend_t *b, ms_t now);
 
 /* relay.c */
+bool relay_stopped(const relay_t *r, ms_t now);
+void relay_wake_callers(relay_t *r);
 void relay_soon(relay_t *r);
 
 #endif
--- a/lib/relay/relay.c
+++ b/lib/relay/relay.c
@@ -5,8 +5,6 @@
 	BACKLOG = 1024,
 };
 
-void relay_wake_callers(relay_t *r);
-
 static void on_soon(uv_timer_t *t)
 {
 	relay_t *r = t->data;
@@ -105,6 +103,12 @@
 	r->drain_at = now;
 }
 
+/* Whether it is too late to take another request before the end. */
+bool relay_stopped(const relay_t *r, ms_t now)
+{
+	return r->draining && now - r->drain_at > r->conf.stop_wait;
+}
+
 /* Whether no caller is connected any more. */
 bool relay_idle(const relay_t *r)
 {
@@ -125,8 +129,7 @@
 	{
 		caller_tick(list_entry(pos, caller_t, link), now);
 	}
-	if (r->draining && r->listening &&
-	    now - r->drain_at > r->conf.stop_wait) {
+	if (r->listening && relay_stopped(r, now)) {
 		r->listening = false;
 		uv_close((uv_handle_t *)&r->listener, NULL);
 	}
