--- a/lib/relay/exchange.c
+++ b/lib/relay/exchange.c
@@ -227,6 +227,19 @@
 	x->head = out;
 }
 
+/*
+ * Whether an answer belongs to another request. Servers repeat the id; a late
+ * second answer to an earlier request on the connection may come without it.
+ */
+static bool is_stray(const exchange_t *x, const answer_t *a)
+{
+	if (!x->id)
+		return false;
+	if (a->id.n == 0)
+		return x->lane->uses > 1;
+	return !str_eq(a->id, str_of(x->id));
+}
+
 /* Reads the head of an answer on the exchange's connection. */
 void exchange_head(exchange_t *x, const http_head_t *h)
 {
@@ -237,7 +250,7 @@
 	r->codec->read_answer(h, &a);
 	if (a.has_idle)
 		x->lane->idle_max = a.idle;
-	x->stray = x->id && a.id.n > 0 && !str_eq(a.id, str_of(x->id));
+	x->stray = is_stray(x, &a);
 	if (x->stray)
 		return;
 	if (a.has_load)
--- a/lib/relay/lane.c
+++ b/lib/relay/lane.c
@@ -188,6 +188,7 @@
 		return;
 	}
 	l->x = x;
+	l->uses++;
 	x->lane = l;
 	head = spell(x, now);
 	link_send(l->conn, head, x->body);
--- a/lib/relay/priv.h
+++ b/lib/relay/priv.h
@@ -35,6 +35,7 @@
 	backend_t *server; /* NULL once it is forgotten */
 	link_t *conn;
 	exchange_t *x; /* whose request was sent; NULL while idle */
+	unsigned int uses; /* requests sent on it */
 	ms_t idle_since;
 	ms_t idle_max;
 } lane_t;
