Places granted by a keeper beside each model engine

A keeper on the engine's machine (lib/keeper) now orders the requests of all hosts by rank, those that can be in time first, one grant in four to the oldest; bytes go straight from host to engine as before. Hosts without a keeper in touch go on with their estimates.

--- a/cmd/chestnuthinged/edged.c
+++ b/cmd/chestnuthinged/edged.c
@@ -17,8 +17,9 @@
 				 could not be finished within the grace */
 	GRACE_LEFT_MS = 700,  /* of the grace, kept for closing */
 	ORDERS_WAIT_MS = 1200, /* a silent path to the store shows after this */
-	SERVERS_PAUSE_MS = 250, /* entries are rewritten by heartbeats: read a
-				   few at a time */
+	SERVERS_PAUSE_MS = 500, /* entries are rewritten by heartbeats: read a
+				   few at a time; a leaving server is known in
+				   a quarter of the time there is */
 	SERVERS_WAIT_MS = 1200,
 	HOSTS_WAIT_MS = 10000, /* hosts come seldom, and are told of late
 				  without harm */
@@ -72,7 +73,33 @@
 	relay_forget(d->relay, b);
 }
 
-static const edge_ops_t edge_ops = { on_send, on_refuse, on_forget };
+static void on_ask(void *ctx, backend_t *b, const request_t *r, ms_t now)
+{
+	edged_t *d = ctx;
+
+	mates_ask(d->mates, b, r, now);
+}
+
+static void on_release(void *ctx, uint64_t keeper, const request_t *r)
+{
+	edged_t *d = ctx;
+
+	mates_release(d->mates, keeper, r);
+}
+
+static void on_listed(void *ctx, const backend_t *b)
+{
+	edged_t *d = ctx;
+	desired_t *desired = edge_desired(d->edge);
+	const edge_service_t *s =
+		desired ? desired_service(desired, b->pool_name) : NULL;
+
+	if (!s || s->is_model)
+		mates_server(d->mates, b);
+}
+
+static const edge_ops_t edge_ops = { on_send,	 on_refuse, on_ask,
+				     on_release, on_listed, on_forget };
 
 static void bad_record(edged_t *d, str_t key, const char *why)
 {
@@ -294,6 +321,7 @@
 {
 	const edge_settings_t *set = d->set;
 	edge_conf_t conf = {
+		.inc = d->inc,
 		.data_center = set->data_center,
 		.seed = random_u64(),
 		.retry_ratio = set->retry_ratio * retry_use,
--- a/cmd/chestnuthinged/main.c
+++ b/cmd/chestnuthinged/main.c
@@ -3,6 +3,7 @@
 #include <unistd.h>
 #include "edged.h"
 #include "fns.h"
+#include "keepd.h"
 
 enum {
 	EXIT_BAD_START = 1,
@@ -14,6 +15,7 @@
 typedef struct options {
 	char *conf;
 	gboolean edge;
+	gboolean keeper;
 	gboolean check;
 	gboolean version;
 } options_t;
@@ -25,6 +27,8 @@
 		  "Settings file", "FILE" },
 		{ "edge", 0, 0, G_OPTION_ARG_NONE, &o->edge,
 		  "Run as an edge host on the users' platform", NULL },
+		{ "keeper", 0, 0, G_OPTION_ARG_NONE, &o->keeper,
+		  "Run as a keeper of a backend server's places there", NULL },
 		{ "check", 0, 0, G_OPTION_ARG_NONE, &o->check,
 		  "Check settings and intent, then exit", NULL },
 		{ "version", 0, 0, G_OPTION_ARG_NONE, &o->version,
@@ -72,7 +76,7 @@
 	return 0;
 }
 
-/* An edge host: its settings have a format of their own. */
+/* An edge host or a keeper: their settings have a format of their own. */
 static int run_edge(const options_t *o)
 {
 	GError *err = NULL;
@@ -85,7 +89,7 @@
 		return 0;
 	}
 	log_open(STDOUT_FILENO, set->log_level, true);
-	if (edged_run(set, o->conf, &err))
+	if (o->keeper ? keepd_run(set, &err) : edged_run(set, o->conf, &err))
 		return 0;
 	return fail(err);
 }
@@ -120,7 +124,7 @@
 			printf("chestnuthinged %s\n", version);
 			code = 0;
 		} else {
-			code = o.edge ? run_edge(&o) : run(&o);
+			code = o.edge || o.keeper ? run_edge(&o) : run(&o);
 		}
 	}
 	g_free(o.conf);
--- a/cmd/chestnuthinged/mates.c
+++ b/cmd/chestnuthinged/mates.c
@@ -13,8 +13,8 @@
 				 cost a few hundred writes a second at most */
 	FRAME_MAX = 8 << 20,  /* bytes: a configuration */
 	QUEUE_MAX = 16 << 20, /* bytes */
-	HEARTBEAT_MS = 400,
-	SILENT_MS = 1500,
+	HEARTBEAT_MS = 800,
+	SILENT_MS = 2500,
 	RETRY_BASE_MS = 100,
 	RETRY_MAX_MS = 3000,
 	KEYS_MAX = 512, /* customers told in one message */
@@ -24,13 +24,16 @@
 static const char key_config[] = "config";
 static const char key_sent[] = "sent/";
 
+static const char role_keeper[] = "sidecar";
+
 struct mates {
 	edge_t *edge;
 	const edge_settings_t *set;
 	const mates_ops_t *ops;
 	void *ctx;
 	peers_t *peers;
-	GHashTable *names; /* name by incarnation, of those that are up */
+	GHashTable *names; /* name by incarnation, of hosts that are up */
+	GHashTable *keepers; /* IP by incarnation, of keepers that are up */
 	ms_t next;
 	GArray *kv;    /* fact_kv_t, of the message being made */
 	GPtrArray *keys; /* its strings */
@@ -41,17 +44,39 @@
 {
 	mates_t *m = ctx;
 	uint64_t *inc = g_memdup2(&who->inc, sizeof(who->inc));
+	char *ip;
 
-	g_hash_table_replace(m->names, inc, str_dup(who->name));
+	if (!str_eq(who->role, str_of(role_keeper))) {
+		g_hash_table_replace(m->names, inc, str_dup(who->name));
+		return;
+	}
+	ip = str_dup(who->name);
+	*strrchr(ip, ':') = '\0';
+	g_hash_table_replace(m->keepers, inc, ip);
+	edge_keeper(m->edge, ip, who->inc);
 }
 
 static void on_down(void *ctx, uint64_t inc)
 {
 	mates_t *m = ctx;
+	const char *ip = g_hash_table_lookup(m->keepers, &inc);
 
+	if (ip)
+		edge_keeper(m->edge, ip, 0);
+	g_hash_table_remove(m->keepers, &inc);
 	g_hash_table_remove(m->names, &inc);
 }
 
+static void take_grant(mates_t *m, uint64_t inc, rid_t rid)
+{
+	msg_t back = { .type = MSG_WITHDRAW };
+
+	if (edge_granted(m->edge, inc, rid, clock_now()))
+		return;
+	back.u.withdraw.rid = rid;
+	peers_send(m->peers, inc, &back);
+}
+
 static void ask_config(mates_t *m, uint64_t inc, uint64_t version, ms_t now)
 {
 	desired_t *d = edge_desired(m->edge);
@@ -104,6 +129,8 @@
 	mates_t *m = ctx;
 	const char *name = g_hash_table_lookup(m->names, &inc);
 
+	if (msg->type == MSG_GRANT)
+		take_grant(m, inc, msg->u.grant.rid);
 	if (!name)
 		return;
 	if (msg->type == MSG_FACTS)
@@ -139,6 +166,8 @@
 	m->ctx = ctx;
 	m->names = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
 					 g_free);
+	m->keepers = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
+					   g_free);
 	m->kv = g_array_new(FALSE, FALSE, sizeof(fact_kv_t));
 	m->keys = g_ptr_array_new_with_free_func(g_free);
 	m->peers = peers_new(loop, &conf, &peers_ops, m, counters);
@@ -183,6 +212,40 @@
 	g_free(where);
 }
 
+/* A server is listed: its keeper is on the same host, at our own port. */
+void mates_server(mates_t *m, const backend_t *b)
+{
+	addr_t at = b->addr;
+	char name[64];
+
+	at.port = m->set->peers.port;
+	addr_print(&at, name);
+	peers_connect(m->peers, name, &at);
+}
+
+/* Asks a server's keeper for a place. */
+void mates_ask(mates_t *m, const backend_t *b, const request_t *r, ms_t now)
+{
+	msg_t ask = { .type = MSG_ASK };
+	ms_t until = MIN(r->deadline, r->leaves);
+
+	ask.u.ask.rid = r->rid;
+	ask.u.ask.rank = r->rank;
+	ask.u.ask.places = b->slots;
+	ask.u.ask.in_time = (uint64_t)MAX(r->first_by - now, 0);
+	ask.u.ask.of_use = (uint64_t)MAX(until - now, 0);
+	peers_send(m->peers, b->keeper, &ask);
+}
+
+/* Gives a place back, or withdraws the request for it. */
+void mates_release(mates_t *m, uint64_t keeper, const request_t *r)
+{
+	msg_t back = { .type = MSG_WITHDRAW };
+
+	back.u.withdraw.rid = r->rid;
+	peers_send(m->peers, keeper, &back);
+}
+
 static void add(mates_t *m, char *key, uint64_t value)
 {
 	fact_kv_t kv = { str_of(key), value };
@@ -230,6 +293,7 @@
 void mates_free(mates_t *m)
 {
 	g_hash_table_destroy(m->names);
+	g_hash_table_destroy(m->keepers);
 	g_array_free(m->kv, TRUE);
 	g_ptr_array_free(m->keys, TRUE);
 	g_free(m);
--- a/lib/conf/edge.c
+++ b/lib/conf/edge.c
@@ -23,8 +23,8 @@
 };
 
 static const field_t listen_fields[] = {
-	{ "callers", FIELD_ADDR, AT(callers), true, 0, 0, NULL },
-	{ "ready", FIELD_ADDR, AT(ready), true, 0, 0, NULL },
+	{ "callers", FIELD_ADDR, AT(callers), false, 0, 0, NULL },
+	{ "ready", FIELD_ADDR, AT(ready), false, 0, 0, NULL },
 	{ "peers", FIELD_ADDR, AT(peers), true, 0, 0, NULL },
 };
 
@@ -74,7 +74,7 @@
 	ROW("process", process_fields, true),
 	ROW("listen", listen_fields, true),
 	ROW("fleet", fleet_fields, true),
-	ROW("store", store_fields, true),
+	ROW("store", store_fields, false),
 	ROW("limits", limits_fields, false),
 	ROW("bounds", bounds_fields, false),
 };
--- /dev/null
+++ b/lib/edge/ask.c
@@ -0,0 +1,196 @@
+/*
+ * Asking keepers for places. It answers the load of bursts seen by many hosts:
+ * each host knows only its own requests, the keeper those of all, so places
+ * are neither fought for nor left empty, and urgent requests go first whichever
+ * host they came to. A request waits at a few servers and takes the first
+ * place. Without a keeper in touch, places are estimated (place.c).
+ */
+#include <string.h>
+#include "edge/priv.h"
+
+enum {
+	ASK_MORE = 2,	 /* servers added at a time */
+	MORE_AFTER_MS = 12, /* a grant takes a few ms where there is a place */
+};
+
+/* Counts the servers whose places are estimated. */
+void ask_count(pool_t *p)
+{
+	p->unkept = 0;
+	for (list_t *l = p->servers.next; l != &p->servers; l = l->next)
+		p->unkept += list_entry(l, backend_t, link)->keeper == 0;
+}
+
+static bool was_asked(const request_t *r, const backend_t *b)
+{
+	for (unsigned int i = 0; i < r->nasked; i++) {
+		if (r->asked[i] == b)
+			return true;
+	}
+	return false;
+}
+
+/* The best server with a keeper that was not asked yet, or NULL. */
+static backend_t *best(edge_t *e, const request_t *r, ms_t now)
+{
+	pool_t *p = r->pool;
+	backend_t *found[2] = { NULL, NULL };
+	double least[2] = { 0, 0 };
+
+	for (list_t *l = p->servers.next; l != &p->servers; l = l->next) {
+		backend_t *b = list_entry(l, backend_t, link);
+		int again = place_tried(r, b);
+		double s;
+
+		if (!b->keeper || was_asked(r, b) || !health_usable(b, now))
+			continue;
+		s = place_score(e, b, r, place_load(b, now) + b->asks);
+		if (!found[again] || s < least[again]) {
+			found[again] = b;
+			least[again] = s;
+		}
+	}
+	return found[0] ? found[0] : found[1];
+}
+
+static bool ask_one(edge_t *e, request_t *r, ms_t now)
+{
+	backend_t *b;
+
+	if (r->nasked >= ASKS_MAX)
+		return false;
+	b = best(e, r, now);
+	if (!b)
+		return false;
+	r->asked[r->nasked++] = b;
+	r->asked_at = now;
+	b->asks++;
+	e->ops->ask(e->ctx, b, r, now);
+	return place_load(b, now) + b->asks <= b->slots;
+}
+
+/* Asks the best server, and a second one if that seems to be full. */
+void ask_first(edge_t *e, request_t *r, ms_t now)
+{
+	if (!ask_one(e, r, now))
+		ask_one(e, r, now);
+}
+
+/* Withdraws what the request asked for. */
+void ask_withdraw(edge_t *e, request_t *r)
+{
+	for (unsigned int i = 0; i < r->nasked; i++) {
+		r->asked[i]->asks--;
+		if (r->asked[i]->keeper && r->asked[i]->keeper != r->granted)
+			e->ops->release(e->ctx, r->asked[i]->keeper, r);
+	}
+	r->nasked = 0;
+}
+
+static void forget_one(request_t *r, const backend_t *b)
+{
+	for (unsigned int i = 0; i < r->nasked; i++) {
+		if (r->asked[i] != b)
+			continue;
+		r->asked[i] = r->asked[--r->nasked];
+		return;
+	}
+}
+
+/* Forgets what was asked of a server: its keeper or itself is gone. */
+void ask_forget(edge_t *e, const backend_t *b)
+{
+	GHashTableIter it;
+	gpointer r;
+
+	g_hash_table_iter_init(&it, e->waiting);
+	while (g_hash_table_iter_next(&it, NULL, &r))
+		forget_one(r, b);
+	((backend_t *)b)->asks = 0;
+}
+
+static void ask_more(edge_t *e, list_t *head, ms_t now)
+{
+	for (list_t *l = head->next; l != head; l = l->next) {
+		request_t *r = list_entry(l, request_t, link);
+
+		if (r->nasked > 0 && now - r->asked_at < MORE_AFTER_MS)
+			continue;
+		for (int i = 0; i < ASK_MORE; i++)
+			ask_one(e, r, now);
+	}
+}
+
+/* Asks more servers for requests that have waited for a while. */
+void ask_tick(edge_t *e, pool_t *p, ms_t now)
+{
+	for (int i = 0; i < RANKS; i++) {
+		ask_more(e, &p->waiting[i], now);
+		ask_more(e, &p->late[i], now);
+	}
+}
+
+/* Incarnation of the keeper at an address; 0 when none is in touch. */
+uint64_t ask_keeper(const edge_t *e, const char *ip)
+{
+	const uint64_t *inc = g_hash_table_lookup(e->keepers, ip);
+
+	return inc ? *inc : 0;
+}
+
+/* The keeper at an address is in touch as inc, or with 0 no more. */
+void edge_keeper(edge_t *e, const char *ip, uint64_t inc)
+{
+	GHashTableIter it;
+	gpointer v;
+
+	if (inc)
+		g_hash_table_replace(e->keepers, g_strdup(ip),
+				     g_memdup2(&inc, sizeof(inc)));
+	else
+		g_hash_table_remove(e->keepers, ip);
+	g_hash_table_iter_init(&it, e->by_id);
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		backend_t *b = v;
+
+		if (strcmp(b->addr.ip, ip) != 0 || b->keeper == inc)
+			continue;
+		log_line(LOG_INFO, inc ? "keeper_up" : "keeper_down",
+			 "server=%s asks=%u running=%u", b->id, b->asks,
+			 b->running);
+		ask_forget(e, b);
+		b->keeper = inc;
+		ask_count(b->pool);
+	}
+}
+
+static backend_t *asked_of(const request_t *r, uint64_t keeper)
+{
+	for (unsigned int i = 0; i < r->nasked; i++) {
+		if (r->asked[i]->keeper == keeper)
+			return r->asked[i];
+	}
+	return NULL;
+}
+
+/*
+ * A keeper granted a place. Returns false when it is of no use any more and
+ * has to be given back.
+ */
+bool edge_granted(edge_t *e, uint64_t keeper, rid_t rid, ms_t now)
+{
+	request_t *r = g_hash_table_lookup(e->waiting, &rid);
+	backend_t *b = r ? asked_of(r, keeper) : NULL;
+
+	if (!b)
+		return false;
+	if (!health_usable(b, now)) {
+		forget_one(r, b);
+		b->asks--;
+		return false;
+	}
+	r->granted = keeper;
+	queue_remove(e, r);
+	edge_run(e, r, b, now);
+	return true;
+}
--- a/lib/edge/dat.h
+++ b/lib/edge/dat.h
@@ -100,6 +100,7 @@
 struct backend {
 	list_t link; /* in its pool */
 	pool_t *pool;
+	const char *pool_name; /* the service */
 	uint32_t serial; /* of this incarnation, within this process */
 	char *id;
 	char *version;
@@ -123,6 +124,8 @@
 	ms_t aside_span;
 	bool trying; /* back from being set aside, one request at a time */
 	void *user;  /* connections kept there */
+	uint64_t keeper;   /* incarnation of its keeper; 0 not in touch */
+	unsigned int asks; /* of ours that wait there for a place */
 };
 
 typedef enum request_state {
@@ -134,6 +137,7 @@
 
 enum {
 	TRIED_MAX = 4, /* servers remembered of one request */
+	ASKS_MAX = 5,  /* servers asked for a place at a time */
 };
 
 /* A caller's request, from its arrival to its final answer. */
@@ -142,6 +146,7 @@
 	bool late;   /* waits in the queue of those past their target */
 	list_t run;  /* at the server */
 	request_state_t state;
+	rid_t rid; /* our own number for it */
 	const char *id;
 	desired_t *desired;
 	const edge_route_t *route;
@@ -162,6 +167,10 @@
 	unsigned int arrivals;
 	uint32_t tried[TRIED_MAX]; /* serials of servers */
 	unsigned int ntried;
+	backend_t *asked[ASKS_MAX];
+	unsigned int nasked;
+	ms_t asked_at; /* when the last of them was asked */
+	uint64_t granted; /* incarnation of the keeper that gave its place */
 	ms_t sent_at;
 	ms_t last_event;
 	bool started; /* the first event has come, over all sends */
@@ -186,6 +195,7 @@
 } verdict_next_t;
 
 typedef struct edge_conf {
+	uint64_t inc; /* of this process */
 	const char *data_center;
 	uint64_t seed;
 	double retry_ratio; /* sends beyond the first, by requests */
@@ -202,6 +212,11 @@
 	void (*send)(void *ctx, request_t *r);
 	/* The request is given up, not run: code and when to come back. */
 	void (*refuse)(void *ctx, request_t *r, code_t code, ms_t after);
+	/* Ask the server's keeper for a place, or give it back. */
+	void (*ask)(void *ctx, backend_t *b, const request_t *r, ms_t now);
+	void (*release)(void *ctx, uint64_t keeper, const request_t *r);
+	/* A server is listed: its keeper may be connected to. */
+	void (*listed)(void *ctx, const backend_t *b);
 	/* A server was forgotten: close what is kept open to it. */
 	void (*forget)(void *ctx, backend_t *b);
 } edge_ops_t;
--- a/lib/edge/edge.c
+++ b/lib/edge/edge.c
@@ -9,7 +9,6 @@
 	STALL_FIRSTS = 2,     /* times the target of the first event */
 };
 
-static const double first_guess = 60;	/* ms, before any answer was seen */
 static const double learn = 0.05;	/* weight of a sample in the means */
 static const double stall_times = 6;	/* the expected time to an event */
 
@@ -34,6 +33,9 @@
 	e->pools = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 					 pool_free);
 	e->by_id = g_hash_table_new(g_str_hash, g_str_equal);
+	e->keepers = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					   g_free);
+	e->waiting = g_hash_table_new(rid_hash, rid_equal);
 	e->quotas = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 					  g_free);
 	hosts_init(e);
@@ -52,6 +54,8 @@
 	desired_unref(e->desired);
 	g_hash_table_destroy(e->pools);
 	g_hash_table_destroy(e->by_id);
+	g_hash_table_destroy(e->waiting);
+	g_hash_table_destroy(e->keepers);
 	g_hash_table_destroy(e->quotas);
 	hosts_clear(e);
 	g_rand_free(e->rand);
@@ -87,7 +91,8 @@
 	return e->desired;
 }
 
-static void run(edge_t *e, request_t *r, backend_t *b, ms_t now)
+/* Sends a request that is in no queue. */
+void edge_run(edge_t *e, request_t *r, backend_t *b, ms_t now)
 {
 	r->state = REQUEST_RUNNING;
 	r->server = b;
@@ -111,12 +116,13 @@
 	request_t *r;
 	backend_t *b;
 
-	while ((r = queue_next(p, now)) != NULL) {
+	while (p->unkept > 0 && (r = queue_next(p, now)) != NULL) {
 		b = place_pick(e, p, r, now);
 		if (!b)
 			return;
-		queue_remove(r);
-		run(e, r, b, now);
+		queue_remove(e, r);
+		r->granted = 0;
+		edge_run(e, r, b, now);
 	}
 }
 
@@ -155,8 +161,10 @@
 
 	r->pool = p;
 	r->state = REQUEST_NEW;
+	r->rid.inc = e->conf.inc;
+	r->rid.seq = ++e->rids;
 	budget_earn(p, now);
-	if (!place_free(p, now) && refuse_hopeless(p, r, now)) {
+	if (refuse_hopeless(p, r, now)) {
 		refuse(e, r, CODE_CANNOT_FINISH, refuse_after(e, p, r, now));
 		return;
 	}
@@ -168,8 +176,10 @@
 			return;
 		}
 	}
-	queue_push(p, r, now);
+	queue_push(e, r, now);
 	dispatch(e, p, now);
+	if (r->state == REQUEST_WAITING)
+		ask_first(e, r, now);
 }
 
 /* Tells that the first event, or byte of an answer, has come. */
@@ -217,6 +227,10 @@
 	list_del(&r->run);
 	b->running--;
 	r->server = NULL;
+	if (r->granted)
+		e->ops->release(e->ctx, r->granted, r);
+	r->granted = 0;
+	p->run_mean += learn * ((double)(now - r->sent_at) - p->run_mean);
 	window_add(&p->ended, 1, now);
 	backend_release(e, b);
 }
@@ -271,10 +285,12 @@
 	leave_server(e, r, now);
 	again = worth_again(e, r, how, resumable, now);
 	if (again)
-		queue_push(p, r, now);
+		queue_push(e, r, now);
 	else
 		r->state = REQUEST_ENDED;
 	dispatch(e, p, now);
+	if (r->state == REQUEST_WAITING)
+		ask_first(e, r, now);
 	return again ? NEXT_AGAIN : NEXT_ANSWER;
 }
 
@@ -326,12 +342,11 @@
 	hosts_tick(e, now);
 	g_hash_table_iter_init(&it, e->pools);
 	while (g_hash_table_iter_next(&it, NULL, &p)) {
-		if (((pool_t *)p)->first_mean == 0)
-			((pool_t *)p)->first_mean = first_guess;
 		if (((pool_t *)p)->nwaiting == 0)
 			continue;
 		queue_expire(e, p, now);
 		dispatch(e, p, now);
+		ask_tick(e, p, now);
 	}
 }
 
--- a/lib/edge/fleet.c
+++ b/lib/edge/fleet.c
@@ -6,6 +6,9 @@
 	ENDED_WINDOW_MS = 2000, /* over which the rate of free places is seen */
 };
 
+static const double first_guess = 60; /* ms, before any answer was seen */
+static const double run_guess = 300;  /* ms, the same */
+
 /* Returns the pool of a service, made empty when it is new. */
 pool_t *pool_get(edge_t *e, const char *service)
 {
@@ -20,6 +23,8 @@
 		list_init(&p->waiting[i]);
 		list_init(&p->late[i]);
 	}
+	p->first_mean = first_guess;
+	p->run_mean = run_guess;
 	window_init(&p->asked, e->conf.retry_window);
 	window_init(&p->repeats, e->conf.retry_window);
 	window_init(&p->ended, ENDED_WINDOW_MS);
@@ -52,6 +57,8 @@
 	g_hash_table_remove(e->by_id, b->id);
 	list_del(&b->link);
 	b->gone = true;
+	ask_forget(e, b);
+	ask_count(b->pool);
 	backend_release(e, b);
 }
 
@@ -68,14 +75,17 @@
 
 	b->serial = ++e->serials;
 	b->pool = pool_get(e, info->service);
+	b->pool_name = b->pool->name;
 	b->id = g_strdup(info->id);
 	b->version = g_strdup(info->version);
 	b->data_center = g_strdup(info->data_center);
 	b->addr = info->addr;
 	b->born = info->born;
+	b->keeper = ask_keeper(e, b->addr.ip);
 	list_init(&b->runs);
 	list_add_tail(&b->pool->servers, &b->link);
 	g_hash_table_insert(e->by_id, b->id, b);
+	ask_count(b->pool);
 	log_line(LOG_INFO, "server_new",
 		 "server=%s service=%s version=%s zone=%s slots=%u leaving=%d",
 		 b->id, info->service, b->version, b->data_center, info->slots,
@@ -102,7 +112,8 @@
 			 b->id, b->running);
 	b->slots = info->slots;
 	b->leaving = info->leaving;
-	edge_tick(e, now);
+	e->ops->listed(e->ctx, b);
+	ask_count(b->pool);
 }
 
 /* Takes a server off the list; requests that run there go on. */
--- a/lib/edge/fns.h
+++ b/lib/edge/fns.h
@@ -59,6 +59,13 @@
 void edge_tick(edge_t *e, ms_t now);
 void edge_print(const edge_t *e, GString *out, ms_t now);
 
+/* queue.c */
+unsigned int edge_rank(const edge_route_t *r, const edge_customer_t *c);
+
+/* ask.c */
+void edge_keeper(edge_t *e, const char *ip, uint64_t inc);
+bool edge_granted(edge_t *e, uint64_t keeper, rid_t rid, ms_t now);
+
 /* fleet.c */
 void edge_server_put(edge_t *e, const backend_info_t *info, ms_t now);
 void edge_server_gone(edge_t *e, const char *id, ms_t now);
--- a/lib/edge/place.c
+++ b/lib/edge/place.c
@@ -40,7 +40,8 @@
 	return n;
 }
 
-static bool was_tried(const request_t *r, const backend_t *b)
+/* Whether the request was sent to the server before. */
+bool place_tried(const request_t *r, const backend_t *b)
 {
 	for (unsigned int i = 0; i < r->ntried; i++) {
 		if (r->tried[i] == b->serial)
@@ -50,18 +51,23 @@
 }
 
 /* Expected cost of sending the request there, in ms; lower is better. */
-static double score(edge_t *e, const backend_t *b, const request_t *r,
-		    unsigned int load)
+double place_score(edge_t *e, const backend_t *b, const request_t *r,
+		   unsigned int load)
 {
 	double ms = cost_first(b->pool, b, r->prompt) + b->step;
 
 	ms *= 1 + full_cost * load / MAX(b->slots, 1);
+	if (load >= b->slots)
+		ms += (load - b->slots + 1) * b->pool->run_mean / b->slots;
 	if (strcmp(b->data_center, e->conf.data_center) != 0)
 		ms += away_ms;
 	return ms * (1 + spread * g_rand_double(e->rand));
 }
 
-/* Returns the best server with a free place for the request, or NULL. */
+/*
+ * Returns the best server with a free place for the request, or NULL. Servers
+ * with a keeper are not looked at: their places are asked for.
+ */
 backend_t *place_pick(edge_t *e, pool_t *p, const request_t *r, ms_t now)
 {
 	backend_t *best[2] = { NULL, NULL };
@@ -70,17 +76,17 @@
 
 	for (list_t *l = p->servers.next; l != &p->servers; l = l->next) {
 		backend_t *b = list_entry(l, backend_t, link);
-		int again = was_tried(r, b);
+		int again = place_tried(r, b);
 		unsigned int load;
 		double s;
 
-		if (!health_usable(b, now))
+		if (b->keeper || !health_usable(b, now))
 			continue;
 		untried = untried || !again;
 		load = place_load(b, now);
 		if (load >= b->slots)
 			continue;
-		s = score(e, b, r, load);
+		s = place_score(e, b, r, load);
 		if (!best[again] || s < least[again]) {
 			best[again] = b;
 			least[again] = s;
--- a/lib/edge/priv.h
+++ b/lib/edge/priv.h
@@ -5,7 +5,9 @@
 #include "edge/fns.h"
 
 enum {
-	RANKS = 4, /* queues of a service; less urgent ranks share the last */
+	ROUTE_RANKS = 4,	 /* less urgent routes share the last */
+	CUSTOMER_RANKS = 2,	 /* the same for customers */
+	RANKS = CUSTOMER_RANKS * ROUTE_RANKS, /* a customer's rank goes first */
 };
 
 /* A customer's quota on this host. */
@@ -27,6 +29,8 @@
 	window_t ended;	  /* sends that ended and freed their place */
 	double mean_tokens;
 	double first_mean; /* ms to the first event, over all servers */
+	double run_mean;   /* ms that a request holds its place */
+	unsigned int unkept; /* servers without a keeper in touch */
 };
 
 struct edge {
@@ -38,6 +42,9 @@
 	GHashTable *pools;  /* pool_t by service */
 	GHashTable *by_id;  /* backend_t by id */
 	GHashTable *quotas; /* quota_t by customer */
+	GHashTable *keepers; /* incarnation by IP, of those in touch */
+	GHashTable *waiting; /* request_t that wait, by rid */
+	uint64_t rids;	    /* given to requests so far */
 	uint32_t serials;   /* given to servers so far */
 	GHashTable *others; /* other hosts, by name */
 	unsigned int hosts; /* listed, with this one */
@@ -45,6 +52,9 @@
 	counters_t *counters;
 };
 
+/* edge.c */
+void edge_run(edge_t *e, request_t *r, backend_t *b, ms_t now);
+
 /* fleet.c */
 pool_t *pool_get(edge_t *e, const char *service);
 void backend_release(edge_t *e, backend_t *b);
@@ -62,12 +72,23 @@
 
 /* place.c */
 backend_t *place_pick(edge_t *e, pool_t *p, const request_t *r, ms_t now);
+double place_score(edge_t *e, const backend_t *b, const request_t *r,
+		   unsigned int load);
+bool place_tried(const request_t *r, const backend_t *b);
 unsigned int place_load(const backend_t *b, ms_t now);
 unsigned int place_free(const pool_t *p, ms_t now);
 
+/* ask.c */
+void ask_first(edge_t *e, request_t *r, ms_t now);
+void ask_withdraw(edge_t *e, request_t *r);
+void ask_forget(edge_t *e, const backend_t *b);
+void ask_tick(edge_t *e, pool_t *p, ms_t now);
+void ask_count(pool_t *p);
+uint64_t ask_keeper(const edge_t *e, const char *ip);
+
 /* queue.c */
-void queue_push(pool_t *p, request_t *r, ms_t now);
-void queue_remove(request_t *r);
+void queue_push(edge_t *e, request_t *r, ms_t now);
+void queue_remove(edge_t *e, request_t *r);
 void queue_abandon(edge_t *e, request_t *r);
 unsigned int queue_ahead(const pool_t *p, const request_t *r);
 request_t *queue_next(pool_t *p, ms_t now);
--- a/lib/edge/queue.c
+++ b/lib/edge/queue.c
@@ -5,25 +5,38 @@
  */
 #include "edge/priv.h"
 
+/* A customer's rank goes before the route's; 0 is the most urgent. */
+unsigned int edge_rank(const edge_route_t *r, const edge_customer_t *c)
+{
+	unsigned int customer = c && c->rank > 0 ? (unsigned int)c->rank : 0;
+
+	return MIN(customer, CUSTOMER_RANKS - 1) * ROUTE_RANKS +
+	       MIN(r->rank, ROUTE_RANKS - 1);
+}
+
 static unsigned int rank_of(const request_t *r)
 {
 	return MIN(r->rank, RANKS - 1);
 }
 
 /* Puts a request at the end of its queue. */
-void queue_push(pool_t *p, request_t *r, ms_t now)
+void queue_push(edge_t *e, request_t *r, ms_t now)
 {
 	unsigned int rank = rank_of(r);
+	pool_t *p = r->pool;
 
 	r->state = REQUEST_WAITING;
 	r->late = now >= r->first_by;
 	list_add_tail(r->late ? &p->late[rank] : &p->waiting[rank], &r->link);
 	p->nwaiting++;
+	g_hash_table_insert(e->waiting, &r->rid, r);
 }
 
-/* Takes a waiting request out of its queue. */
-void queue_remove(request_t *r)
+/* Takes a waiting request out of its queue; what it asked for is withdrawn. */
+void queue_remove(edge_t *e, request_t *r)
 {
+	g_hash_table_remove(e->waiting, &r->rid);
+	ask_withdraw(e, r);
 	list_del(&r->link);
 	r->pool->nwaiting--;
 }
@@ -31,7 +44,7 @@
 /* Takes out a request that is given up; its quota is free again. */
 void queue_abandon(edge_t *e, request_t *r)
 {
-	queue_remove(r);
+	queue_remove(e, r);
 	if (r->customer && !r->charged)
 		quota_return(e, r->customer, r->cost);
 }
--- /dev/null
+++ b/lib/keeper/dat.h
@@ -0,0 +1,31 @@
+/*
+ * Decisions of a keeper, which runs beside one backend server and hands out
+ * its places. It sees the requests of all edge hosts and so keeps one order
+ * for them, which a server that admits as requests arrive cannot. No I/O.
+ */
+#ifndef KEEPER_DAT_H
+#define KEEPER_DAT_H
+
+#include "base/dat.h"
+
+typedef struct keeper keeper_t;
+
+enum {
+	KEEPER_RANKS = 8, /* 0 is the most urgent */
+};
+
+/* A host asks for a place. */
+typedef struct ask {
+	rid_t rid;
+	unsigned int rank;
+	unsigned int places; /* of the server, as the host knows it */
+	ms_t in_time;	     /* the place is of most use within this */
+	ms_t of_use;	     /* and of none after this */
+} ask_t;
+
+typedef struct keeper_ops {
+	/* The host may send the request now. Must not call the keeper back. */
+	void (*grant)(void *ctx, uint64_t host, rid_t rid);
+} keeper_ops_t;
+
+#endif
--- /dev/null
+++ b/lib/keeper/keeper.c
@@ -0,0 +1,239 @@
+/*
+ * The places of one backend server: who has one, who waits, who is next. It
+ * answers the load of bursts, when more requests come than the server has
+ * places: what waits here can still be overtaken by what is more urgent, or be
+ * withdrawn, while what waits in the server cannot.
+ */
+#include "keeper/fns.h"
+
+enum {
+	OLDEST_EVERY = 4, /* one grant in so many goes to the request that has
+			     waited longest, so that no rank starves */
+};
+
+/* A request that waits or has a place. */
+typedef struct holder {
+	list_t link;
+	rid_t rid;
+	uint64_t host;
+	unsigned int rank;
+	ms_t asked;
+	ms_t in_time; /* points in time */
+	ms_t of_use;
+	bool placed;
+} holder_t;
+
+struct keeper {
+	const keeper_ops_t *ops;
+	void *ctx;
+	unsigned int places; /* 0: not told yet */
+	list_t waiting[KEEPER_RANKS];
+	list_t late[KEEPER_RANKS];
+	list_t granted;
+	GHashTable *all; /* holder_t by rid */
+	unsigned int nwaiting;
+	unsigned int ngranted;
+	unsigned int turn;
+	counter_t *asks;
+	counter_t *grants;
+	counter_t *expired;
+};
+
+/* Returns a keeper of a server whose places are not known yet. */
+keeper_t *keeper_new(const keeper_ops_t *ops, void *ctx, counters_t *counters)
+{
+	keeper_t *k = g_new0(keeper_t, 1);
+
+	k->ops = ops;
+	k->ctx = ctx;
+	for (int i = 0; i < KEEPER_RANKS; i++) {
+		list_init(&k->waiting[i]);
+		list_init(&k->late[i]);
+	}
+	list_init(&k->granted);
+	k->all = g_hash_table_new_full(rid_hash, rid_equal, NULL, g_free);
+	k->asks = counter_get(counters, "keeper_asks_total", NULL);
+	k->grants = counter_get(counters, "keeper_grants_total", NULL);
+	k->expired = counter_get(counters, "keeper_expired_total", NULL);
+	return k;
+}
+
+/* Frees the keeper. */
+void keeper_free(keeper_t *k)
+{
+	g_hash_table_destroy(k->all);
+	g_free(k);
+}
+
+static holder_t *first(const list_t *head)
+{
+	return list_empty(head) ? NULL : list_entry(head->next, holder_t, link);
+}
+
+static void forget(keeper_t *k, holder_t *h, unsigned int *count)
+{
+	list_del(&h->link);
+	(*count)--;
+	g_hash_table_remove(k->all, &h->rid);
+}
+
+/* Who has waited longest of those that can still be in time, or NULL. */
+static holder_t *oldest(const keeper_t *k)
+{
+	holder_t *found = NULL;
+
+	for (int i = 0; i < KEEPER_RANKS; i++) {
+		holder_t *h = first(&k->waiting[i]);
+
+		if (h && (!found || h->asked < found->asked))
+			found = h;
+	}
+	return found;
+}
+
+/* Who is next: by rank, and in a rank those first that can be in time. */
+static holder_t *next(keeper_t *k)
+{
+	holder_t *h = NULL;
+
+	if (++k->turn % OLDEST_EVERY == 0)
+		h = oldest(k);
+	for (int i = 0; i < KEEPER_RANKS && !h; i++) {
+		h = first(&k->waiting[i]);
+		if (!h)
+			h = first(&k->late[i]);
+	}
+	return h;
+}
+
+static void sort_late(keeper_t *k, int rank, ms_t now)
+{
+	list_t *pos;
+	list_t *tmp;
+
+	list_for_each_safe(pos, tmp, &k->waiting[rank])
+	{
+		holder_t *h = list_entry(pos, holder_t, link);
+
+		if (now < h->in_time)
+			continue;
+		list_del(&h->link);
+		list_add_tail(&k->late[rank], &h->link);
+	}
+}
+
+static void drop_useless(keeper_t *k, list_t *head, ms_t now)
+{
+	list_t *pos;
+	list_t *tmp;
+
+	list_for_each_safe(pos, tmp, head)
+	{
+		holder_t *h = list_entry(pos, holder_t, link);
+
+		if (now < h->of_use)
+			continue;
+		k->expired->value++;
+		forget(k, h, &k->nwaiting);
+	}
+}
+
+/* Grants places while there are any and somebody waits. */
+static void grant(keeper_t *k, ms_t now)
+{
+	while (k->ngranted < k->places && k->nwaiting > 0) {
+		holder_t *h = next(k);
+
+		list_del(&h->link);
+		k->nwaiting--;
+		list_add_tail(&k->granted, &h->link);
+		k->ngranted++;
+		h->placed = true;
+		k->grants->value++;
+		k->ops->grant(k->ctx, h->host, h->rid);
+	}
+}
+
+/* Takes a request for a place. Asking again changes nothing. */
+void keeper_ask(keeper_t *k, uint64_t host, const ask_t *a, ms_t now)
+{
+	holder_t *h;
+
+	k->places = a->places;
+	k->asks->value++;
+	if (g_hash_table_contains(k->all, &a->rid))
+		return;
+	h = g_new0(holder_t, 1);
+	h->rid = a->rid;
+	h->host = host;
+	h->rank = MIN(a->rank, KEEPER_RANKS - 1);
+	h->asked = now;
+	h->in_time = now + a->in_time;
+	h->of_use = now + a->of_use;
+	g_hash_table_insert(k->all, &h->rid, h);
+	list_add_tail(a->in_time > 0 ? &k->waiting[h->rank]
+				     : &k->late[h->rank],
+		      &h->link);
+	k->nwaiting++;
+	grant(k, now);
+}
+
+/* The request is withdrawn, or has ended and its place is free. */
+void keeper_release(keeper_t *k, rid_t rid, ms_t now)
+{
+	holder_t *h = g_hash_table_lookup(k->all, &rid);
+
+	if (!h)
+		return;
+	forget(k, h, h->placed ? &k->ngranted : &k->nwaiting);
+	grant(k, now);
+}
+
+static void drop_host(keeper_t *k, list_t *head, uint64_t host,
+		      unsigned int *count)
+{
+	list_t *pos;
+	list_t *tmp;
+
+	list_for_each_safe(pos, tmp, head)
+	{
+		holder_t *h = list_entry(pos, holder_t, link);
+
+		if (h->host == host)
+			forget(k, h, count);
+	}
+}
+
+/* A host is gone, and its requests with it. */
+void keeper_host_gone(keeper_t *k, uint64_t host, ms_t now)
+{
+	for (int i = 0; i < KEEPER_RANKS; i++) {
+		drop_host(k, &k->waiting[i], host, &k->nwaiting);
+		drop_host(k, &k->late[i], host, &k->nwaiting);
+	}
+	drop_host(k, &k->granted, host, &k->ngranted);
+	grant(k, now);
+}
+
+/* Orders what waits by the time. To be called every few tens of ms. */
+void keeper_tick(keeper_t *k, ms_t now)
+{
+	for (int i = 0; i < KEEPER_RANKS; i++) {
+		sort_late(k, i, now);
+		drop_useless(k, &k->waiting[i], now);
+		drop_useless(k, &k->late[i], now);
+	}
+	grant(k, now);
+}
+
+/* Places that are taken. */
+unsigned int keeper_granted(const keeper_t *k)
+{
+	return k->ngranted;
+}
+
+/* Requests that wait. */
+unsigned int keeper_waiting(const keeper_t *k)
+{
+	return k->nwaiting;
+}
--- a/lib/relay/exchange.c
+++ b/lib/relay/exchange.c
@@ -184,7 +184,7 @@
 	}
 	set_times(x, now);
 	r->id = x->id ? x->id : "-";
-	r->rank = r->route->rank;
+	r->rank = edge_rank(r->route, r->customer);
 	r->prompt = x->call.prompt;
 	r->output = x->call.output > 0 ? x->call.output : x->call.output_max;
 	r->tokens = x->call.prompt + x->call.output_max;
--- a/lib/wire/codec.c
+++ b/lib/wire/codec.c
@@ -84,6 +84,9 @@
 	[MSG_ACK] = { "ack", { RID(ack), U64(ack, seq), U64(ack, end) } },
 	[MSG_RESUME] = { "resume", { RID(resume), U64(resume, from) } },
 	[MSG_CANCEL] = { "cancel", { RID(cancel) } },
+	[MSG_ASK] = { "ask",
+		      { RID(ask), U64(ask, rank), U64(ask, places),
+			U64(ask, in_time), U64(ask, of_use) } },
 };
 
 /* Returns the type's name for logs and counters. */
--- a/lib/wire/dat.h
+++ b/lib/wire/dat.h
@@ -33,6 +33,7 @@
 	MSG_ACK,
 	MSG_RESUME,
 	MSG_CANCEL,
+	MSG_ASK,
 	MSG_TYPE_END,
 } msg_type_t;
 
@@ -191,6 +192,18 @@
 	rid_t rid;
 } msg_cancel_t;
 
+/*
+ * An edge host asks a keeper for a place at its server. Answered by a grant;
+ * given back, before or after that, by a withdrawal.
+ */
+typedef struct msg_ask {
+	rid_t rid;
+	uint64_t rank;
+	uint64_t places;  /* of the server, as the platform lists it */
+	uint64_t in_time; /* ms in which the place is of most use */
+	uint64_t of_use;  /* ms after which it is of none */
+} msg_ask_t;
+
 /*
  * One message. Strings of a decoded message point into the frame's payload,
  * and facts into memory of the decoder; both live until the next decode.
@@ -217,6 +230,7 @@
 		msg_ack_t ack;
 		msg_resume_t resume;
 		msg_cancel_t cancel;
+		msg_ask_t ask;
 	} u;
 } msg_t;
 
