--- a/lib/edge/edge.c
+++ b/lib/edge/edge.c
@@ -104,6 +104,8 @@
 		r->tried[r->ntried++] = b->serial;
 	if (r->customer && !r->charged)
 		quota_sent(e, r->customer, r->cost);
+	if (!r->charged)
+		window_add(&r->pool->placed[MIN(r->rank, RANKS - 1)], 1, now);
 	r->charged = true;
 	b->running++;
 	list_add_tail(&b->runs, &r->run);
@@ -170,7 +172,7 @@
 	}
 	if (c) {
 		r->cost = quota_cost(c, r->tokens);
-		wait = quota_take(e, c, r->cost, now);
+		wait = quota_take(e, c, r->cost, r->rank, now);
 		if (wait > 0) {
 			refuse(e, r, CODE_OVER_LIMIT, wait);
 			return;
@@ -231,7 +233,6 @@
 		e->ops->release(e->ctx, r->granted, r);
 	r->granted = 0;
 	p->run_mean += learn * ((double)(now - r->sent_at) - p->run_mean);
-	window_add(&p->ended, 1, now);
 	backend_release(e, b);
 }
 
--- a/lib/edge/fleet.c
+++ b/lib/edge/fleet.c
@@ -3,7 +3,7 @@
 #include "edge/priv.h"
 
 enum {
-	ENDED_WINDOW_MS = 2000, /* over which the rate of free places is seen */
+	PLACED_WINDOW_MS = 2000, /* over which the rate of sends is seen */
 };
 
 static const double first_guess = 60; /* ms, before any answer was seen */
@@ -27,7 +27,8 @@
 	p->run_mean = run_guess;
 	window_init(&p->asked, e->conf.retry_window);
 	window_init(&p->repeats, e->conf.retry_window);
-	window_init(&p->ended, ENDED_WINDOW_MS);
+	for (int i = 0; i < RANKS; i++)
+		window_init(&p->placed[i], PLACED_WINDOW_MS);
 	g_hash_table_insert(e->pools, p->name, p);
 	return p;
 }
--- a/lib/edge/priv.h
+++ b/lib/edge/priv.h
@@ -26,7 +26,7 @@
 	unsigned int nwaiting;
 	window_t asked;	  /* requests of callers */
 	window_t repeats; /* sends beyond the first of each */
-	window_t ended;	  /* sends that ended and freed their place */
+	window_t placed[RANKS]; /* first sends, by rank */
 	double mean_tokens;
 	double first_mean; /* ms to the first event, over all servers */
 	double run_mean;   /* ms that a request holds its place */
@@ -90,17 +90,18 @@
 void queue_push(edge_t *e, request_t *r, ms_t now);
 void queue_remove(edge_t *e, request_t *r);
 void queue_abandon(edge_t *e, request_t *r);
-unsigned int queue_ahead(const pool_t *p, const request_t *r);
+unsigned int queue_alike(const pool_t *p, const request_t *r);
 request_t *queue_next(pool_t *p, ms_t now);
 void queue_expire(edge_t *e, pool_t *p, ms_t now);
 
 /* refuse.c */
-ms_t refuse_after(edge_t *e, const pool_t *p, const request_t *r, ms_t now);
-bool refuse_hopeless(const pool_t *p, const request_t *r, ms_t now);
+ms_t refuse_after(edge_t *e, pool_t *p, const request_t *r, ms_t now);
+bool refuse_hopeless(pool_t *p, const request_t *r, ms_t now);
 
 /* quota.c */
 double quota_cost(const edge_customer_t *c, double tokens);
-ms_t quota_take(edge_t *e, const edge_customer_t *c, double cost, ms_t now);
+ms_t quota_take(edge_t *e, const edge_customer_t *c, double cost,
+		unsigned int rank, ms_t now);
 void quota_return(edge_t *e, const edge_customer_t *c, double cost);
 void quota_sent(edge_t *e, const edge_customer_t *c, double cost);
 void quota_elsewhere(edge_t *e, const char *customer, double cost);
--- a/lib/edge/queue.c
+++ b/lib/edge/queue.c
@@ -49,14 +49,12 @@
 		quota_return(e, r->customer, r->cost);
 }
 
-/* Requests that would be sent before this one. */
-unsigned int queue_ahead(const pool_t *p, const request_t *r)
+/* Requests of the same rank that wait here. */
+unsigned int queue_alike(const pool_t *p, const request_t *r)
 {
-	unsigned int n = 0;
+	unsigned int rank = rank_of(r);
 
-	for (unsigned int i = 0; i <= rank_of(r); i++)
-		n += list_len(&p->waiting[i]) + list_len(&p->late[i]);
-	return n;
+	return list_len(&p->waiting[rank]) + list_len(&p->late[rank]);
 }
 
 /* Returns the request that is to be sent next, or NULL. */
--- a/lib/edge/quota.c
+++ b/lib/edge/quota.c
@@ -22,6 +22,8 @@
 				      in on credit, for it serves a caller at
 				      next to no cost to the others */
 static const double credit = 0.5;  /* of the burst */
+static const double kept_for_urgent = 0.02; /* of the burst, for each rank that
+					       a route is below the first */
 
 static quota_t *quota_of(edge_t *e, const char *customer)
 {
@@ -65,13 +67,22 @@
 	return tokens > 0 ? tokens : c->plain_cost;
 }
 
+/* The level that has to be left for a request of that cost and rank. */
+static double floor_of(const edge_customer_t *c, double cost, unsigned int rank)
+{
+	if (cost < c->burst * small)
+		return -c->burst * credit;
+	return c->burst * kept_for_urgent * (rank % ROUTE_RANKS);
+}
+
 /*
  * Takes the cost from the customer's bucket. Returns 0 when there was room,
  * else how long until there will be, in ms. A request is let in while the
  * level is above zero and may take it below: one that is larger than the burst
  * would otherwise never run.
  */
-ms_t quota_take(edge_t *e, const edge_customer_t *c, double cost, ms_t now)
+ms_t quota_take(edge_t *e, const edge_customer_t *c, double cost,
+		unsigned int rank, ms_t now)
 {
 	quota_t *q;
 	double wait;
@@ -80,7 +91,7 @@
 		return 0;
 	q = quota_of(e, c->name);
 	refill(e, q, c, now);
-	if (q->level > (cost < c->burst * small ? -c->burst * credit : 0)) {
+	if (q->level > floor_of(c, cost, rank)) {
 		q->level -= cost;
 		return 0;
 	}
--- a/lib/edge/refuse.c
+++ b/lib/edge/refuse.c
@@ -8,25 +8,29 @@
 enum {
 	AFTER_LEAST_MS = 100,	 /* a shorter pause only adds load */
 	AFTER_MOST_MS = 2500,	 /* callers wait a third of their time at most */
-	RATE_SAMPLES = 8,	 /* ended requests before a rate is believed */
-	RATE_SPAN_MS = 2000,	 /* as the window of ended requests */
+	LEAST_AHEAD = 4,	 /* fewer say little about a wait */
+	RATE_SPAN_MS = 2000,	 /* as the window of sent requests */
 	AFTER_UNKNOWN_MS = 400,	 /* with no rate to go by */
 };
 
 static const double spread = 0.5; /* of the pause, so that few come together */
 
-/* Expected wait for a place, in ms; 0 when the rate is not known. */
-static double expected_wait(const pool_t *p, const request_t *r, ms_t now)
+/*
+ * Expected wait for a place, in ms; 0 when the rate is not known. What goes
+ * first of other ranks shows in how many of this rank were sent lately.
+ */
+static double expected_wait(pool_t *p, const request_t *r, ms_t now)
 {
-	double ended = window_sum((window_t *)&p->ended, now);
+	unsigned int ahead = queue_alike(p, r);
+	double sent = window_sum(&p->placed[MIN(r->rank, RANKS - 1)], now);
 
-	if (ended < RATE_SAMPLES)
+	if (ahead < LEAST_AHEAD)
 		return 0;
-	return queue_ahead(p, r) * (double)RATE_SPAN_MS / ended;
+	return ahead * (double)RATE_SPAN_MS / MAX(sent, 1);
 }
 
 /* When a refused caller should come back, in ms from now. */
-ms_t refuse_after(edge_t *e, const pool_t *p, const request_t *r, ms_t now)
+ms_t refuse_after(edge_t *e, pool_t *p, const request_t *r, ms_t now)
 {
 	double wait = expected_wait(p, r, now);
 
@@ -37,7 +41,7 @@
 }
 
 /* Whether a request that has just come would get its place too late. */
-bool refuse_hopeless(const pool_t *p, const request_t *r, ms_t now)
+bool refuse_hopeless(pool_t *p, const request_t *r, ms_t now)
 {
 	ms_t until = MIN(r->deadline, r->leaves);
 	double wait = expected_wait(p, r, now);
