--- a/cmd/chestnuthinged/edged.c
+++ b/cmd/chestnuthinged/edged.c
@@ -1,5 +1,5 @@
 /*
- * An edge host: the decisions of lib/edge, the connections of lib/relay, and
+ * An edge host: the decisions of lib/edge, the connections of lib/forward, and
  * what the platform's adapter reads, joined in one loop.
  */
 #include <inttypes.h>
@@ -10,12 +10,12 @@
 #include "net/fns.h"
 
 enum {
-	TICK_MS = 10,	      /* the finest that any bound here needs */
-	CONNECT_MS = 600,     /* a server in the region takes a few ms */
-	STOP_WAIT_MS = 2700,  /* two probes of the ready address, a second
-				 apart, take this host out; what comes later
-				 could not be finished within the grace */
-	GRACE_LEFT_MS = 700,  /* of the grace, kept for closing */
+	TICK_MS = 10,	       /* the finest that any bound here needs */
+	CONNECT_MS = 600,      /* a server in the region takes a few ms */
+	STOP_WAIT_MS = 2700,   /* two probes of the ready address, a second
+				  apart, take this host out; what comes later
+				  could not be finished within the grace */
+	GRACE_LEFT_MS = 700,   /* of the grace, kept for closing */
 	ORDERS_WAIT_MS = 1200, /* a silent path to the store shows after this */
 	SERVERS_PAUSE_MS = 500, /* entries are rewritten by heartbeats: read a
 				   few at a time; a leaving server is known in
@@ -36,7 +36,7 @@
 	edge_settings_t *set;
 	counters_t *counters;
 	edge_t *edge;
-	relay_t *relay;
+	forward_t *forward;
 	roster_t *roster;
 	pages_t *pages;
 	follow_t *orders;
@@ -56,21 +56,21 @@
 {
 	edged_t *d = ctx;
 
-	relay_send(d->relay, r);
+	forward_send(d->forward, r);
 }
 
 static void on_refuse(void *ctx, request_t *r, code_t code, ms_t after)
 {
 	edged_t *d = ctx;
 
-	relay_refuse(d->relay, r, code, after);
+	forward_refuse(d->forward, r, code, after);
 }
 
 static void on_forget(void *ctx, backend_t *b)
 {
 	edged_t *d = ctx;
 
-	relay_forget(d->relay, b);
+	forward_forget(d->forward, b);
 }
 
 static void on_ask(void *ctx, backend_t *b, const request_t *r, ms_t now)
@@ -170,11 +170,9 @@
 }
 
 static const follow_ops_t orders_ops = { on_order, ignore_listing,
-					 ignore_listing,
-					 ignore_reachable };
+					 ignore_listing, ignore_reachable };
 
-static const follow_ops_t hosts_ops = { on_host, ignore_listing,
-					ignore_listing,
+static const follow_ops_t hosts_ops = { on_host, ignore_listing, ignore_listing,
 					ignore_reachable };
 
 /* What the backend servers wrote. */
@@ -261,7 +259,7 @@
 	uv_close((uv_handle_t *)&d->term, NULL);
 	uv_close((uv_handle_t *)&d->intr, NULL);
 	uv_close((uv_handle_t *)&d->hup, NULL);
-	relay_close(d->relay);
+	forward_close(d->forward);
 	pages_close(d->pages);
 	follow_free(d->orders);
 	follow_free(d->servers);
@@ -275,7 +273,7 @@
 	ms_t grace = (ms_t)d->set->grace_s * MS_PER_S - GRACE_LEFT_MS;
 	ms_t age = now - d->stop_at;
 
-	if (age >= grace || (age >= STOP_WAIT_MS && relay_idle(d->relay)))
+	if (age >= grace || (age >= STOP_WAIT_MS && forward_idle(d->forward)))
 		end(d);
 }
 
@@ -291,7 +289,7 @@
 	mates_tick(d->mates, now);
 	roster_tick(d->roster, now);
 	edge_tick(d->edge, now);
-	relay_tick(d->relay, now);
+	forward_tick(d->forward, now);
 	log_flush();
 	if (d->stopping)
 		check_end(d, now);
@@ -307,7 +305,7 @@
 		return;
 	d->stopping = true;
 	d->stop_at = clock_now();
-	relay_drain(d->relay, d->stop_at);
+	forward_drain(d->forward, d->stop_at);
 }
 
 static void start_signal(edged_t *d, uv_signal_t *s, int number)
@@ -332,7 +330,7 @@
 		.quota_window = (ms_t)set->quota_window_s * MS_PER_S,
 		.drain = set->drain,
 	};
-	relay_conf_t rconf = {
+	forward_conf_t rconf = {
 		.callers = set->callers,
 		.connect_time = CONNECT_MS,
 		.connections_max = set->connections_max,
@@ -341,8 +339,8 @@
 	};
 
 	d->edge = edge_new(&conf, &edge_ops, d, d->counters);
-	d->relay = relay_new(&d->loop, &rconf, d->edge, &adapter_codec,
-			     d->counters);
+	d->forward = forward_new(&d->loop, &rconf, d->edge, &adapter_codec,
+				 d->counters);
 	d->roster = roster_new(d->edge);
 	d->mates = mates_new(&d->loop, d->edge, set, d->inc, &mates_ops, d,
 			     d->counters);
@@ -364,14 +362,14 @@
 	conf.wait = HOSTS_WAIT_MS;
 	d->hosts = follow_new(&d->loop, &conf, &hosts_ops, d, d->counters);
 	addr_print(&d->set->peers, where);
-	d->announce = announce_new(&d->loop, &d->set->store, d->set->name,
-				   where);
+	d->announce =
+		announce_new(&d->loop, &d->set->store, d->set->name, where);
 }
 
 static bool listen_all(edged_t *d, GError **err)
 {
 	d->pages = pages_new(&d->loop, on_page, d);
-	if (relay_listen(d->relay) == CODE_OK &&
+	if (forward_listen(d->forward) == CODE_OK &&
 	    pages_listen(d->pages, &d->set->ready) == CODE_OK &&
 	    mates_listen(d->mates) == CODE_OK)
 		return true;
@@ -388,7 +386,7 @@
 	roster_free(d->roster);
 	edge_free(d->edge);
 	uv_run(&d->loop, UV_RUN_DEFAULT);
-	relay_free(d->relay);
+	forward_free(d->forward);
 	pages_free(d->pages);
 	uv_loop_close(&d->loop);
 	counters_free(d->counters);
--- a/cmd/chestnuthinged/main.c
+++ b/cmd/chestnuthinged/main.c
@@ -39,8 +39,8 @@
 	GError *err = NULL;
 	bool ok;
 
-	g_option_context_set_summary(
-		ctx, "Runs an entry, a sidecar or an edge of the request scheduler.");
+	g_option_context_set_summary(ctx, "Runs an entry, a sidecar or an edge "
+					  "of the request scheduler.");
 	g_option_context_add_main_entries(ctx, entries, NULL);
 	ok = g_option_context_parse(ctx, &argc, &argv, &err);
 	if (!ok)
--- a/cmd/chestnuthinged/mates.c
+++ b/cmd/chestnuthinged/mates.c
@@ -32,12 +32,12 @@
 	const mates_ops_t *ops;
 	void *ctx;
 	peers_t *peers;
-	GHashTable *names; /* name by incarnation, of hosts that are up */
+	GHashTable *names;   /* name by incarnation, of hosts that are up */
 	GHashTable *keepers; /* IP by incarnation, of keepers that are up */
 	ms_t next;
-	GArray *kv;    /* fact_kv_t, of the message being made */
+	GArray *kv;	 /* fact_kv_t, of the message being made */
 	GPtrArray *keys; /* its strings */
-	ms_t asked_at; /* for a configuration */
+	ms_t asked_at;	 /* for a configuration */
 };
 
 static void on_up(void *ctx, const msg_hello_t *who)
--- a/lib/base/log.c
+++ b/lib/base/log.c
@@ -22,7 +22,7 @@
 static log_level_t least_level = LOG_INFO;
 static char buffer[BUFFER_BYTES];
 static size_t used;
-static uint64_t dropped;	/* since the last line that told it */
+static uint64_t dropped; /* since the last line that told it */
 static uint64_t dropped_total;
 
 /*
--- a/lib/conf/dat.h
+++ b/lib/conf/dat.h
@@ -71,11 +71,11 @@
 	uint8_t *key; /* the fleet's key */
 	size_t key_len;
 	char *key_text;
-	ms_t drain;	     /* a leaving server gets nothing new after this */
-	ms_t config;	     /* a configuration acts within this */
-	size_t grace_s;	     /* from the order to stop to the kill, seconds */
-	double retry_ratio;  /* repeated sends, by requests, over all hosts */
-	size_t retry_slack;  /* repeated sends beyond that, over all hosts */
+	ms_t drain;	    /* a leaving server gets nothing new after this */
+	ms_t config;	    /* a configuration acts within this */
+	size_t grace_s;	    /* from the order to stop to the kill, seconds */
+	double retry_ratio; /* repeated sends, by requests, over all hosts */
+	size_t retry_slack; /* repeated sends beyond that, over all hosts */
 	size_t retry_window_s;
 	double quota_tolerance; /* more than a quota, by it, that is let pass */
 	size_t quota_slack;
--- a/lib/conf/edge.c
+++ b/lib/conf/edge.c
@@ -3,7 +3,7 @@
 #include "conf/priv.h"
 
 enum {
-	SPAN_MAX = 600000,  /* milliseconds */
+	SPAN_MAX = 600000, /* milliseconds */
 	SECONDS_MAX = 3600,
 	SLACK_MAX = 1000000,
 	QUOTA_SLACK_MAX = 1000000000,
@@ -53,8 +53,8 @@
 	  SECONDS_MAX, NULL },
 	{ "quota_tolerance", FIELD_RATIO, AT(quota_tolerance), false, 0,
 	  RATIO_MAX, NULL },
-	{ "quota_slack", FIELD_SIZE, AT(quota_slack), false, 0,
-	  QUOTA_SLACK_MAX, NULL },
+	{ "quota_slack", FIELD_SIZE, AT(quota_slack), false, 0, QUOTA_SLACK_MAX,
+	  NULL },
 	{ "quota_window_s", FIELD_SIZE, AT(quota_window_s), false, 1,
 	  SECONDS_MAX, NULL },
 };
--- a/lib/edge/ask.c
+++ b/lib/edge/ask.c
@@ -9,7 +9,7 @@
 #include "edge/priv.h"
 
 enum {
-	ASK_MORE = 2,	 /* servers added at a time */
+	ASK_MORE = 2,	    /* servers added at a time */
 	MORE_AFTER_MS = 12, /* a grant takes a few ms where there is a place */
 };
 
--- a/lib/edge/dat.h
+++ b/lib/edge/dat.h
@@ -44,9 +44,9 @@
 /* A customer, its keys are in desired_t. */
 typedef struct edge_customer {
 	char *name;
-	int rank;	   /* goes before the route's; -1 none */
-	bool by_tokens;	   /* rate and burst are in tokens, else requests */
-	double rate;	   /* a second; 0 no limit */
+	int rank;	/* goes before the route's; -1 none */
+	bool by_tokens; /* rate and burst are in tokens, else requests */
+	double rate;	/* a second; 0 no limit */
 	double burst;
 	double plain_cost; /* of a request that gives no tokens */
 } edge_customer_t;
@@ -101,7 +101,7 @@
 	list_t link; /* in its pool */
 	pool_t *pool;
 	const char *pool_name; /* the service */
-	uint32_t serial; /* of this incarnation, within this process */
+	uint32_t serial;       /* of this incarnation, within this process */
 	char *id;
 	char *version;
 	char *data_center;
@@ -122,9 +122,9 @@
 	unsigned int lost_in_row;
 	ms_t aside_until;
 	ms_t aside_span;
-	bool trying; /* back from being set aside, one request at a time */
-	void *user;  /* connections kept there */
-	uint64_t keeper;   /* incarnation of its keeper; 0 not in touch */
+	bool trying;	 /* back from being set aside, one request at a time */
+	void *user;	 /* connections kept there */
+	uint64_t keeper; /* incarnation of its keeper; 0 not in touch */
 	unsigned int asks; /* of ours that wait there for a place */
 };
 
@@ -155,25 +155,25 @@
 	backend_t *server; /* while running */
 	unsigned int rank;
 	ms_t arrived;
-	ms_t deadline; /* of the final answer */
-	ms_t first_by; /* the target for the first event */
-	ms_t leaves;   /* the caller gives up a stream without an event */
-	double prompt; /* tokens */
-	double output; /* tokens, expected */
-	double tokens; /* that count against the customer's quota */
-	double cost;   /* taken from the customer's quota */
-	bool charged;  /* and told to the other hosts */
+	ms_t deadline;	    /* of the final answer */
+	ms_t first_by;	    /* the target for the first event */
+	ms_t leaves;	    /* the caller gives up a stream without an event */
+	double prompt;	    /* tokens */
+	double output;	    /* tokens, expected */
+	double tokens;	    /* that count against the customer's quota */
+	double cost;	    /* taken from the customer's quota */
+	bool charged;	    /* and told to the other hosts */
 	unsigned int sends; /* that may have run */
 	unsigned int arrivals;
 	uint32_t tried[TRIED_MAX]; /* serials of servers */
 	unsigned int ntried;
 	backend_t *asked[ASKS_MAX];
 	unsigned int nasked;
-	ms_t asked_at; /* when the last of them was asked */
+	ms_t asked_at;	  /* when the last of them was asked */
 	uint64_t granted; /* incarnation of the keeper that gave its place */
 	ms_t sent_at;
 	ms_t last_event;
-	bool started; /* the first event has come, over all sends */
+	bool started;	 /* the first event has come, over all sends */
 	bool first_here; /* and from this server */
 } request_t;
 
@@ -200,8 +200,9 @@
 	uint64_t seed;
 	double retry_ratio; /* sends beyond the first, by requests */
 	ms_t retry_window;
-	double quota_tolerance; /* more than the quota, by it, that is let pass */
-	double quota_slack; /* more than the quota in a window, the same */
+	double quota_tolerance; /* more than the quota, by it, that is let pass
+				 */
+	double quota_slack;	/* more than the quota in a window, the same */
 	ms_t quota_window;
 	double retry_slack; /* sends beyond the ratio, over all hosts */
 	ms_t drain;
--- a/lib/edge/desired.c
+++ b/lib/edge/desired.c
@@ -44,8 +44,8 @@
 	d->refs = 1;
 	d->version = version;
 	d->routes = g_ptr_array_new_with_free_func(route_free);
-	d->by_host = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
-					   host_free);
+	d->by_host =
+		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, host_free);
 	d->customers = g_ptr_array_new_with_free_func(customer_free);
 	d->by_key =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
--- a/lib/edge/edge.c
+++ b/lib/edge/edge.c
@@ -2,15 +2,15 @@
 #include "edge/priv.h"
 
 enum {
-	ARRIVALS_MAX = 4, /* servers that a request is shown to, with those
-			     that reject it */
+	ARRIVALS_MAX = 4,     /* servers that a request is shown to, with those
+				 that reject it */
 	STALL_LEAST_MS = 250, /* shorter silences are ordinary */
 	STALL_GAPS = 2,	      /* times the target between events */
 	STALL_FIRSTS = 2,     /* times the target of the first event */
 };
 
-static const double learn = 0.05;	/* weight of a sample in the means */
-static const double stall_times = 6;	/* the expected time to an event */
+static const double learn = 0.05;    /* weight of a sample in the means */
+static const double stall_times = 6; /* the expected time to an event */
 
 static void pool_free(gpointer v)
 {
@@ -30,14 +30,14 @@
 	e->ops = ops;
 	e->ctx = ctx;
 	e->rand = g_rand_new_with_seed((guint32)conf->seed);
-	e->pools = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
-					 pool_free);
+	e->pools =
+		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, pool_free);
 	e->by_id = g_hash_table_new(g_str_hash, g_str_equal);
-	e->keepers = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-					   g_free);
+	e->keepers =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	e->waiting = g_hash_table_new(rid_hash, rid_equal);
-	e->quotas = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-					  g_free);
+	e->quotas =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	hosts_init(e);
 	e->counters = counters;
 	return e;
@@ -77,10 +77,11 @@
 	for (guint i = 0; i < d->customers->len; i++) {
 		const edge_customer_t *c = d->customers->pdata[i];
 
-		log_line(LOG_DEBUG, "config_customer",
-			 "version=%llu customer=%s rank=%d rate=%.0f burst=%.0f",
-			 (unsigned long long)d->version, c->name, c->rank,
-			 c->rate, c->burst);
+		log_line(
+			LOG_DEBUG, "config_customer",
+			"version=%llu customer=%s rank=%d rate=%.0f burst=%.0f",
+			(unsigned long long)d->version, c->name, c->rank,
+			c->rate, c->burst);
 	}
 	return true;
 }
@@ -254,8 +255,8 @@
 static bool worth_again(edge_t *e, request_t *r, sent_t how, bool resumable,
 			ms_t now)
 {
-	bool not_run = how == SENT_REJECTED || how == SENT_NOT ||
-		       how == SENT_WRONG;
+	bool not_run =
+		how == SENT_REJECTED || how == SENT_NOT || how == SENT_WRONG;
 
 	if (how == SENT_WHOLE || now >= r->deadline ||
 	    r->arrivals >= ARRIVALS_MAX)
@@ -317,8 +318,8 @@
 {
 	const backend_t *b = r->server;
 	const edge_route_t *rt = r->route;
-	double usual = r->first_here ? b->step
-				     : cost_first(b->pool, b, r->prompt);
+	double usual =
+		r->first_here ? b->step : cost_first(b->pool, b, r->prompt);
 	ms_t least = r->first_here ? rt->gap_target * STALL_GAPS
 				   : rt->first_target * STALL_FIRSTS;
 
--- a/lib/edge/fleet.c
+++ b/lib/edge/fleet.c
@@ -53,8 +53,8 @@
 static void take_off(edge_t *e, backend_t *b, const char *why)
 {
 	log_line(LOG_INFO, "server_gone",
-		 "server=%s service=%s why=%s running=%u", b->id,
-		 b->pool->name, why, b->running);
+		 "server=%s service=%s why=%s running=%u", b->id, b->pool->name,
+		 why, b->running);
 	g_hash_table_remove(e->by_id, b->id);
 	list_del(&b->link);
 	b->gone = true;
--- a/lib/edge/hosts.c
+++ b/lib/edge/hosts.c
@@ -31,8 +31,8 @@
 	if (o)
 		return o;
 	o = g_new0(other_t, 1);
-	o->sent = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-					g_free);
+	o->sent =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	g_hash_table_insert(e->others, g_strdup(name), o);
 	return o;
 }
--- a/lib/edge/place.c
+++ b/lib/edge/place.c
@@ -10,9 +10,9 @@
 				  after this: most runs are shorter */
 };
 
-static const double full_cost = 0.6;  /* more time, relative, when full */
-static const double away_ms = 12;     /* what another data centre counts */
-static const double spread = 0.15;    /* random part, so hosts differ */
+static const double full_cost = 0.6; /* more time, relative, when full */
+static const double away_ms = 12;    /* what another data centre counts */
+static const double spread = 0.15;   /* random part, so hosts differ */
 
 /* Requests at the server, ours and, as far as they are known, others'. */
 unsigned int place_load(const backend_t *b, ms_t now)
--- a/lib/edge/priv.h
+++ b/lib/edge/priv.h
@@ -5,8 +5,8 @@
 #include "edge/fns.h"
 
 enum {
-	ROUTE_RANKS = 4,	 /* less urgent routes share the last */
-	CUSTOMER_RANKS = 2,	 /* the same for customers */
+	ROUTE_RANKS = 4,    /* less urgent routes share the last */
+	CUSTOMER_RANKS = 2, /* the same for customers */
 	RANKS = CUSTOMER_RANKS * ROUTE_RANKS, /* a customer's rank goes first */
 };
 
@@ -20,16 +20,16 @@
 /* The servers of one service and what waits for them. */
 struct pool {
 	char *name;
-	list_t servers; /* backend_t */
+	list_t servers;	       /* backend_t */
 	list_t waiting[RANKS]; /* may still be in time */
 	list_t late[RANKS];    /* cannot be any more */
 	unsigned int nwaiting;
-	window_t asked;	  /* requests of callers */
-	window_t repeats; /* sends beyond the first of each */
+	window_t asked;		/* requests of callers */
+	window_t repeats;	/* sends beyond the first of each */
 	window_t placed[RANKS]; /* first sends, by rank */
 	double mean_tokens;
-	double first_mean; /* ms to the first event, over all servers */
-	double run_mean;   /* ms that a request holds its place */
+	double first_mean;   /* ms to the first event, over all servers */
+	double run_mean;     /* ms that a request holds its place */
 	unsigned int unkept; /* servers without a keeper in touch */
 };
 
@@ -38,16 +38,16 @@
 	const edge_ops_t *ops;
 	void *ctx;
 	GRand *rand;
-	desired_t *desired; /* in force; NULL before the first */
-	GHashTable *pools;  /* pool_t by service */
-	GHashTable *by_id;  /* backend_t by id */
-	GHashTable *quotas; /* quota_t by customer */
-	GHashTable *keepers; /* incarnation by IP, of those in touch */
-	GHashTable *waiting; /* request_t that wait, by rid */
-	uint64_t rids;	    /* given to requests so far */
-	uint32_t serials;   /* given to servers so far */
-	GHashTable *others; /* other hosts, by name */
-	unsigned int hosts; /* listed, with this one */
+	desired_t *desired;	   /* in force; NULL before the first */
+	GHashTable *pools;	   /* pool_t by service */
+	GHashTable *by_id;	   /* backend_t by id */
+	GHashTable *quotas;	   /* quota_t by customer */
+	GHashTable *keepers;	   /* incarnation by IP, of those in touch */
+	GHashTable *waiting;	   /* request_t that wait, by rid */
+	uint64_t rids;		   /* given to requests so far */
+	uint32_t serials;	   /* given to servers so far */
+	GHashTable *others;	   /* other hosts, by name */
+	unsigned int hosts;	   /* listed, with this one */
 	unsigned int hosts_silent; /* of those, not heard */
 	counters_t *counters;
 };
--- a/lib/edge/quota.c
+++ b/lib/edge/quota.c
@@ -9,12 +9,12 @@
 #include "edge/priv.h"
 
 enum {
-	RETRY_FLOOR_MS = 100,	/* a shorter pause would only add load */
-	RETRY_CEIL_MS = 2000,	/* callers cap what they honour well below */
+	RETRY_FLOOR_MS = 100, /* a shorter pause would only add load */
+	RETRY_CEIL_MS = 2000, /* callers cap what they honour well below */
 };
 
-static const double first_level = 0.1; /* of the burst, in a new process: what
-					  an earlier one used is not known */
+static const double first_level = 0.1;	 /* of the burst, in a new process: what
+					    an earlier one used is not known */
 static const double tolerance_use = 0.8; /* of what is tolerated: the rest is
 					    for what hosts learn late */
 static const double slack_use = 0.25;	 /* of the slack, for the same reason */
--- a/lib/edge/refuse.c
+++ b/lib/edge/refuse.c
@@ -6,11 +6,11 @@
 #include "edge/priv.h"
 
 enum {
-	AFTER_LEAST_MS = 100,	 /* a shorter pause only adds load */
-	AFTER_MOST_MS = 2500,	 /* callers wait a third of their time at most */
-	LEAST_AHEAD = 4,	 /* fewer say little about a wait */
-	RATE_SPAN_MS = 2000,	 /* as the window of sent requests */
-	AFTER_UNKNOWN_MS = 400,	 /* with no rate to go by */
+	AFTER_LEAST_MS = 100,	/* a shorter pause only adds load */
+	AFTER_MOST_MS = 2500,	/* callers wait a third of their time at most */
+	LEAST_AHEAD = 4,	/* fewer say little about a wait */
+	RATE_SPAN_MS = 2000,	/* as the window of sent requests */
+	AFTER_UNKNOWN_MS = 400, /* with no rate to go by */
 };
 
 static const double spread = 0.5; /* of the pause, so that few come together */
--- a/lib/edge/roster.c
+++ b/lib/edge/roster.c
@@ -6,7 +6,8 @@
 #include "edge/fns.h"
 
 enum {
-	RETURN_MS = 2300, /* lapsed entries are back about 2 s after the store */
+	RETURN_MS =
+		2300, /* lapsed entries are back about 2 s after the store */
 };
 
 struct roster {
@@ -23,8 +24,8 @@
 	roster_t *r = g_new0(roster_t, 1);
 
 	r->edge = e;
-	r->missing = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-					   g_free);
+	r->missing =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	return r;
 }
 
@@ -70,8 +71,8 @@
 {
 	if (r->listed)
 		g_hash_table_destroy(r->listed);
-	r->listed = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-					  NULL);
+	r->listed =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 }
 
 /* The listing is complete: servers that it did not name are missing. */
--- a/lib/relay/caller.c
+++ b/lib/forward/caller.c
@@ -1,5 +1,5 @@
 /* Connections from callers: requests in, answers out, and their ends. */
-#include "relay/priv.h"
+#include "forward/priv.h"
 
 enum {
 	READ_SIZE = 64 << 10,  /* bytes */
@@ -17,7 +17,7 @@
 {
 	caller_t *c = (caller_t *)h;
 
-	c->relay->ncallers--;
+	c->forward->ncallers--;
 	http_in_clear(&c->in);
 	writer_clear(&c->out);
 	g_byte_array_free(c->pending, TRUE);
@@ -42,8 +42,8 @@
 {
 	if (c->closed || !list_empty(&c->later))
 		return;
-	list_add_tail(&c->relay->wake, &c->later);
-	relay_soon(c->relay);
+	list_add_tail(&c->forward->wake, &c->later);
+	forward_soon(c->forward);
 }
 
 /* Closes so that the other end sees the answer break off. */
@@ -105,10 +105,10 @@
 {
 	GByteArray *out = g_byte_array_new();
 	exchange_t *x = c->x;
-	bool close = !c->running || c->relay->draining || (x && x->close);
+	bool close = !c->running || c->forward->draining || (x && x->close);
 	str_t id = x && x->id ? str_of(x->id) : (str_t){ "", 0 };
 
-	c->relay->codec->write_own(status, after, id, text, close, out);
+	c->forward->codec->write_own(status, after, id, text, close, out);
 	caller_write(c, out);
 	g_byte_array_free(out, TRUE);
 	caller_done(c, !close);
@@ -118,7 +118,7 @@
 {
 	static const edge_limits_t none = { HEADER_MAX, 4 << 20, HEADER_MS,
 					    IDLE_MS };
-	desired_t *d = edge_desired(c->relay->edge);
+	desired_t *d = edge_desired(c->forward->edge);
 
 	return d ? &d->limits : &none;
 }
@@ -264,7 +264,7 @@
 }
 
 /* Looks at all callers that wait for it. */
-void relay_wake_callers(relay_t *r)
+void forward_wake_callers(forward_t *r)
 {
 	while (!list_empty(&r->wake)) {
 		caller_t *c = list_entry(r->wake.next, caller_t, later);
@@ -283,16 +283,16 @@
 		c->gone = true;
 		caller_wake(c);
 	} else if (c->x && c->x->lane) {
-		link_pause(c->x->lane->conn, false);
+		hconn_pause(c->x->lane->conn, false);
 	}
 }
 
 /* Takes a connection that waits at the listener. */
-void caller_accept(relay_t *r)
+void caller_accept(forward_t *r)
 {
 	caller_t *c = g_new0(caller_t, 1);
 
-	c->relay = r;
+	c->forward = r;
 	r->ncallers++;
 	list_add_tail(&r->callers, &c->link);
 	list_init(&c->later);
@@ -320,9 +320,7 @@
 	bool reading = c->x || !http_in_idle(&c->in);
 
 	if (c->closing) {
-		if (age > LINGER_MS && writer_kept(&c->out) == 0)
-			caller_close(c);
-		else if (age > TAKES_NOTHING_MS)
+		if (age > (writer_kept(&c->out) ? TAKES_NOTHING_MS : LINGER_MS))
 			caller_close(c);
 		return;
 	}
@@ -331,6 +329,6 @@
 	if (reading && age > lim->header_time)
 		refuse_read(c, 408, "request not complete in time");
 	else if (!reading &&
-		 (age > lim->idle_time || relay_stopped(c->relay, now)))
+		 (age > lim->idle_time || forward_stopped(c->forward, now)))
 		begin_close(c, now);
 }
--- a/lib/relay/dat.h
+++ b/lib/forward/dat.h
@@ -3,24 +3,24 @@
  * other, and the bytes between them. What to do is decided in lib/edge; how
  * requests and answers are spelled is the codec's.
  */
-#ifndef RELAY_DAT_H
-#define RELAY_DAT_H
+#ifndef FORWARD_DAT_H
+#define FORWARD_DAT_H
 
 #include <uv.h>
 #include "edge/dat.h"
 #include "http/fns.h"
 
-typedef struct relay relay_t;
-typedef struct link link_t;
+typedef struct forward forward_t;
+typedef struct hconn hconn_t;
 typedef struct caller caller_t;
 typedef struct exchange exchange_t;
 
 /* What a caller's request says, beside what is passed on as it is. */
 typedef struct call {
-	str_t id;     /* of this try of the caller; empty when it gave none */
+	str_t id; /* of this try of the caller; empty when it gave none */
 	str_t host;
-	str_t target; /* path and query */
-	str_t key;    /* empty: none */
+	str_t target;  /* path and query */
+	str_t key;     /* empty: none */
 	ms_t patience; /* how long the caller waits; 0 not said */
 	double prompt; /* tokens; 0 not said */
 	double output; /* tokens, the caller's estimate */
@@ -31,10 +31,10 @@
 
 /* What a backend server's head says, beside what is passed on as it is. */
 typedef struct answer {
-	str_t id;	/* of the request it belongs to; empty: not said */
-	bool not_run;	/* the server says that it did not run the request */
-	bool stamped;	/* bears the server's signature */
-	bool wrong;	/* another server is at this address; not run */
+	str_t id;     /* of the request it belongs to; empty: not said */
+	bool not_run; /* the server says that it did not run the request */
+	bool stamped; /* bears the server's signature */
+	bool wrong;   /* another server is at this address; not run */
 	bool has_load;
 	unsigned int running;
 	unsigned int waiting;
@@ -44,9 +44,9 @@
 
 /* What differs from one send of a request to the next. */
 typedef struct send_info {
-	const char *server; /* id of the server it is meant for */
+	const char *server;   /* id of the server it is meant for */
 	const char *customer; /* NULL: none */
-	ms_t left;	    /* time left */
+	ms_t left;	      /* time left */
 	bool resumes;
 	uint64_t last_event;
 	size_t body; /* bytes */
@@ -69,26 +69,26 @@
 } codec_t;
 
 /* What happens on a connection that we opened. */
-typedef struct link_ops {
+typedef struct hconn_ops {
 	/* Returns true when no body follows. */
-	bool (*head)(void *ctx, link_t *l, const http_head_t *h);
-	void (*body)(void *ctx, link_t *l, str_t data);
+	bool (*head)(void *ctx, hconn_t *l, const http_head_t *h);
+	void (*body)(void *ctx, hconn_t *l, str_t data);
 	/* A message is complete; keep: the connection may be used again. */
-	void (*end)(void *ctx, link_t *l, bool keep);
+	void (*end)(void *ctx, hconn_t *l, bool keep);
 	/*
 	 * The connection is gone; the link is freed after this. CODE_NOT_SENT:
 	 * no byte of the request was written; CODE_CUT; CODE_BAD_ANSWER.
 	 */
-	void (*gone)(void *ctx, link_t *l, code_t code);
-} link_ops_t;
+	void (*gone)(void *ctx, hconn_t *l, code_t code);
+} hconn_ops_t;
 
-typedef struct relay_conf {
+typedef struct forward_conf {
 	addr_t callers; /* where callers connect */
 	const char *data_center;
 	ms_t connect_time; /* a server that takes longer is given up */
 	size_t connections_max;
-	ms_t grace;    /* from the order to stop to the end */
+	ms_t grace;	/* from the order to stop to the end */
 	ms_t stop_wait; /* connections are still taken for so long after it */
-} relay_conf_t;
+} forward_conf_t;
 
 #endif
--- a/lib/relay/exchange.c
+++ b/lib/forward/exchange.c
@@ -1,9 +1,9 @@
 /* One caller's request: read, decided on, sent, and its answer passed on. */
 #include <string.h>
-#include "relay/priv.h"
+#include "forward/priv.h"
 
 enum {
-	CONTENT_MAX = 32 << 20, /* bytes of an answer that is not a stream */
+	CONTENT_MAX = 32 << 20,	  /* bytes of an answer that is not a stream */
 	STREAM_SILENCE_MS = 2000, /* callers leave a stream that is silent for
 				     this long at least */
 	SILENCE_FIRST = 4, /* or for so many times the first event's target */
@@ -26,13 +26,13 @@
 {
 	exchange_t *x = g_new0(exchange_t, 1);
 
-	x->relay = c->relay;
+	x->forward = c->forward;
 	x->caller = c;
 	list_init(&x->later);
-	list_add_tail(&c->relay->exchanges, &x->link);
+	list_add_tail(&c->forward->exchanges, &x->link);
 	x->pass = g_byte_array_sized_new(512);
 	x->body = g_byte_array_new();
-	c->relay->codec->read_call(h, &x->call, x->pass);
+	c->forward->codec->read_call(h, &x->call, x->pass);
 	x->id = copy_of(x->call.id);
 	x->key = copy_of(x->call.key);
 	x->host = copy_of(x->call.host);
@@ -44,7 +44,7 @@
 	x->is_head = http_name_is(h->method, "HEAD");
 	x->has_body = h->chunked || h->measured;
 	x->close = !h->keep_alive;
-	c->relay->requests->value++;
+	c->forward->requests->value++;
 	return x;
 }
 
@@ -119,7 +119,7 @@
 		if (x->lane)
 			lane_drop(x->lane);
 		if (x->req.state != REQUEST_ENDED)
-			edge_drop(x->relay->edge, &x->req, now);
+			edge_drop(x->forward->edge, &x->req, now);
 	}
 	exchange_free(x);
 }
@@ -163,7 +163,7 @@
 /* Takes a request that has been read whole. */
 void exchange_start(exchange_t *x, ms_t now)
 {
-	desired_t *d = edge_desired(x->relay->edge);
+	desired_t *d = edge_desired(x->forward->edge);
 	request_t *r = &x->req;
 	const char *text = NULL;
 	int status;
@@ -172,7 +172,7 @@
 		answer_own(x, 503, MS_PER_S, "no configuration yet");
 		return;
 	}
-	if (relay_stopped(x->relay, now)) {
+	if (forward_stopped(x->forward, now)) {
 		answer_own(x, 503, STOPPED_RETRY_MS, "stopping");
 		return;
 	}
@@ -188,7 +188,7 @@
 	r->prompt = x->call.prompt;
 	r->output = x->call.output > 0 ? x->call.output : x->call.output_max;
 	r->tokens = x->call.prompt + x->call.output_max;
-	edge_submit(x->relay->edge, r, now);
+	edge_submit(x->forward->edge, r, now);
 }
 
 /* The edge gave the request up; it has not run, unless it was sent before. */
@@ -221,7 +221,7 @@
 			continue;
 		http_put_field(out, f->name, f->value);
 	}
-	if (x->relay->draining || x->close)
+	if (x->forward->draining || x->close)
 		http_put(out, "Connection: close\r\n");
 	buffer_free(x->head);
 	x->head = out;
@@ -243,7 +243,7 @@
 /* Reads the head of an answer on the exchange's connection. */
 void exchange_head(exchange_t *x, const http_head_t *h)
 {
-	relay_t *r = x->relay;
+	forward_t *r = x->forward;
 	answer_t a = { 0 };
 	ms_t now = clock_now();
 
@@ -259,8 +259,7 @@
 	x->rejected = a.not_run;
 	x->wrong = a.wrong;
 	x->unstamped = h->status < 300 && !a.stamped;
-	x->streaming = h->status < 300 && x->req.route->stream &&
-		       !x->unstamped;
+	x->streaming = h->status < 300 && x->req.route->stream && !x->unstamped;
 	if (!x->content)
 		x->content = g_byte_array_new();
 	g_byte_array_set_size(x->content, 0);
@@ -312,7 +311,7 @@
 	caller_write(x->caller, out);
 	g_byte_array_free(out, TRUE);
 	if (writer_kept(&x->caller->out) > KEPT_MAX && x->lane)
-		link_pause(x->lane->conn, true);
+		hconn_pause(x->lane->conn, true);
 }
 
 /* Takes bytes of an answer's body. */
@@ -331,9 +330,9 @@
 		return;
 	}
 	if (!x->req.first_here)
-		edge_first(x->relay->edge, &x->req, now);
+		edge_first(x->forward->edge, &x->req, now);
 	else
-		edge_event(x->relay->edge, &x->req, now);
+		edge_event(x->forward->edge, &x->req, now);
 	if (!events_feed(&x->ev, data, on_event, x))
 		x->unstamped = true;
 	pass_events(x, now);
@@ -345,7 +344,7 @@
 	if (x->streaming)
 		return x->ev.held->len == 0 && !x->unstamped;
 	if (!x->req.first_here && x->req.state == REQUEST_RUNNING)
-		edge_first(x->relay->edge, &x->req, clock_now());
+		edge_first(x->forward->edge, &x->req, clock_now());
 	return !x->unstamped;
 }
 
@@ -383,7 +382,7 @@
 
 static void finish(exchange_t *x)
 {
-	bool keep = !x->close && !x->relay->draining;
+	bool keep = !x->close && !x->forward->draining;
 
 	give_whole(x);
 	log_end(x, "answered", x->status, clock_now());
@@ -403,7 +402,7 @@
 		cut(x, "server lost in the stream");
 	else if (not_run(how) && x->req.sends == 0)
 		answer_own(x, 503,
-			   edge_come_back(x->relay->edge, &x->req, now),
+			   edge_come_back(x->forward->edge, &x->req, now),
 			   "no server took it");
 	else
 		answer_own(x, 502, 0, "server lost");
@@ -419,11 +418,11 @@
 	if (how != SENT_WHOLE)
 		log_line(LOG_INFO, "send_failed",
 			 "id=%s server=%s how=%d status=%d events=%u",
-			 x->id ? x->id : "-", x->req.server->id, how,
-			 x->status, x->events);
+			 x->id ? x->id : "-", x->req.server->id, how, x->status,
+			 x->events);
 	if (x->begun && how == SENT_FAILED)
 		answered = false;
-	next = edge_sent(x->relay->edge, &x->req, how, resumable, now);
+	next = edge_sent(x->forward->edge, &x->req, how, resumable, now);
 	if (next == NEXT_AGAIN)
 		return;
 	if (answered)
@@ -434,12 +433,12 @@
 
 static void expire(exchange_t *x, ms_t now)
 {
-	bool unsent = x->lane && link_connecting(x->lane->conn) &&
-		      x->req.sends == 0;
+	bool unsent =
+		x->lane && hconn_connecting(x->lane->conn) && x->req.sends == 0;
 
 	if (x->lane)
 		lane_drop(x->lane);
-	edge_drop(x->relay->edge, &x->req, now);
+	edge_drop(x->forward->edge, &x->req, now);
 	if (x->begun)
 		cut(x, "time is up");
 	else if (unsent)
@@ -451,7 +450,7 @@
 /* Looks after a request that is at a server. */
 void exchange_tick(exchange_t *x, ms_t now)
 {
-	relay_t *r = x->relay;
+	forward_t *r = x->forward;
 	lane_t *l = x->lane;
 	request_t *q = &x->req;
 
@@ -459,8 +458,8 @@
 		return;
 	if (now >= q->deadline) {
 		expire(x, now);
-	} else if (link_connecting(l->conn)) {
-		if (now - link_opened(l->conn) <= r->conf.connect_time)
+	} else if (hconn_connecting(l->conn)) {
+		if (now - hconn_opened(l->conn) <= r->conf.connect_time)
 			return;
 		lane_drop(l);
 		exchange_over(x, SENT_NOT, now);
--- a/lib/relay/link.c
+++ b/lib/forward/hconn.c
@@ -6,27 +6,28 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 #include "net/fns.h"
-#include "relay/fns.h"
+#include "forward/fns.h"
 
 enum {
 	ANSWER_HEAD_MAX = 64 << 10, /* bytes */
 	READ_SIZE = 64 << 10,	    /* bytes */
-	UNACKED_MS = 3000, /* bytes unacknowledged this long: the path is lost */
+	UNACKED_MS =
+		3000, /* bytes unacknowledged this long: the path is lost */
 };
 
-struct link {
+struct hconn {
 	uv_tcp_t tcp;
 	uv_connect_t connecting;
 	writer_t out;
 	http_in_t in;
-	const link_ops_t *ops;
+	const hconn_ops_t *ops;
 	void *ctx;
 	ms_t opened;
 	bool connected;
 	bool closed;
-	bool busy;	 /* a request was sent, its answer is not complete */
-	bool keep;	 /* as the head of the present answer says */
-	bool by_eof;	 /* the answer ends with the connection */
+	bool busy;	   /* a request was sent, its answer is not complete */
+	bool keep;	   /* as the head of the present answer says */
+	bool by_eof;	   /* the answer ends with the connection */
 	GByteArray *early; /* to be written once connected */
 };
 
@@ -34,7 +35,7 @@
 
 static void on_closed(uv_handle_t *h)
 {
-	link_t *l = (link_t *)h;
+	hconn_t *l = (hconn_t *)h;
 
 	http_in_clear(&l->in);
 	writer_clear(&l->out);
@@ -44,7 +45,7 @@
 }
 
 /* Closes without telling; the link is freed later by the loop. */
-void link_close(link_t *l)
+void hconn_close(hconn_t *l)
 {
 	if (l->closed)
 		return;
@@ -53,24 +54,24 @@
 	uv_close((uv_handle_t *)&l->tcp, on_closed);
 }
 
-static void fail(link_t *l, code_t code)
+static void fail(hconn_t *l, code_t code)
 {
 	if (l->closed)
 		return;
-	link_close(l);
+	hconn_close(l);
 	l->ops->gone(l->ctx, l, code);
 }
 
 /* CODE_NOT_SENT when no byte can have reached the other end. */
-static code_t lost_code(const link_t *l)
+static code_t lost_code(const hconn_t *l)
 {
 	return l->out.wrote || writer_kept(&l->out) > 0 ? CODE_CUT
-							 : CODE_NOT_SENT;
+							: CODE_NOT_SENT;
 }
 
 static bool on_head(void *ctx, const http_head_t *h)
 {
-	link_t *l = ctx;
+	hconn_t *l = ctx;
 
 	l->keep = h->keep_alive;
 	l->by_eof = !h->chunked && !h->measured;
@@ -79,14 +80,14 @@
 
 static void on_body(void *ctx, str_t data)
 {
-	link_t *l = ctx;
+	hconn_t *l = ctx;
 
 	l->ops->body(l->ctx, l, data);
 }
 
 static void on_end(void *ctx)
 {
-	link_t *l = ctx;
+	hconn_t *l = ctx;
 	bool flushed = writer_kept(&l->out) == 0;
 
 	l->busy = false;
@@ -102,7 +103,7 @@
 	*buf = uv_buf_init(read_buffer, sizeof(read_buffer));
 }
 
-static void feed(link_t *l, const char *p, size_t n)
+static void feed(hconn_t *l, const char *p, size_t n)
 {
 	code_t code = CODE_OK;
 	size_t used;
@@ -120,7 +121,7 @@
  * Whether the other end closed, rather than reset, the connection. The event
  * loop reports both as the end when a reset comes together with the last data.
  */
-static bool closed_in_order(link_t *l)
+static bool closed_in_order(hconn_t *l)
 {
 	uv_os_fd_t fd;
 	char byte;
@@ -132,7 +133,7 @@
 
 static void on_read(uv_stream_t *s, ssize_t n, const uv_buf_t *buf)
 {
-	link_t *l = (link_t *)s;
+	hconn_t *l = (hconn_t *)s;
 
 	if (n > 0)
 		feed(l, buf->base, (size_t)n);
@@ -145,7 +146,7 @@
 
 static void on_connected(uv_connect_t *req, int status)
 {
-	link_t *l = (link_t *)req->handle;
+	hconn_t *l = (hconn_t *)req->handle;
 
 	if (l->closed)
 		return;
@@ -161,7 +162,7 @@
 	}
 }
 
-static void set_options(link_t *l)
+static void set_options(hconn_t *l)
 {
 	unsigned int unacked = UNACKED_MS;
 	uv_os_fd_t fd;
@@ -173,15 +174,14 @@
 		log_line(LOG_DEBUG, "socket_option", "name=user_timeout");
 }
 
-
 /*
  * Starts connecting. The result comes later, through gone or by the answer to
  * what is sent meanwhile. Returns NULL when no socket is to be had.
  */
-link_t *link_open(uv_loop_t *loop, const addr_t *to, const link_ops_t *ops,
-		  void *ctx)
+hconn_t *hconn_open(uv_loop_t *loop, const addr_t *to, const hconn_ops_t *ops,
+		    void *ctx)
 {
-	link_t *l = g_new0(link_t, 1);
+	hconn_t *l = g_new0(hconn_t, 1);
 	struct sockaddr_storage sa;
 	int err;
 
@@ -201,24 +201,24 @@
 		return l;
 	log_line(LOG_WARN, "connect_failed", "to=%s:%u why=%s", to->ip,
 		 to->port, uv_err_name(err));
-	link_close(l);
+	hconn_close(l);
 	return NULL;
 }
 
 /* Changes who is told what happens on the link. */
-void link_set_ctx(link_t *l, void *ctx)
+void hconn_set_ctx(hconn_t *l, void *ctx)
 {
 	l->ctx = ctx;
 }
 
 /* Returns who is told. */
-void *link_ctx(const link_t *l)
+void *hconn_ctx(const hconn_t *l)
 {
 	return l->ctx;
 }
 
 /* Sends a request; the last one must be answered. body may be NULL. */
-void link_send(link_t *l, const GByteArray *head, const GByteArray *body)
+void hconn_send(hconn_t *l, const GByteArray *head, const GByteArray *body)
 {
 	GByteArray *all;
 
@@ -229,8 +229,8 @@
 		return;
 	}
 	if (!l->early)
-		l->early = g_byte_array_sized_new(
-			head->len + (body ? body->len : 0));
+		l->early = g_byte_array_sized_new(head->len +
+						  (body ? body->len : 0));
 	all = l->early;
 	g_byte_array_set_size(all, 0);
 	g_byte_array_append(all, head->data, head->len);
@@ -243,32 +243,31 @@
 }
 
 /* Whether the connection is not there yet. */
-bool link_connecting(const link_t *l)
+bool hconn_connecting(const hconn_t *l)
 {
 	return !l->connected;
 }
 
 /* When connecting began. */
-ms_t link_opened(const link_t *l)
+ms_t hconn_opened(const hconn_t *l)
 {
 	return l->opened;
 }
 
 /* Whether the connection may take a request: nothing is left over on it. */
-bool link_clean(const link_t *l)
+bool hconn_clean(const hconn_t *l)
 {
-	return !l->closed && !l->busy && http_in_idle(&l->in) &&
-	       !l->out.failed;
+	return !l->closed && !l->busy && http_in_idle(&l->in) && !l->out.failed;
 }
 
 /* Whether a byte of the last request may have reached the other end. */
-bool link_wrote(const link_t *l)
+bool hconn_wrote(const hconn_t *l)
 {
 	return l->out.wrote || writer_kept(&l->out) > 0;
 }
 
 /* Stops or goes on reading, so that a slow caller holds the server back. */
-void link_pause(link_t *l, bool pause)
+void hconn_pause(hconn_t *l, bool pause)
 {
 	if (l->closed || !l->connected)
 		return;
--- a/lib/relay/lane.c
+++ b/lib/forward/lane.c
@@ -1,8 +1,8 @@
 /* Connections to backend servers: opened, kept between requests, dropped. */
-#include "relay/priv.h"
+#include "forward/priv.h"
 
 enum {
-	IDLE_MAX_MS = 4000,  /* below what servers are known to keep */
+	IDLE_MAX_MS = 4000,   /* below what servers are known to keep */
 	IDLE_MARGIN_MS = 500, /* before the end that a server announced */
 	FRESH_MS = 800, /* for what must not be repeated: a connection that
 			   was used within this is hardly dropped by now */
@@ -16,19 +16,19 @@
 	if (l->x)
 		l->x->lane = NULL;
 	if (l->conn)
-		link_close(l->conn);
+		hconn_close(l->conn);
 	g_free(l);
 }
 
-static bool on_head(void *ctx, link_t *conn, const http_head_t *h)
+static bool on_head(void *ctx, hconn_t *conn, const http_head_t *h)
 {
 	lane_t *l = ctx;
 
 	(void)conn;
 	if (!l->x) {
-		l->relay->strays->value++;
+		l->forward->strays->value++;
 		l->conn = NULL;
-		link_close(conn);
+		hconn_close(conn);
 		lane_drop(l);
 		return true;
 	}
@@ -36,7 +36,7 @@
 	return l->x && l->x->is_head;
 }
 
-static void on_body(void *ctx, link_t *conn, str_t data)
+static void on_body(void *ctx, hconn_t *conn, str_t data)
 {
 	lane_t *l = ctx;
 
@@ -60,7 +60,7 @@
 	list_add(&ls->idle, &l->link);
 }
 
-static void on_end(void *ctx, link_t *conn, bool may_keep)
+static void on_end(void *ctx, hconn_t *conn, bool may_keep)
 {
 	lane_t *l = ctx;
 	exchange_t *x = l->x;
@@ -72,7 +72,7 @@
 		return;
 	if (x->stray) {
 		x->stray = false;
-		l->relay->strays->value++;
+		l->forward->strays->value++;
 		if (may_keep)
 			return;
 		lane_drop(l);
@@ -94,11 +94,11 @@
 	exchange_over(x, how, clock_now());
 }
 
-static void on_gone(void *ctx, link_t *conn, code_t code)
+static void on_gone(void *ctx, hconn_t *conn, code_t code)
 {
 	lane_t *l = ctx;
 	exchange_t *x = l->x;
-	sent_t how = code == CODE_NOT_SENT   ? SENT_NOT
+	sent_t how = code == CODE_NOT_SENT     ? SENT_NOT
 		     : code == CODE_BAD_ANSWER ? SENT_BAD
 					       : SENT_LOST;
 
@@ -109,22 +109,25 @@
 		exchange_over(x, how, clock_now());
 }
 
-static const link_ops_t ops = { on_head, on_body, on_end, on_gone };
+static const hconn_ops_t ops = { on_head, on_body, on_end, on_gone };
 
 /* Takes an idle connection to the server that is still good, or NULL. */
 static lane_t *take_idle(backend_t *b, bool fresh, ms_t now)
 {
 	lanes_t *ls = b->user;
-	lane_t *l;
+	list_t *pos;
+	list_t *tmp;
 
-	while (ls && !list_empty(&ls->idle)) {
-		ms_t age;
+	if (!ls)
+		return NULL;
+	list_for_each_safe(pos, tmp, &ls->idle)
+	{
+		lane_t *l = list_entry(pos, lane_t, link);
+		ms_t age = now - l->idle_since;
 
-		l = list_entry(ls->idle.next, lane_t, link);
-		age = now - l->idle_since;
 		if (fresh && age > FRESH_MS)
 			return NULL;
-		if (age < l->idle_max && link_clean(l->conn)) {
+		if (age < l->idle_max && hconn_clean(l->conn)) {
 			list_del(&l->link);
 			list_init(&l->link);
 			return l;
@@ -134,15 +137,15 @@
 	return NULL;
 }
 
-static lane_t *open_lane(relay_t *r, backend_t *b)
+static lane_t *open_lane(forward_t *r, backend_t *b)
 {
 	lane_t *l = g_new0(lane_t, 1);
 
 	list_init(&l->link);
-	l->relay = r;
+	l->forward = r;
 	l->server = b;
 	l->idle_max = IDLE_MAX_MS;
-	l->conn = link_open(r->loop, &b->addr, &ops, l);
+	l->conn = hconn_open(r->loop, &b->addr, &ops, l);
 	r->connects->value++;
 	if (l->conn)
 		return l;
@@ -164,14 +167,14 @@
 	};
 
 	g_byte_array_append(out, x->pass->data, x->pass->len);
-	x->relay->codec->write_send(&info, out);
+	x->forward->codec->write_send(&info, out);
 	return out;
 }
 
 /* Sends the request to its server, on a kept connection or a new one. */
 void lane_send(exchange_t *x)
 {
-	relay_t *r = x->relay;
+	forward_t *r = x->forward;
 	backend_t *b = x->req.server;
 	ms_t now = clock_now();
 	bool fresh = x->req.route->repeat == REPEAT_NEVER;
@@ -184,14 +187,14 @@
 		l = open_lane(r, b);
 	if (!l) {
 		list_add_tail(&r->failed, &x->later);
-		relay_soon(r);
+		forward_soon(r);
 		return;
 	}
 	l->x = x;
 	l->uses++;
 	x->lane = l;
 	head = spell(x, now);
-	link_send(l->conn, head, x->body);
+	hconn_send(l->conn, head, x->body);
 	g_byte_array_free(head, TRUE);
 }
 
@@ -214,15 +217,19 @@
 }
 
 /* Closes what is kept open to a server that is forgotten. */
-void relay_forget(relay_t *r, backend_t *b)
+void forward_forget(forward_t *r, backend_t *b)
 {
 	lanes_t *ls = b->user;
+	list_t *pos;
+	list_t *tmp;
 
 	(void)r;
 	if (!ls)
 		return;
-	while (!list_empty(&ls->idle))
-		lane_drop(list_entry(ls->idle.next, lane_t, link));
+	list_for_each_safe(pos, tmp, &ls->idle)
+	{
+		lane_drop(list_entry(pos, lane_t, link));
+	}
 	g_free(ls);
 	b->user = NULL;
 }
--- a/lib/relay/pages.c
+++ b/lib/forward/pages.c
@@ -1,11 +1,11 @@
 /* Small pages for probes and operators: one GET, one text, kept open. */
 #include "net/fns.h"
-#include "relay/fns.h"
+#include "forward/fns.h"
 
 enum {
 	BACKLOG = 64,
-	HEAD_MAX = 8192,    /* bytes */
-	READ_SIZE = 8192,   /* bytes */
+	HEAD_MAX = 8192,  /* bytes */
+	READ_SIZE = 8192, /* bytes */
 };
 
 struct pages {
@@ -72,9 +72,8 @@
 	GString *text = g_string_new(NULL);
 	GByteArray *out = g_byte_array_new();
 	char line[64];
-	int status = c->pages->show(c->pages->ctx,
-				    (str_t){ c->path->str, c->path->len },
-				    text);
+	int status = c->pages->show(
+		c->pages->ctx, (str_t){ c->path->str, c->path->len }, text);
 
 	g_snprintf(line, sizeof(line), "HTTP/1.1 %d %s\r\n", status,
 		   http_reason(status));
--- a/lib/relay/priv.h
+++ b/lib/forward/priv.h
@@ -1,40 +1,40 @@
-/* Connections and requests in progress, shared by the files of lib/relay. */
-#ifndef RELAY_PRIV_H
-#define RELAY_PRIV_H
+/* Connections and requests in progress, shared by the files of lib/forward. */
+#ifndef FORWARD_PRIV_H
+#define FORWARD_PRIV_H
 
 #include "net/fns.h"
-#include "relay/fns.h"
+#include "forward/fns.h"
 
 enum {
-	KEPT_MAX = 1 << 20,   /* bytes waiting for a caller that takes none */
+	KEPT_MAX = 1 << 20,	/* bytes waiting for a caller that takes none */
 	PENDING_MAX = 64 << 10, /* bytes of a caller's next requests */
 };
 
 /* A connection from a caller. */
 struct caller {
 	uv_tcp_t tcp;
-	list_t link;  /* in relay_t.callers */
-	list_t later; /* in relay_t.wake, or alone */
-	relay_t *relay;
+	list_t link;  /* in forward_t.callers */
+	list_t later; /* in forward_t.wake, or alone */
+	forward_t *forward;
 	http_in_t in;
 	writer_t out;
-	exchange_t *x; /* the request in progress */
-	bool running;  /* x has been read whole */
+	exchange_t *x;	     /* the request in progress */
+	bool running;	     /* x has been read whole */
 	GByteArray *pending; /* bytes after the request in progress */
-	ms_t since;	 /* the start of a head, a body or of being idle */
-	bool closing;	 /* nothing more is read; closed once written */
+	ms_t since;	     /* the start of a head, a body or of being idle */
+	bool closing;	     /* nothing more is read; closed once written */
 	bool closed;
-	bool gone;	 /* the other end has closed */
-	bool shut;	 /* our end has said that nothing more follows */
+	bool gone; /* the other end has closed */
+	bool shut; /* our end has said that nothing more follows */
 };
 
 /* A connection to a backend server. */
 typedef struct lane {
 	list_t link; /* in lanes_t.idle, or alone */
-	relay_t *relay;
+	forward_t *forward;
 	backend_t *server; /* NULL once it is forgotten */
-	link_t *conn;
-	exchange_t *x; /* whose request was sent; NULL while idle */
+	hconn_t *conn;
+	exchange_t *x;	   /* whose request was sent; NULL while idle */
 	unsigned int uses; /* requests sent on it */
 	ms_t idle_since;
 	ms_t idle_max;
@@ -47,9 +47,9 @@
 
 /* A caller's request and the answer to it. */
 struct exchange {
-	list_t link;  /* in relay_t.exchanges */
-	list_t later; /* in relay_t.failed, or alone */
-	relay_t *relay;
+	list_t link;  /* in forward_t.exchanges */
+	list_t later; /* in forward_t.failed, or alone */
+	forward_t *forward;
 	caller_t *caller;
 	request_t req;
 	char *id;
@@ -65,7 +65,7 @@
 
 	lane_t *lane;
 	int status;
-	bool stray;   /* the answer being read belongs to another request */
+	bool stray;    /* the answer being read belongs to another request */
 	bool rejected; /* it says that the request was not run */
 	bool wrong;    /* it comes from another server */
 	bool unstamped;
@@ -81,9 +81,9 @@
 	ms_t first_at;
 };
 
-struct relay {
+struct forward {
 	uv_loop_t *loop;
-	relay_conf_t conf;
+	forward_conf_t conf;
 	edge_t *edge;
 	const codec_t *codec;
 	counters_t *counters;
@@ -104,7 +104,7 @@
 };
 
 /* caller.c */
-void caller_accept(relay_t *r);
+void caller_accept(forward_t *r);
 void caller_answer(caller_t *c, int status, ms_t after, const char *text);
 void caller_write(caller_t *c, const GByteArray *a);
 void caller_done(caller_t *c, bool keep);
@@ -129,9 +129,9 @@
 void lane_drop(lane_t *l);
 void lane_tick(backend_t *b, ms_t now);
 
-/* relay.c */
-bool relay_stopped(const relay_t *r, ms_t now);
-void relay_wake_callers(relay_t *r);
-void relay_soon(relay_t *r);
+/* forward.c */
+bool forward_stopped(const forward_t *r, ms_t now);
+void forward_wake_callers(forward_t *r);
+void forward_soon(forward_t *r);
 
 #endif
--- a/lib/relay/relay.c
+++ b/lib/forward/relay.c
@@ -1,5 +1,5 @@
-/* The relay as a whole: listener, clock, and the end of the process. */
-#include "relay/priv.h"
+/* The forward as a whole: listener, clock, and the end of the process. */
+#include "forward/priv.h"
 
 enum {
 	BACKLOG = 1024,
@@ -7,7 +7,7 @@
 
 static void on_soon(uv_timer_t *t)
 {
-	relay_t *r = t->data;
+	forward_t *r = t->data;
 	ms_t now = clock_now();
 
 	while (!list_empty(&r->failed)) {
@@ -17,21 +17,21 @@
 		list_init(&x->later);
 		exchange_over(x, SENT_NOT, now);
 	}
-	relay_wake_callers(r);
+	forward_wake_callers(r);
 }
 
 /* Has what was put off looked at in the next turn of the loop. */
-void relay_soon(relay_t *r)
+void forward_soon(forward_t *r)
 {
 	if (!uv_is_active((uv_handle_t *)&r->soon))
 		uv_timer_start(&r->soon, on_soon, 0, 0);
 }
 
-/* Makes a relay that does not listen yet. */
-relay_t *relay_new(uv_loop_t *loop, const relay_conf_t *conf, edge_t *edge,
-		   const codec_t *codec, counters_t *counters)
+/* Makes a forward that does not listen yet. */
+forward_t *forward_new(uv_loop_t *loop, const forward_conf_t *conf,
+		       edge_t *edge, const codec_t *codec, counters_t *counters)
 {
-	relay_t *r = g_new0(relay_t, 1);
+	forward_t *r = g_new0(forward_t, 1);
 
 	r->loop = loop;
 	r->conf = *conf;
@@ -53,7 +53,7 @@
 
 static void on_accept(uv_stream_t *listener, int status)
 {
-	relay_t *r = listener->data;
+	forward_t *r = listener->data;
 
 	if (status < 0)
 		log_line(LOG_WARN, "accept_failed", "why=%s",
@@ -63,7 +63,7 @@
 }
 
 /* Takes callers. CODE_UNREACHABLE: the address is not to be had. */
-code_t relay_listen(relay_t *r)
+code_t forward_listen(forward_t *r)
 {
 	int err;
 
@@ -83,40 +83,40 @@
 }
 
 /* Sends a request to the server that the edge chose. */
-void relay_send(relay_t *r, request_t *req)
+void forward_send(forward_t *r, request_t *req)
 {
 	(void)r;
 	lane_send(exchange_of(req));
 }
 
 /* Answers a request that the edge gave up. */
-void relay_refuse(relay_t *r, request_t *req, code_t code, ms_t after)
+void forward_refuse(forward_t *r, request_t *req, code_t code, ms_t after)
 {
 	(void)r;
 	exchange_refuse(exchange_of(req), code, after);
 }
 
 /* Begins the end: answers are finished, connections then closed. */
-void relay_drain(relay_t *r, ms_t now)
+void forward_drain(forward_t *r, ms_t now)
 {
 	r->draining = true;
 	r->drain_at = now;
 }
 
 /* Whether it is too late to take another request before the end. */
-bool relay_stopped(const relay_t *r, ms_t now)
+bool forward_stopped(const forward_t *r, ms_t now)
 {
 	return r->draining && now - r->drain_at > r->conf.stop_wait;
 }
 
 /* Whether no caller is connected any more. */
-bool relay_idle(const relay_t *r)
+bool forward_idle(const forward_t *r)
 {
 	return list_empty(&r->callers);
 }
 
 /* Looks after everything in progress. To be called every few tens of ms. */
-void relay_tick(relay_t *r, ms_t now)
+void forward_tick(forward_t *r, ms_t now)
 {
 	list_t *pos;
 	list_t *tmp;
@@ -129,14 +129,14 @@
 	{
 		caller_tick(list_entry(pos, caller_t, link), now);
 	}
-	if (r->listening && relay_stopped(r, now)) {
+	if (r->listening && forward_stopped(r, now)) {
 		r->listening = false;
 		uv_close((uv_handle_t *)&r->listener, NULL);
 	}
 }
 
 /* Cuts what is left open. */
-void relay_close(relay_t *r)
+void forward_close(forward_t *r)
 {
 	ms_t now = clock_now();
 	list_t *pos;
@@ -157,8 +157,8 @@
 	uv_close((uv_handle_t *)&r->soon, NULL);
 }
 
-/* Frees the relay once the loop has run to its end. */
-void relay_free(relay_t *r)
+/* Frees the forward once the loop has run to its end. */
+void forward_free(forward_t *r)
 {
 	g_free(r);
 }
--- a/lib/relay/writer.c
+++ b/lib/forward/writer.c
@@ -1,6 +1,6 @@
 /* Writing: at once where the system takes it, else as it has room. */
 #include <string.h>
-#include "relay/fns.h"
+#include "forward/fns.h"
 
 /* Prepares a writer; drained is told when nothing is kept any more. */
 void writer_init(writer_t *w, uv_stream_t *to, void (*drained)(void *ctx),
--- a/lib/http/field.c
+++ b/lib/http/field.c
@@ -3,10 +3,14 @@
 #include "http/fns.h"
 
 /* Fields that concern one connection only, and are never passed on. */
-static const char *const hop_names[] = { "connection",	     "keep-alive",
-					 "proxy-connection", "proxy-authenticate",
-					 "proxy-authorization", "te",
-					 "trailer",	     "transfer-encoding",
+static const char *const hop_names[] = { "connection",
+					 "keep-alive",
+					 "proxy-connection",
+					 "proxy-authenticate",
+					 "proxy-authorization",
+					 "te",
+					 "trailer",
+					 "transfer-encoding",
 					 "upgrade" };
 
 /* Whether a name equals another, without regard to case. */
--- a/lib/keeper/keeper.c
+++ b/lib/keeper/keeper.c
@@ -171,8 +171,7 @@
 	h->in_time = now + a->in_time;
 	h->of_use = now + a->of_use;
 	g_hash_table_insert(k->all, &h->rid, h);
-	list_add_tail(a->in_time > 0 ? &k->waiting[h->rank]
-				     : &k->late[h->rank],
+	list_add_tail(a->in_time > 0 ? &k->waiting[h->rank] : &k->late[h->rank],
 		      &h->link);
 	k->nwaiting++;
 	grant(k, now);
--- /dev/null
+++ b/test/adapter.c
@@ -0,0 +1,249 @@
+/* The platform's records and heads, decoded: what is taken and what not. */
+#include <check.h>
+#include <string.h>
+#include "adapter.h"
+
+typedef struct entry_case {
+	const char *name;
+	const char *text;
+	code_t code;
+	bool leaving;
+} entry_case_t;
+
+#define ENTRY(state, slots, extra)                                             \
+	"{\"service\":\"s\",\"addr\":\"10.0.0.1:80\",\"zone\":\"a\","          \
+	"\"version\":\"v1\",\"slots\":" slots ",\"state\":\"" state "\","      \
+	"\"seq\":4" extra "}"
+
+static const entry_case_t entries[] = {
+	{ "ready", ENTRY("ready", "9", ""), CODE_OK, false },
+	{ "leaving", ENTRY("draining", "9", ""), CODE_OK, true },
+	{ "with a start", ENTRY("ready", "9", ",\"born\":17"), CODE_OK, false },
+	{ "new fields", ENTRY("ready", "9", ",\"x\":[1]"), CODE_OK, false },
+	{ "start with a fraction", ENTRY("ready", "9", ",\"born\":1.5"),
+	  CODE_BAD_RECORD, false },
+	{ "unknown state", ENTRY("asleep", "9", ""), CODE_BAD_RECORD, false },
+	{ "slots as text", ENTRY("ready", "\"9\"", ""), CODE_BAD_RECORD,
+	  false },
+	{ "no slots", ENTRY("ready", "0", ""), CODE_BAD_RECORD, false },
+	{ "bad address",
+	  "{\"service\":\"s\",\"addr\":\"here\",\"zone\":\"a\",\"version\":"
+	  "\"v\",\"slots\":1,\"state\":\"ready\",\"seq\":1}",
+	  CODE_BAD_RECORD, false },
+	{ "fields missing", "{\"service\":\"s\"}", CODE_BAD_RECORD, false },
+	{ "a list", "[]", CODE_BAD_RECORD, false },
+	{ "not JSON", "\xff\xfe{", CODE_BAD_RECORD, false },
+	{ "empty", "", CODE_BAD_RECORD, false },
+};
+
+START_TEST(test_entry)
+{
+	const entry_case_t *c = &entries[_i];
+	entry_record_t e;
+	const char *why = NULL;
+
+	ck_assert_msg(adapter_entry(str_of("id"), str_of(c->text), &e, &why) ==
+			      c->code,
+		      "%s: %s", c->name, why ? why : "");
+	if (c->code != CODE_OK) {
+		ck_assert_ptr_nonnull(why);
+		return;
+	}
+	ck_assert(e.info.leaving == c->leaving);
+	ck_assert_str_eq(e.info.id, "id");
+	ck_assert_uint_eq(e.info.addr.port, 80);
+	adapter_entry_clear(&e);
+}
+END_TEST
+
+typedef struct desired_case {
+	const char *name;
+	const char *text;
+	code_t code;
+	repeat_t repeat; /* of the first route */
+} desired_case_t;
+
+#define ROUTE(kind, extra)                                                     \
+	"{\"version\":3,\"routes\":[{\"name\":\"r\",\"host\":\"H.example\","   \
+	"\"path_prefix\":\"/a/\",\"service\":\"s\",\"kind\":\"" kind           \
+	"\",\"timeout_ms\":900" extra "}],\"services\":[{\"name\":\"s\"}],"    \
+	"\"tenants\":[{\"name\":\"t\",\"api_keys\":[\"k\"],\"priority\":1,"    \
+	"\"unit\":\"token\",\"rate_per_s\":10}]}"
+
+static const desired_case_t desireds[] = {
+	{ "safe", ROUTE("safe", ""), CODE_OK, REPEAT_SAFE },
+	{ "once", ROUTE("unsafe", ""), CODE_OK, REPEAT_NEVER },
+	{ "a stream runs once", ROUTE("stream", ""), CODE_OK, REPEAT_NEVER },
+	{ "a stream that goes on", ROUTE("stream", ",\"resumable\":true"),
+	  CODE_OK, REPEAT_RESUME },
+	{ "split",
+	  ROUTE("safe", ",\"backends\":[{\"service\":\"s\","
+			"\"weight\":9},{\"service\":\"z\","
+			"\"weight\":1}]"),
+	  CODE_OK, REPEAT_SAFE },
+	{ "negative time", ROUTE("safe", ",\"attempts\":-1"), CODE_BAD_RECORD,
+	  REPEAT_SAFE },
+	{ "no version", "{\"routes\":[]}", CODE_BAD_RECORD, REPEAT_SAFE },
+	{ "route without host", "{\"version\":1,\"routes\":[{\"name\":\"r\"}]}",
+	  CODE_BAD_RECORD, REPEAT_SAFE },
+	{ "not JSON", "{", CODE_BAD_RECORD, REPEAT_SAFE },
+};
+
+START_TEST(test_desired)
+{
+	const desired_case_t *c = &desireds[_i];
+	desired_t *d = NULL;
+	const edge_route_t *r;
+	const char *why = NULL;
+
+	ck_assert_msg(adapter_desired(str_of(c->text), &d, &why) == c->code,
+		      "%s: %s", c->name, why ? why : "");
+	if (c->code != CODE_OK)
+		return;
+	r = desired_route(d, str_of("h.example"), str_of("/a/b"));
+	ck_assert_ptr_nonnull(r);
+	ck_assert_int_eq(r->repeat, c->repeat);
+	ck_assert_int_eq(r->timeout, 900);
+	ck_assert_str_eq(desired_customer(d, str_of("k"))->name, "t");
+	ck_assert(desired_customer(d, str_of("K")) == NULL);
+	desired_unref(d);
+}
+END_TEST
+
+/* What becomes of a caller's header fields on the way to a server. */
+typedef struct pass_case {
+	const char *name;
+	const char *value;
+	bool passed;
+} pass_case_t;
+
+static const pass_case_t passes[] = {
+	{ "X-Request-Id", "abc", true },
+	{ "X-Model", "m", true },
+	{ "X-Token-Usage", "10,5", true },
+	{ "X-Other", "y", true },
+	{ "Authorization", "Bearer k", false },
+	{ "X-Tenant", "someone", false },
+	{ "X-Expect-Instance", "i-1", false },
+	{ "X-Hold", "h", false },
+	{ "X-Pin-Ms", "9", false },
+	{ "X-Kv-Backup", "10.0.0.9:1", false },
+	{ "Kv-From", "10.0.0.9:1/x", false },
+	{ "Connection", "keep-alive", false },
+	{ "Transfer-Encoding", "chunked", false },
+	{ "Content-Length", "3", false },
+};
+
+START_TEST(test_pass)
+{
+	const pass_case_t *c = &passes[_i];
+	GByteArray *out = g_byte_array_new();
+	char *line = g_strdup_printf("%s: %s\r\n", c->name, c->value);
+	http_head_t h = { 0 };
+	call_t call;
+
+	h.method = str_of("POST");
+	h.target = str_of("/a/b");
+	h.fields[0].name = str_of("Host");
+	h.fields[0].value = str_of("h");
+	h.fields[1].name = str_of(c->name);
+	h.fields[1].value = str_of(c->value);
+	h.nfields = 2;
+	adapter_codec.read_call(&h, &call, out);
+	g_byte_array_append(out, (const guint8 *)"", 1);
+	ck_assert_msg((strstr((char *)out->data, line) != NULL) == c->passed,
+		      "%s", c->name);
+	ck_assert(g_str_has_prefix((char *)out->data, "POST /a/b HTTP/1.1"));
+	g_free(line);
+	g_byte_array_free(out, TRUE);
+}
+END_TEST
+
+START_TEST(test_send_fields)
+{
+	GByteArray *out = g_byte_array_new();
+	send_info_t info = { .server = "i-1",
+			     .customer = "t",
+			     .left = 750,
+			     .resumes = true,
+			     .last_event = 12,
+			     .body = 3,
+			     .has_body = true };
+
+	adapter_codec.write_send(&info, out);
+	g_byte_array_append(out, (const guint8 *)"", 1);
+	ck_assert_str_eq((char *)out->data,
+			 "X-Timeout-Ms: 750\r\nX-Expect-Instance: i-1\r\n"
+			 "X-Tenant: t\r\nLast-Event-Id: 12\r\n"
+			 "Content-Length: 3\r\n\r\n");
+	g_byte_array_free(out, TRUE);
+}
+END_TEST
+
+typedef struct answer_case {
+	const char *name;
+	const char *field;
+	const char *value;
+	int status;
+	answer_t want;
+} answer_case_t;
+
+static const answer_case_t answers[] = {
+	{ "load",
+	  "X-Server-Load",
+	  "3,1,8",
+	  200,
+	  { .has_load = true, .running = 3, .waiting = 1 } },
+	{ "bad load", "X-Server-Load", "many", 200, { .id = { NULL, 0 } } },
+	{ "not run", "X-Not-Executed", "1", 503, { .not_run = true } },
+	{ "plain 503", "X-Other", "1", 503, { .id = { NULL, 0 } } },
+	{ "wrong server", "X-Instance-Id", "i-2", 421, { .wrong = true } },
+	{ "idle",
+	  "Keep-Alive",
+	  "timeout=5, max=9",
+	  200,
+	  { .has_idle = true, .idle = 5000 } },
+	{ "signed", "X-Server-Stamp", "x", 200, { .stamped = true } },
+};
+
+START_TEST(test_answer)
+{
+	const answer_case_t *c = &answers[_i];
+	http_head_t h = { 0 };
+	answer_t a = { 0 };
+
+	h.status = c->status;
+	h.fields[0].name = str_of(c->field);
+	h.fields[0].value = str_of(c->value);
+	h.nfields = 1;
+	adapter_codec.read_answer(&h, &a);
+	ck_assert_msg(a.has_load == c->want.has_load &&
+			      a.running == c->want.running &&
+			      a.waiting == c->want.waiting &&
+			      a.not_run == c->want.not_run &&
+			      a.wrong == c->want.wrong &&
+			      a.has_idle == c->want.has_idle &&
+			      a.idle == c->want.idle &&
+			      a.stamped == c->want.stamped,
+		      "%s", c->name);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *s = suite_create("adapter");
+	TCase *t = tcase_create("all");
+	SRunner *r = srunner_create(s);
+	int failed;
+
+	suite_add_tcase(s, t);
+	tcase_add_loop_test(t, test_entry, 0, G_N_ELEMENTS(entries));
+	tcase_add_loop_test(t, test_desired, 0, G_N_ELEMENTS(desireds));
+	tcase_add_loop_test(t, test_pass, 0, G_N_ELEMENTS(passes));
+	tcase_add_test(t, test_send_fields);
+	tcase_add_loop_test(t, test_answer, 0, G_N_ELEMENTS(answers));
+	srunner_run_all(r, CK_NORMAL);
+	failed = srunner_ntests_failed(r);
+	srunner_free(r);
+	return failed > 0;
+}
--- /dev/null
+++ b/test/hconn.c
@@ -0,0 +1,161 @@
+/*
+ * Answers that end with their connection: one that was closed in order is
+ * whole, one that was reset is not, also when the reset comes with the data.
+ */
+#include <check.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+#include "forward/fns.h"
+#include "net/fns.h"
+
+typedef struct end_case {
+	const char *name;
+	const char *answer;
+	bool reset;
+	bool whole;
+	code_t gone;
+} end_case_t;
+
+#define OK200 "HTTP/1.1 200 OK\r\n"
+
+static const end_case_t end_cases[] = {
+	{ "closed in order", OK200 "\r\nhalf", false, true, CODE_OK },
+	{ "reset with the data", OK200 "\r\nhalf", true, false, CODE_CUT },
+	{ "short of its length", OK200 "Content-Length: 9\r\n\r\nhalf", false,
+	  false, CODE_CUT },
+	{ "no answer", "", false, false, CODE_CUT },
+	{ "no HTTP", "junk\r\n\r\n", false, false, CODE_BAD_ANSWER },
+};
+
+typedef struct result {
+	bool whole;
+	bool over;
+	code_t code;
+} result_t;
+
+static bool on_head(void *ctx, hconn_t *l, const http_head_t *h)
+{
+	return false;
+}
+
+static void on_body(void *ctx, hconn_t *l, str_t data)
+{
+}
+
+static void on_end(void *ctx, hconn_t *l, bool keep)
+{
+	result_t *r = ctx;
+
+	r->whole = true;
+	r->over = true;
+	hconn_close(l);
+}
+
+static void on_gone(void *ctx, hconn_t *l, code_t code)
+{
+	result_t *r = ctx;
+
+	r->code = code;
+	r->over = true;
+}
+
+static const hconn_ops_t ops = { on_head, on_body, on_end, on_gone };
+
+/* Listens on a free port of the loopback address. */
+static int listen_any(addr_t *at)
+{
+	struct sockaddr_in sa = { .sin_family = AF_INET };
+	socklen_t n = sizeof(sa);
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	sa.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	ck_assert_int_eq(bind(fd, (struct sockaddr *)&sa, sizeof(sa)), 0);
+	ck_assert_int_eq(listen(fd, 1), 0);
+	getsockname(fd, (struct sockaddr *)&sa, &n);
+	g_strlcpy(at->ip, "127.0.0.1", sizeof(at->ip));
+	at->port = ntohs(sa.sin_port);
+	return fd;
+}
+
+/* Takes the request, answers and closes, all before the loop looks again. */
+static void answer(int listener, const end_case_t *c)
+{
+	struct linger hard = { 1, 0 };
+	char buf[256];
+	int fd = accept(listener, NULL, NULL);
+
+	ck_assert_int_gt(recv(fd, buf, sizeof(buf), 0), 0);
+	if (c->answer[0])
+		ck_assert_int_gt(send(fd, c->answer, strlen(c->answer), 0), 0);
+	if (c->reset)
+		setsockopt(fd, SOL_SOCKET, SO_LINGER, &hard, sizeof(hard));
+	close(fd);
+}
+
+START_TEST(test_end)
+{
+	const end_case_t *c = &end_cases[_i];
+	GByteArray *out = g_byte_array_new();
+	result_t r = { 0 };
+	uv_loop_t loop;
+	addr_t at;
+	int listener = listen_any(&at);
+	hconn_t *l;
+
+	uv_loop_init(&loop);
+	l = hconn_open(&loop, &at, &ops, &r);
+	http_put(out, "GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+	hconn_send(l, out, NULL);
+	while (hconn_connecting(l))
+		uv_run(&loop, UV_RUN_ONCE);
+	answer(listener, c);
+	while (!r.over)
+		uv_run(&loop, UV_RUN_ONCE);
+	ck_assert_msg(r.whole == c->whole, "%s: whole %d", c->name, r.whole);
+	ck_assert_msg(r.code == c->gone, "%s: code %d", c->name, r.code);
+	uv_run(&loop, UV_RUN_DEFAULT);
+	uv_loop_close(&loop);
+	close(listener);
+	g_byte_array_free(out, TRUE);
+}
+END_TEST
+
+/* Nobody listens: not a byte was sent, so the request has not run. */
+START_TEST(test_refused)
+{
+	GByteArray *out = g_byte_array_new();
+	result_t r = { 0 };
+	uv_loop_t loop;
+	addr_t at;
+	hconn_t *l;
+
+	close(listen_any(&at));
+	uv_loop_init(&loop);
+	l = hconn_open(&loop, &at, &ops, &r);
+	http_put(out, "GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+	if (l)
+		hconn_send(l, out, NULL);
+	uv_run(&loop, UV_RUN_DEFAULT);
+	ck_assert(!r.whole);
+	ck_assert(!l || r.code == CODE_NOT_SENT);
+	uv_loop_close(&loop);
+	g_byte_array_free(out, TRUE);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *s = suite_create("hconn");
+	TCase *t = tcase_create("all");
+	SRunner *r = srunner_create(s);
+	int failed;
+
+	suite_add_tcase(s, t);
+	tcase_add_loop_test(t, test_end, 0, G_N_ELEMENTS(end_cases));
+	tcase_add_test(t, test_refused);
+	srunner_run_all(r, CK_NORMAL);
+	failed = srunner_ntests_failed(r);
+	srunner_free(r);
+	return failed > 0;
+}
--- /dev/null
+++ b/test/http.c
@@ -0,0 +1,313 @@
+/* Reading HTTP messages: what is taken, what is refused, how streams are cut.
+ */
+#include <check.h>
+#include <string.h>
+#include "http/fns.h"
+
+enum {
+	HEAD_MAX = 512, /* bytes */
+};
+
+/* What a reader told of the messages fed to it. */
+typedef struct seen {
+	unsigned int heads;
+	unsigned int ends;
+	int status;
+	GString *target;
+	GString *body;
+} seen_t;
+
+static bool on_head(void *ctx, const http_head_t *h)
+{
+	seen_t *s = ctx;
+
+	s->heads++;
+	s->status = h->status;
+	g_string_truncate(s->target, 0);
+	g_string_append_len(s->target, h->target.p, (gssize)h->target.n);
+	return false;
+}
+
+static void on_body(void *ctx, str_t data)
+{
+	seen_t *s = ctx;
+
+	g_string_append_len(s->body, data.p, (gssize)data.n);
+}
+
+static void on_end(void *ctx)
+{
+	seen_t *s = ctx;
+
+	s->ends++;
+}
+
+static const http_in_ops_t ops = { on_head, on_body, on_end };
+
+static void seen_init(seen_t *s)
+{
+	memset(s, 0, sizeof(*s));
+	s->target = g_string_new(NULL);
+	s->body = g_string_new(NULL);
+}
+
+static void seen_clear(seen_t *s)
+{
+	g_string_free(s->target, TRUE);
+	g_string_free(s->body, TRUE);
+}
+
+/* Feeds text in pieces of at most step bytes until a message is refused. */
+static code_t feed(http_in_t *in, const char *text, size_t n, size_t step)
+{
+	code_t code = CODE_OK;
+	size_t at = 0;
+	size_t used;
+
+	while (at < n && code == CODE_OK) {
+		code = http_in_feed(in, text + at, MIN(step, n - at), &used);
+		at += used;
+	}
+	return code;
+}
+
+typedef struct head_case {
+	const char *name;
+	const char *text;
+	code_t code;
+	unsigned int ends;
+	const char *body;
+} head_case_t;
+
+#define POST "POST /a/b?c HTTP/1.1\r\nHost: x\r\n"
+
+static const head_case_t requests[] = {
+	{ "no body", "GET / HTTP/1.1\r\nHost: x\r\n\r\n", CODE_OK, 1, "" },
+	{ "length", POST "Content-Length: 3\r\n\r\nabc", CODE_OK, 1, "abc" },
+	{ "chunks",
+	  POST
+	  "Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n1\r\nc\r\n0\r\n\r\n",
+	  CODE_OK, 1, "abc" },
+	{ "two in a row",
+	  "GET / HTTP/1.1\r\nHost: x\r\n\r\nGET /2 HTTP/1.1\r\nHost: x\r\n\r\n",
+	  CODE_OK, 2, "" },
+	{ "not complete", POST "Content-Length: 3\r\n\r\nab", CODE_OK, 0,
+	  "ab" },
+	{ "two lengths",
+	  POST "Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd",
+	  CODE_BAD_REQUEST, 0, "" },
+	{ "one length twice",
+	  POST "Content-Length: 3\r\nContent-Length: 3\r\n\r\nabc",
+	  CODE_BAD_REQUEST, 0, "" },
+	{ "length beside chunks",
+	  POST
+	  "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+	  CODE_BAD_REQUEST, 0, "" },
+	{ "chunks beside length",
+	  POST
+	  "Transfer-Encoding: chunked\r\nContent-Length: 3\r\n\r\n0\r\n\r\n",
+	  CODE_BAD_REQUEST, 0, "" },
+	{ "unknown coding", POST "Transfer-Encoding: xchunked\r\n\r\n",
+	  CODE_BAD_REQUEST, 0, "" },
+	{ "two codings", POST "Transfer-Encoding: gzip, chunked\r\n\r\n",
+	  CODE_BAD_REQUEST, 0, "" },
+	{ "signed length", POST "Content-Length: +3\r\n\r\nabc",
+	  CODE_BAD_REQUEST, 0, "" },
+	{ "listed lengths", POST "Content-Length: 3, 3\r\n\r\nabc",
+	  CODE_BAD_REQUEST, 0, "" },
+	{ "blank before the colon", POST "Content-Length : 3\r\n\r\nabc",
+	  CODE_BAD_REQUEST, 0, "" },
+	{ "folded", POST "A: b\r\n c\r\n\r\n", CODE_BAD_REQUEST, 0, "" },
+	{ "bare line feed", "GET / HTTP/1.1\nHost: x\r\n\r\n", CODE_BAD_REQUEST,
+	  0, "" },
+	{ "bare return", POST "A: b\rc\r\n\r\n", CODE_BAD_REQUEST, 0, "" },
+	{ "no name", POST ": b\r\n\r\n", CODE_BAD_REQUEST, 0, "" },
+	{ "no host", "GET / HTTP/1.1\r\n\r\n", CODE_BAD_REQUEST, 0, "" },
+	{ "two hosts", POST "Host: y\r\n\r\n", CODE_BAD_REQUEST, 0, "" },
+	{ "bad chunk",
+	  POST "Transfer-Encoding: chunked\r\n\r\nxx\r\nab\r\n0\r\n\r\n",
+	  CODE_BAD_REQUEST, 0, "" },
+	{ "not HTTP", "hello\r\n\r\n", CODE_BAD_REQUEST, 0, "" },
+};
+
+static void run_request(const head_case_t *c, size_t step)
+{
+	http_in_t in;
+	seen_t s;
+	code_t code;
+
+	seen_init(&s);
+	http_in_init(&in, true, HEAD_MAX, &ops, &s);
+	code = feed(&in, c->text, strlen(c->text), step);
+	ck_assert_msg(code == c->code, "%s by %zu: code %d", c->name, step,
+		      code);
+	ck_assert_msg(s.ends == c->ends, "%s by %zu: %u ends", c->name, step,
+		      s.ends);
+	ck_assert_str_eq(s.body->str, c->body);
+	http_in_clear(&in);
+	seen_clear(&s);
+}
+
+START_TEST(test_requests)
+{
+	const head_case_t *c = &requests[_i];
+
+	run_request(c, strlen(c->text));
+	run_request(c, 1);
+	run_request(c, 7);
+}
+END_TEST
+
+START_TEST(test_large_head)
+{
+	GString *text = g_string_new(POST "A: ");
+	http_in_t in;
+	seen_t s;
+
+	seen_init(&s);
+	for (int i = 0; i < HEAD_MAX; i++)
+		g_string_append_c(text, 'x');
+	http_in_init(&in, true, HEAD_MAX, &ops, &s);
+	ck_assert_int_eq(feed(&in, text->str, text->len, 100), CODE_TOO_LARGE);
+	ck_assert_uint_eq(s.heads, 0);
+	http_in_clear(&in);
+	g_string_free(text, TRUE);
+	seen_clear(&s);
+}
+END_TEST
+
+typedef struct answer_case {
+	const char *name;
+	const char *text;
+	code_t code; /* of the feed */
+	code_t eof;
+	unsigned int ends; /* after the end of the connection */
+	const char *body;
+} answer_case_t;
+
+#define OK200 "HTTP/1.1 200 OK\r\n"
+
+static const answer_case_t answers[] = {
+	{ "length", OK200 "Content-Length: 2\r\n\r\nab", CODE_OK, CODE_OK, 1,
+	  "ab" },
+	{ "interim first",
+	  "HTTP/1.1 100 Continue\r\n\r\n" OK200 "Content-Length: 1\r\n\r\na",
+	  CODE_OK, CODE_OK, 1, "a" },
+	{ "by the end", OK200 "\r\nab", CODE_OK, CODE_OK, 1, "ab" },
+	{ "short of its length", OK200 "Content-Length: 3\r\n\r\nab", CODE_OK,
+	  CODE_CUT, 0, "ab" },
+	{ "short of its last chunk",
+	  OK200 "Transfer-Encoding: chunked\r\n\r\n1\r\na\r\n", CODE_OK,
+	  CODE_CUT, 0, "a" },
+	{ "head cut", OK200 "Content-Le", CODE_OK, CODE_CUT, 0, "" },
+	{ "no HTTP", "\x16\x03\x01 garbage\r\n\r\n", CODE_BAD_REQUEST, CODE_OK,
+	  0, "" },
+	{ "two answers",
+	  OK200 "Content-Length: 1\r\n\r\na" OK200 "Content-Length: 1\r\n\r\nb",
+	  CODE_OK, CODE_OK, 2, "ab" },
+};
+
+START_TEST(test_answers)
+{
+	const answer_case_t *c = &answers[_i];
+	http_in_t in;
+	seen_t s;
+	code_t code;
+
+	seen_init(&s);
+	http_in_init(&in, false, HEAD_MAX, &ops, &s);
+	code = feed(&in, c->text, strlen(c->text), 5);
+	ck_assert_msg(code == c->code, "%s: code %d", c->name, code);
+	if (code == CODE_OK)
+		ck_assert_msg(http_in_eof(&in) == c->eof, "%s: eof", c->name);
+	ck_assert_msg(s.ends == c->ends, "%s: %u ends", c->name, s.ends);
+	ck_assert_str_eq(s.body->str, c->body);
+	http_in_clear(&in);
+	seen_clear(&s);
+}
+END_TEST
+
+typedef struct sse_case {
+	const char *name;
+	const char *text;
+	unsigned int whole;
+	uint64_t last;
+	size_t held; /* bytes of an event that did not end */
+} sse_case_t;
+
+static const sse_case_t streams[] = {
+	{ "two", "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", 2, 2, 0 },
+	{ "cut", "id: 1\ndata: a\n\nid: 2\nda", 1, 1, 8 },
+	{ "returns", "id: 7\r\ndata: a\r\n\r\n", 1, 7, 0 },
+	{ "a version first", "x-weights: 3\nid: 4\ndata: a\n\n", 1, 4, 0 },
+	{ "no id", "data: a\n\n", 1, 0, 0 },
+};
+
+static void count_event(void *ctx, str_t event, bool has_id, uint64_t id)
+{
+	(*(unsigned int *)ctx)++;
+}
+
+START_TEST(test_streams)
+{
+	const sse_case_t *c = &streams[_i];
+
+	for (size_t step = 1; step < 30; step += 4) {
+		unsigned int n = 0;
+		events_t e;
+
+		events_init(&e);
+		for (size_t at = 0; at < strlen(c->text); at += step) {
+			str_t part = { c->text + at,
+				       MIN(step, strlen(c->text) - at) };
+
+			ck_assert(events_feed(&e, part, count_event, &n));
+		}
+		ck_assert_msg(n == c->whole, "%s: %u events", c->name, n);
+		ck_assert_msg(e.last_id == c->last, "%s: last id", c->name);
+		ck_assert_msg(e.held->len == c->held, "%s: held %u", c->name,
+			      e.held->len);
+		events_clear(&e);
+	}
+}
+END_TEST
+
+typedef struct hop_case {
+	const char *name;
+	bool hop;
+} hop_case_t;
+
+static const hop_case_t hops[] = {
+	{ "Connection", true }, { "keep-alive", true }, { "Upgrade", true },
+	{ "X-Mine", true },	{ "X-Other", false },	{ "Host", false },
+};
+
+START_TEST(test_hop_fields)
+{
+	http_head_t h = { 0 };
+
+	h.fields[0].name = str_of("Connection");
+	h.fields[0].value = str_of("close, x-mine");
+	h.nfields = 1;
+	ck_assert(http_hop_field(&h, str_of(hops[_i].name)) == hops[_i].hop);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *s = suite_create("http");
+	TCase *t = tcase_create("all");
+	SRunner *r = srunner_create(s);
+	int failed;
+
+	suite_add_tcase(s, t);
+	tcase_add_loop_test(t, test_requests, 0, G_N_ELEMENTS(requests));
+	tcase_add_test(t, test_large_head);
+	tcase_add_loop_test(t, test_answers, 0, G_N_ELEMENTS(answers));
+	tcase_add_loop_test(t, test_streams, 0, G_N_ELEMENTS(streams));
+	tcase_add_loop_test(t, test_hop_fields, 0, G_N_ELEMENTS(hops));
+	srunner_run_all(r, CK_NORMAL);
+	failed = srunner_ntests_failed(r);
+	srunner_free(r);
+	return failed > 0;
+}
--- /dev/null
+++ b/test/keeper.c
@@ -0,0 +1,172 @@
+/* Handing out the places of one server: order, limits, hosts that go. */
+#include <check.h>
+#include <string.h>
+#include "keeper/fns.h"
+
+enum {
+	LOG_MAX = 64,
+};
+
+/* Requests that got a place, in order. */
+typedef struct log {
+	uint64_t seq[LOG_MAX];
+	unsigned int n;
+} log_t;
+
+static void on_grant(void *ctx, uint64_t host, rid_t rid)
+{
+	log_t *l = ctx;
+
+	ck_assert_uint_eq(host, rid.inc);
+	ck_assert_uint_lt(l->n, LOG_MAX);
+	l->seq[l->n++] = rid.seq;
+}
+
+static const keeper_ops_t ops = { on_grant };
+
+static void ask(keeper_t *k, uint64_t seq, unsigned int rank, ms_t in_time,
+		ms_t now)
+{
+	ask_t a = { .rid = { 1, seq },
+		    .rank = rank,
+		    .places = 1,
+		    .in_time = in_time,
+		    .of_use = 2000 };
+
+	keeper_ask(k, 1, &a, now);
+}
+
+/* A step: at a time, ask for or release a request's place, or let time pass. */
+typedef enum what {
+	END,
+	ASK,
+	FREE,
+	TICK,
+	GONE,
+} what_t;
+
+typedef struct step {
+	what_t what;
+	ms_t at;
+	uint64_t seq;
+	unsigned int rank;
+	ms_t in_time;
+} step_t;
+
+typedef struct order_case {
+	const char *name;
+	step_t steps[12];
+	const char *granted; /* one digit a request */
+} order_case_t;
+
+static const order_case_t orders[] = {
+	{ "one place", { { ASK, 0, 1, 0, 100 }, { ASK, 0, 2, 0, 100 } }, "1" },
+	{ "in order",
+	  { { ASK, 0, 1, 0, 100 },
+	    { ASK, 1, 2, 0, 100 },
+	    { ASK, 2, 3, 0, 100 },
+	    { FREE, 9, 1, 0, 0 },
+	    { FREE, 9, 2, 0, 0 } },
+	  "123" },
+	{ "urgent first",
+	  { { ASK, 0, 1, 0, 100 },
+	    { ASK, 1, 2, 5, 100 },
+	    { ASK, 2, 3, 0, 100 },
+	    { FREE, 9, 1, 0, 0 } },
+	  "13" },
+	{ "late behind those in time",
+	  { { ASK, 0, 1, 0, 100 },
+	    { ASK, 1, 2, 0, 5 },
+	    { ASK, 2, 3, 0, 100 },
+	    { TICK, 20, 0, 0, 0 },
+	    { FREE, 21, 1, 0, 0 } },
+	  "13" },
+	{ "one in four is the oldest",
+	  { { ASK, 0, 1, 0, 500 },
+	    { ASK, 1, 2, 5, 500 },
+	    { ASK, 2, 3, 0, 500 },
+	    { ASK, 3, 4, 0, 500 },
+	    { ASK, 4, 5, 0, 500 },
+	    { FREE, 5, 1, 0, 0 },
+	    { FREE, 6, 3, 0, 0 },
+	    { FREE, 7, 4, 0, 0 } },
+	  "1342" },
+	{ "withdrawn",
+	  { { ASK, 0, 1, 0, 100 },
+	    { ASK, 0, 2, 0, 100 },
+	    { FREE, 1, 2, 0, 0 },
+	    { FREE, 2, 1, 0, 0 } },
+	  "1" },
+	{ "of no use any more",
+	  { { ASK, 0, 1, 0, 100 },
+	    { ASK, 0, 2, 0, 100 },
+	    { TICK, 2500, 0, 0, 0 },
+	    { FREE, 2600, 1, 0, 0 } },
+	  "1" },
+	{ "a host that goes frees its places",
+	  { { ASK, 0, 1, 0, 100 },
+	    { ASK, 0, 2, 0, 100 },
+	    { GONE, 1, 1, 0, 0 },
+	    { ASK, 2, 3, 0, 100 } },
+	  "13" },
+	{ "asked twice",
+	  { { ASK, 0, 1, 0, 100 },
+	    { ASK, 0, 1, 0, 100 },
+	    { FREE, 1, 1, 0, 0 },
+	    { ASK, 2, 2, 0, 100 } },
+	  "12" },
+};
+
+static void play(keeper_t *k, const step_t *s)
+{
+	switch (s->what) {
+	case ASK:
+		ask(k, s->seq, s->rank, s->in_time, s->at);
+		break;
+	case FREE:
+		keeper_release(k, (rid_t){ 1, s->seq }, s->at);
+		break;
+	case TICK:
+		keeper_tick(k, s->at);
+		break;
+	case GONE:
+		keeper_host_gone(k, 1, s->at);
+		break;
+	case END:
+		break;
+	}
+}
+
+START_TEST(test_order)
+{
+	const order_case_t *c = &orders[_i];
+	counters_t *counters = counters_new();
+	log_t l = { 0 };
+	keeper_t *k = keeper_new(&ops, &l, counters);
+	char got[LOG_MAX + 1] = "";
+
+	for (const step_t *s = c->steps; s->what != END; s++)
+		play(k, s);
+	for (unsigned int i = 0; i < l.n; i++)
+		got[i] = (char)('0' + l.seq[i]);
+	ck_assert_msg(strcmp(got, c->granted) == 0, "%s: %s, expected %s",
+		      c->name, got, c->granted);
+	keeper_free(k);
+	counters_free(counters);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *s = suite_create("keeper");
+	TCase *t = tcase_create("all");
+	SRunner *r = srunner_create(s);
+	int failed;
+
+	suite_add_tcase(s, t);
+	tcase_add_loop_test(t, test_order, 0, G_N_ELEMENTS(orders));
+	srunner_run_all(r, CK_NORMAL);
+	failed = srunner_ntests_failed(r);
+	srunner_free(r);
+	return failed > 0;
+}
