--- a/Makefile
+++ b/Makefile
@@ -27,12 +27,22 @@
 check:
 	$(MAKE) all B=san
 	$(MAKE) -C test B=san
+	$(MAKE) -C test/soak B=san
 	test/run build/san
 
 bench: all
 	$(MAKE) -C bench B=rel
 	bench/run build/rel
 
+# One run of the soak under faults from SEED; logs stay in build/soak.
+SEED ?= 1
+SECONDS_OF_FAULTS ?= 10
+soak: all
+	$(MAKE) -C test/soak B=$(B)
+	mkdir -p build/soak
+	build/$(B)/soak --seed $(SEED) --seconds $(SECONDS_OF_FAULTS) \
+		--dir build/soak --daemon build/$(B)/chestnuthinged
+
 capacity: all
 	$(MAKE) -C bench B=rel
 	bench/capacity build/rel > build/capacity.md
@@ -53,4 +63,4 @@
 clean:
 	rm -rf build
 
-.PHONY: all deploy deps demo check bench capacity lint format clean
+.PHONY: all deploy deps demo check bench soak capacity lint format clean
--- a/cmd/chestnuthinged/edged.c
+++ b/cmd/chestnuthinged/edged.c
@@ -266,6 +266,7 @@
 	follow_free(d->hosts);
 	announce_free(d->announce);
 	mates_close(d->mates);
+	uv_stop(&d->loop);
 }
 
 static void check_end(edged_t *d, ms_t now)
@@ -379,13 +380,13 @@
 	return false;
 }
 
+/* Frees everything; connections kept to servers go with the edge's table. */
 static void dispose(edged_t *d)
 {
+	edge_free(d->edge);
 	uv_run(&d->loop, UV_RUN_DEFAULT);
 	mates_free(d->mates);
 	roster_free(d->roster);
-	edge_free(d->edge);
-	uv_run(&d->loop, UV_RUN_DEFAULT);
 	forward_free(d->forward);
 	pages_free(d->pages);
 	uv_loop_close(&d->loop);
--- /dev/null
+++ b/test/soak/dat.h
@@ -0,0 +1,199 @@
+/*
+ * The soak: a platform's store, backend servers and callers in one process,
+ * around the real daemons as processes of their own, with faults by a seed.
+ */
+#ifndef SOAK_DAT_H
+#define SOAK_DAT_H
+
+#include <uv.h>
+#include "forward/fns.h"
+#include "net/fns.h"
+
+enum {
+	EDGES_MAX = 24,
+	SERVERS_MAX = 64,
+	CALLERS_MAX = 200,
+	NAME_MAX_BYTES = 64,
+	PLACES = 4,	    /* of each server */
+	QUEUE_MAX = 12,	    /* requests waiting in a server */
+	EVENTS = 12,	    /* of each stream */
+	EVENT_MS = 8,	    /* between them */
+	WORK_MS = 12,	    /* of a plain call */
+	TIMEOUT_MS = 1500,  /* of every route */
+	HEARTBEAT_MS = 300, /* of the servers' entries */
+};
+
+typedef struct soak soak_t;
+
+/* A connection taken by one of our listeners. */
+typedef struct sconn {
+	uv_tcp_t tcp;
+	list_t link;
+	struct listen *at;
+	http_in_t in;
+	writer_t out;
+	GByteArray *pending; /* while a request is being answered */
+	http_head_t *head;   /* of the request being read; its strings owned */
+	GByteArray *copy;    /* what the head points into */
+	GByteArray *body;
+	void *job; /* what answers the present request */
+	bool closed;
+	bool mute; /* reads and writes nothing more, stays open */
+} sconn_t;
+
+/* A listener and what it does with requests. */
+typedef struct listen {
+	uv_tcp_t *tcp;
+	soak_t *s;
+	list_t conns;
+	addr_t addr;
+	bool open;
+	void *owner;
+	void (*request)(sconn_t *c);
+	void (*gone)(sconn_t *c);
+} listen_t;
+
+/* A record of a topic; no value: the key was dropped. */
+typedef struct rec {
+	char *key;
+	char *value;
+} rec_t;
+
+typedef struct topic {
+	char *name;
+	GPtrArray *recs; /* of rec_t */
+	uint64_t first;	 /* offset of the oldest that is kept */
+	GHashTable *newest; /* rec_t by key */
+} topic_t;
+
+typedef enum store_state {
+	STORE_UP,
+	STORE_BUSY,   /* answers 503 */
+	STORE_SILENT, /* answers nothing */
+	STORE_RESET,  /* resets connections */
+} store_state_t;
+
+typedef struct store {
+	listen_t at;
+	GHashTable *topics;
+	store_state_t state;
+} store_t;
+
+/* A backend server, for streams or plain calls. */
+typedef struct server {
+	soak_t *s;
+	listen_t at;
+	unsigned int index;
+	bool stream;
+	char id[NAME_MAX_BYTES];
+	unsigned int life; /* how often it was started */
+	uint64_t seq;
+	unsigned int running;
+	list_t queued; /* job_t */
+	list_t jobs;
+	bool up;
+	bool leaving;
+	bool mute;	/* runs, but answers nothing */
+	double cut;	/* share of answers that are reset midway */
+	double fails;	/* share of runs that end with 500 */
+	double extra;	/* share of answers that come twice */
+	double unframed; /* share of answers without a length */
+} server_t;
+
+/* A run of a request at a server. */
+typedef struct job {
+	list_t link;
+	uv_timer_t timer;
+	server_t *at;
+	sconn_t *c; /* NULL once the caller is gone */
+	char *id;
+	unsigned int next; /* event to send */
+	bool started;
+	bool counted;
+	ms_t gone_at; /* its connection closed; 0 not */
+} job_t;
+
+typedef enum kind {
+	KIND_SAFE,
+	KIND_ONCE,
+	KIND_STREAM, /* may go on elsewhere */
+	KINDS,
+} kind_t;
+
+/* A daemon of ours. */
+typedef struct proc {
+	soak_t *s;
+	uv_process_t handle;
+	char name[NAME_MAX_BYTES];
+	char *ini;
+	bool edge;
+	bool running;
+	bool stopping;	   /* SIGTERM was sent */
+	ms_t stopped_until; /* SIGSTOP was sent; 0 not */
+	ms_t start_at;	   /* to be started again; 0 not */
+	addr_t callers;
+	addr_t ready;
+	unsigned int starts;
+} proc_t;
+
+/* A caller: one request at a time. */
+typedef struct caller_s {
+	soak_t *s;
+	hconn_t *conn;
+	uv_timer_t timer;
+	proc_t *to;
+	kind_t kind;
+	char id[NAME_MAX_BYTES];
+	int status;
+	GString *body;
+	GString *stamp;
+	bool quits;    /* leaves before the answer */
+	bool waiting;
+	ms_t sent_at;
+	ms_t quit_at;
+	unsigned int on_conn; /* requests sent on the connection */
+} caller_s_t;
+
+/* What became of a request: every run and every answer. */
+typedef struct fate {
+	kind_t kind;
+	unsigned int runs;
+	bool said_not_run;
+	bool answered;
+} fate_t;
+
+struct soak {
+	uv_loop_t loop;
+	uv_timer_t tick;
+	GRand *rand;
+	GRand *faults;
+	uint64_t seed;
+	const char *daemon;
+	char *dir;
+	uint16_t port; /* of the hosts' own connections, the same everywhere */
+	store_t store;
+	proc_t procs[EDGES_MAX + SERVERS_MAX];
+	unsigned int nprocs;
+	unsigned int nedges;
+	server_t servers[SERVERS_MAX];
+	unsigned int nservers;
+	caller_s_t callers[CALLERS_MAX];
+	unsigned int ncallers;
+	uint64_t version; /* of the configuration */
+	GHashTable *fates; /* fate_t by request id */
+	uint64_t next_id;
+	ms_t started;
+	ms_t faults_end; /* no more faults from here on */
+	ms_t calm_at;	 /* what is asked from here on is judged */
+	ms_t end_at;
+	ms_t next_fault;
+	unsigned int nfaults;
+	unsigned int violations;
+	unsigned int done[KINDS];
+	unsigned int good[KINDS];
+	unsigned int calm_done;
+	unsigned int calm_good;
+	bool ended;
+};
+
+#endif
--- /dev/null
+++ b/test/soak/fns.h
@@ -0,0 +1,51 @@
+/* Prototypes of the soak. */
+#ifndef SOAK_FNS_H
+#define SOAK_FNS_H
+
+#include "dat.h"
+
+/* listen.c */
+void listen_start(listen_t *at, soak_t *s, const char *ip, uint16_t port);
+void listen_stop(listen_t *at, bool reset);
+void sconn_reply(sconn_t *c, int status, const char *fields, str_t body);
+void sconn_write(sconn_t *c, const char *text, size_t n);
+void sconn_next(sconn_t *c);
+void sconn_close(sconn_t *c, bool reset);
+
+/* store.c */
+void store_start(store_t *st, soak_t *s);
+void store_put(store_t *st, const char *topic, const char *key,
+	       const char *value);
+void store_set(store_t *st, store_state_t state);
+void store_compact(store_t *st);
+
+/* server.c */
+void server_start(server_t *v, soak_t *s, unsigned int index, bool stream);
+void server_crash(server_t *v);
+void server_leave(server_t *v);
+void server_return(server_t *v);
+void server_beat(server_t *v);
+void server_calm(server_t *v);
+
+/* caller.c */
+void callers_start(soak_t *s, unsigned int n);
+void callers_stop(soak_t *s);
+void caller_look(caller_s_t *c, ms_t now);
+
+/* proc.c */
+void procs_start(soak_t *s);
+void proc_signal(proc_t *p, int number);
+void procs_tick(soak_t *s, ms_t now);
+bool procs_stop(soak_t *s);
+
+/* fault.c */
+void fault_tick(soak_t *s, ms_t now);
+void config_write(soak_t *s);
+
+/* main.c */
+fate_t *fate_get(soak_t *s, const char *id);
+void violation(soak_t *s, const char *rule, const char *fmt, ...)
+	G_GNUC_PRINTF(3, 4);
+void soak_note(soak_t *s, const char *fmt, ...) G_GNUC_PRINTF(2, 3);
+
+#endif
--- /dev/null
+++ b/test/soak/proc.c
@@ -0,0 +1,190 @@
+/* The daemons: started, signalled and started again, by their ids only. */
+#include <signal.h>
+#include <string.h>
+#include <sys/stat.h>
+#include "fns.h"
+
+enum {
+	GRACE_S = 3, /* of the daemons, from SIGTERM to their end */
+	RESTART_MS = 300,
+	KILL_AFTER_MS = 4000, /* past the grace */
+};
+
+static const char key[] = "000102030405060708090a0b0c0d0e0f";
+
+static void write_ini(proc_t *p, const char *text)
+{
+	GError *err = NULL;
+
+	if (!g_file_set_contents(p->ini, text, -1, &err))
+		g_error("%s", err->message);
+}
+
+static void edge_ini(proc_t *p, const char *peers)
+{
+	soak_t *s = p->s;
+	char *text = g_strdup_printf(
+		"[process]\nname = %s\ndata_center = dc-1\n"
+		"[listen]\ncallers = %s:%u\nready = %s:%u\npeers = %s:%u\n"
+		"[fleet]\nkey = %s\n[store]\naddress = %s:%u\n"
+		"[bounds]\ngrace_s = %d\nretry_ratio = 0.2\nretry_slack = 20\n",
+		p->name, p->callers.ip, p->callers.port, p->ready.ip,
+		p->ready.port, peers, s->port, key, s->store.at.addr.ip,
+		s->store.at.addr.port, GRACE_S);
+
+	write_ini(p, text);
+	g_free(text);
+}
+
+static void keeper_ini(proc_t *p, const char *peers)
+{
+	char *text = g_strdup_printf(
+		"[process]\nname = %s\ndata_center = dc-1\n"
+		"[listen]\npeers = %s:%u\n[fleet]\nkey = %s\n",
+		p->name, peers, p->s->port, key);
+
+	write_ini(p, text);
+	g_free(text);
+}
+
+static void on_exit_proc(uv_process_t *h, int64_t status, int sig)
+{
+	proc_t *p = h->data;
+	bool ours = p->stopping || sig == SIGKILL;
+
+	p->running = false;
+	p->stopped_until = 0;
+	if (!ours || (status != 0 && sig == 0))
+		violation(p->s, "exit", "%s ended by itself: status %d signal %d",
+			  p->name, (int)status, sig);
+	p->start_at = clock_now() + RESTART_MS;
+	uv_close((uv_handle_t *)h, NULL);
+}
+
+static void start(proc_t *p)
+{
+	soak_t *s = p->s;
+	char *log = g_strdup_printf("%s/%s.log", s->dir, p->name);
+	FILE *f = fopen(log, "a");
+	uv_stdio_container_t io[3] = { { .flags = UV_IGNORE } };
+	char *args[] = { (char *)s->daemon, p->edge ? "--edge" : "--keeper",
+			 "-c", p->ini, NULL };
+	uv_process_options_t o = { .file = s->daemon,
+				   .args = args,
+				   .exit_cb = on_exit_proc,
+				   .stdio_count = 3,
+				   .stdio = io };
+
+	if (!f)
+		g_error("cannot write %s", log);
+	io[1].flags = UV_INHERIT_FD;
+	io[1].data.fd = fileno(f);
+	io[2] = io[1];
+	p->start_at = 0;
+	p->stopping = false;
+	p->handle.data = p;
+	if (uv_spawn(&s->loop, &p->handle, &o))
+		g_error("cannot start %s", s->daemon);
+	p->running = true;
+	p->starts++;
+	fclose(f);
+	g_free(log);
+}
+
+/* A port that is free now on a loopback address. */
+static uint16_t free_port(soak_t *s, const char *ip)
+{
+	listen_t at = { 0 };
+	uint16_t port;
+
+	listen_start(&at, s, ip, 0);
+	port = at.addr.port;
+	listen_stop(&at, false);
+	uv_run(&s->loop, UV_RUN_NOWAIT);
+	return port;
+}
+
+static void add(soak_t *s, bool edge, unsigned int i)
+{
+	proc_t *p = &s->procs[s->nprocs++];
+	char ip[32];
+
+	p->s = s;
+	p->edge = edge;
+	snprintf(p->name, sizeof(p->name), "%s-%u", edge ? "edge" : "keeper",
+		 i);
+	p->ini = g_strdup_printf("%s/%s.ini", s->dir, p->name);
+	snprintf(ip, sizeof(ip), "127.0.%d.%u", edge ? 1 : 2, i + 1);
+	if (edge) {
+		g_strlcpy(p->callers.ip, ip, sizeof(p->callers.ip));
+		p->callers.port = free_port(s, ip);
+		p->ready = p->callers;
+		p->ready.port = free_port(s, ip);
+		edge_ini(p, ip);
+	} else {
+		keeper_ini(p, ip);
+	}
+	start(p);
+}
+
+/* Starts all daemons: edges, and a keeper beside each stream server. */
+void procs_start(soak_t *s)
+{
+	unsigned int edges = s->nedges;
+
+	s->port = free_port(s, "127.0.0.1");
+	for (unsigned int i = 0; i < edges; i++)
+		add(s, true, i);
+	for (unsigned int i = 0; i < s->nservers; i++) {
+		if (s->servers[i].stream)
+			add(s, false, i);
+	}
+}
+
+/* Sends a signal to a daemon that runs. */
+void proc_signal(proc_t *p, int number)
+{
+	if (!p->running)
+		return;
+	p->stopping = p->stopping || number == SIGTERM;
+	uv_process_kill(&p->handle, number);
+}
+
+/* Wakes stopped daemons and starts those that ended. */
+void procs_tick(soak_t *s, ms_t now)
+{
+	for (unsigned int i = 0; i < s->nprocs; i++) {
+		proc_t *p = &s->procs[i];
+
+		if (p->running && p->stopped_until && now >= p->stopped_until) {
+			p->stopped_until = 0;
+			uv_process_kill(&p->handle, SIGCONT);
+		}
+		if (!p->running && !s->ended && p->start_at &&
+		    now >= p->start_at)
+			start(p);
+	}
+}
+
+/* Ends all daemons; true once none runs. */
+bool procs_stop(soak_t *s)
+{
+	ms_t now = clock_now();
+	bool any = false;
+
+	for (unsigned int i = 0; i < s->nprocs; i++) {
+		proc_t *p = &s->procs[i];
+
+		any = any || p->running;
+		if (p->running && !p->stopping) {
+			uv_process_kill(&p->handle, SIGCONT);
+			proc_signal(p, SIGTERM);
+		} else if (p->running &&
+			   now - s->end_at > GRACE_S * MS_PER_S + KILL_AFTER_MS) {
+			violation(s, "exit", "%s did not end in its grace",
+				  p->name);
+			uv_process_kill(&p->handle, SIGKILL);
+		}
+	}
+	return !any;
+}
--- /dev/null
+++ b/test/soak/server.c
@@ -0,0 +1,327 @@
+/* Backend servers: places, a queue, streams and plain calls, and faults. */
+#include <inttypes.h>
+#include <string.h>
+#include "fns.h"
+
+static void run_next(server_t *v);
+
+static void on_job_closed(uv_handle_t *h)
+{
+	job_t *j = h->data;
+
+	g_free(j->id);
+	g_free(j);
+}
+
+static void job_end(job_t *j)
+{
+	server_t *v = j->at;
+
+	list_del(&j->link);
+	if (j->started)
+		v->running--;
+	if (j->c)
+		j->c->job = NULL;
+	uv_close((uv_handle_t *)&j->timer, on_job_closed);
+	run_next(v);
+}
+
+/* Header fields that every answer of a server bears. */
+static void put_fields(GString *out, const server_t *v, const char *id)
+{
+	g_string_append_printf(out,
+			       "X-Request-Id: %s\r\nX-Server-Stamp: %s/%s\r\n"
+			       "X-Server-Load: %u,%zu,%d\r\n",
+			       id, id, v->id, v->running,
+			       list_len(&v->queued), PLACES);
+}
+
+static bool chance(server_t *v, double share)
+{
+	return share > 0 && g_rand_double(v->s->faults) < share;
+}
+
+/* Ends a plain call with its answer, spoiled as the faults say. */
+static void answer_plain(job_t *j)
+{
+	server_t *v = j->at;
+	sconn_t *c = j->c;
+	bool fails = chance(v, v->fails);
+	bool cut = chance(v, v->cut);
+	bool unframed = !fails && chance(v, v->unframed);
+	char *body = g_strdup_printf("answer %s of %s", j->id, v->id);
+	GString *out = g_string_new(NULL);
+
+	g_string_append_printf(out, "HTTP/1.1 %s\r\n",
+			       fails ? "500 Internal Server Error" : "200 OK");
+	put_fields(out, v, j->id);
+	if (!unframed)
+		g_string_append_printf(out, "Content-Length: %zu\r\n",
+				       strlen(body));
+	g_string_append(out, "\r\n");
+	g_string_append_len(out, body,
+			    (gssize)(cut ? strlen(body) / 2 : strlen(body)));
+	sconn_write(c, out->str, out->len);
+	if (!cut && !unframed && chance(v, v->extra))
+		sconn_write(c, out->str, out->len);
+	g_string_free(out, TRUE);
+	g_free(body);
+	j->c = NULL;
+	c->job = NULL;
+	job_end(j);
+	if (cut || unframed)
+		sconn_close(c, cut);
+	else
+		sconn_next(c);
+}
+
+static void chunk(sconn_t *c, const char *text)
+{
+	char size[24];
+
+	snprintf(size, sizeof(size), "%zx\r\n", strlen(text));
+	sconn_write(c, size, strlen(size));
+	sconn_write(c, text, strlen(text));
+	sconn_write(c, "\r\n", 2);
+}
+
+static void stream_head(job_t *j)
+{
+	GString *out = g_string_new("HTTP/1.1 200 OK\r\n");
+
+	put_fields(out, j->at, j->id);
+	g_string_append(out, "Content-Type: text/event-stream\r\n"
+			     "Transfer-Encoding: chunked\r\n\r\n");
+	sconn_write(j->c, out->str, out->len);
+	g_string_free(out, TRUE);
+}
+
+static void end_stream(job_t *j)
+{
+	sconn_t *c = j->c;
+
+	sconn_write(c, "0\r\n\r\n", 5);
+	j->c = NULL;
+	c->job = NULL;
+	job_end(j);
+	sconn_next(c);
+}
+
+static void on_step(uv_timer_t *t)
+{
+	job_t *j = t->data;
+	server_t *v = j->at;
+	char event[128];
+
+	if (v->mute)
+		return;
+	if (!j->c) {
+		job_end(j);
+		return;
+	}
+	if (!v->stream) {
+		answer_plain(j);
+		return;
+	}
+	if (j->next > EVENTS) {
+		end_stream(j);
+		return;
+	}
+	snprintf(event, sizeof(event), "id: %u\ndata: %s.%u\n\n", j->next,
+		 j->id, j->next);
+	if (chance(v, v->cut / EVENTS)) {
+		event[strlen(event) / 2] = '\0';
+		chunk(j->c, event);
+		sconn_close(j->c, true);
+		return;
+	}
+	chunk(j->c, event);
+	j->next++;
+}
+
+static void run(job_t *j)
+{
+	server_t *v = j->at;
+	fate_t *f = fate_get(v->s, j->id);
+
+	j->started = true;
+	v->running++;
+	f->runs++;
+	if (f->kind == KIND_ONCE && f->runs > 1)
+		violation(v->s, "twice", "%s ran %u times, now at %s", j->id,
+			  f->runs, v->id);
+	if (f->said_not_run)
+		violation(v->s, "refused", "%s runs after it was refused",
+			  j->id);
+	if (v->stream && j->c)
+		stream_head(j);
+	uv_timer_start(&j->timer, on_step, v->stream ? EVENT_MS : WORK_MS,
+		       v->stream ? EVENT_MS : WORK_MS);
+}
+
+static void run_next(server_t *v)
+{
+	while (v->up && v->running < PLACES && !list_empty(&v->queued)) {
+		job_t *j = list_entry(v->queued.next, job_t, link);
+
+		list_del(&j->link);
+		list_add_tail(&v->jobs, &j->link);
+		run(j);
+	}
+}
+
+/* Checks what must hold of every request that reaches a server. */
+static void check_request(server_t *v, const http_head_t *h, const char *id)
+{
+	str_t left = http_value(h, "X-Timeout-Ms");
+	uint64_t ms;
+
+	if (!g_hash_table_contains(v->s->fates, id))
+		violation(v->s, "unasked", "%s was sent by nobody", id);
+	if (http_find(h, "Authorization"))
+		violation(v->s, "key", "%s came with the caller's key", id);
+	if (!str_eq(http_value(h, "X-Tenant"), str_of("school")))
+		violation(v->s, "customer", "%s came without its customer", id);
+	if (!http_number(left, &ms) || ms > TIMEOUT_MS)
+		violation(v->s, "deadline", "%s came with %.*s ms left", id,
+			  (int)left.n, left.p);
+}
+
+static void on_request(sconn_t *c)
+{
+	server_t *v = c->at->owner;
+	const http_head_t *h = c->head;
+	str_t expect = http_value(h, "X-Expect-Instance");
+	uint64_t last;
+	job_t *j;
+
+	if (expect.n > 0 && !str_eq(expect, str_of(v->id))) {
+		sconn_reply(c, 421, "", str_of(""));
+		return;
+	}
+	j = g_new0(job_t, 1);
+	j->at = v;
+	j->c = c;
+	j->id = str_dup(http_value(h, "X-Request-Id"));
+	check_request(v, h, j->id);
+	if (list_len(&v->queued) >= QUEUE_MAX) {
+		char *fields = g_strdup_printf(
+			"X-Not-Executed: 1\r\nX-Request-Id: %s\r\n", j->id);
+
+		g_free(j->id);
+		g_free(j);
+		sconn_reply(c, 503, fields, str_of(""));
+		g_free(fields);
+		return;
+	}
+	j->next = 1;
+	if (http_number(http_value(h, "Last-Event-Id"), &last))
+		j->next = (unsigned int)last + 1;
+	uv_timer_init(&v->s->loop, &j->timer);
+	j->timer.data = j;
+	c->job = j;
+	list_add_tail(&v->queued, &j->link);
+	run_next(v);
+}
+
+static void on_gone(sconn_t *c)
+{
+	job_t *j = c->job;
+
+	if (!j || (void *)j == (void *)c)
+		return;
+	j->c = NULL;
+	if (j->started)
+		job_end(j);
+	else {
+		list_del(&j->link);
+		uv_close((uv_handle_t *)&j->timer, on_job_closed);
+	}
+}
+
+static const char *service_of(const server_t *v)
+{
+	return v->stream ? "models" : "desk";
+}
+
+/* Writes the server's entry. */
+void server_beat(server_t *v)
+{
+	char *text;
+
+	if (!v->up)
+		return;
+	text = g_strdup_printf(
+		"{\"service\":\"%s\",\"addr\":\"%s:%u\",\"zone\":\"dc-1\","
+		"\"version\":\"v1\",\"slots\":%d,\"state\":\"%s\","
+		"\"cold_remaining_ms\":0,\"seq\":%" PRIu64 ",\"born\":%u}",
+		service_of(v), v->at.addr.ip, v->at.addr.port, PLACES,
+		v->leaving ? "draining" : "ready", ++v->seq, v->life);
+	store_put(&v->s->store, "keyed.servers", v->id, text);
+	g_free(text);
+}
+
+static void start(server_t *v)
+{
+	char ip[32];
+
+	v->life++;
+	v->seq = 0;
+	v->leaving = false;
+	snprintf(v->id, sizeof(v->id), "i-%u-%u", v->index, v->life);
+	snprintf(ip, sizeof(ip), "127.0.2.%u", v->index + 1);
+	v->at.owner = v;
+	v->at.request = on_request;
+	v->at.gone = on_gone;
+	listen_start(&v->at, v->s, ip, 0);
+	v->up = true;
+	server_beat(v);
+}
+
+/* Starts a server on a host of its own. */
+void server_start(server_t *v, soak_t *s, unsigned int index, bool stream)
+{
+	v->s = s;
+	v->index = index;
+	v->stream = stream;
+	list_init(&v->queued);
+	list_init(&v->jobs);
+	start(v);
+}
+
+/* The server dies with all it runs; its entry lapses. */
+void server_crash(server_t *v)
+{
+	if (!v->up)
+		return;
+	v->up = false;
+	listen_stop(&v->at, true);
+	store_put(&v->s->store, "keyed.servers", v->id, NULL);
+}
+
+/* The server says that it leaves. */
+void server_leave(server_t *v)
+{
+	v->leaving = true;
+	server_beat(v);
+}
+
+/* A new server takes the place of one that is gone. */
+void server_return(server_t *v)
+{
+	if (v->up)
+		server_crash(v);
+	start(v);
+}
+
+/* Ends the server's faults. */
+void server_calm(server_t *v)
+{
+	v->mute = false;
+	v->cut = 0;
+	v->fails = 0;
+	v->extra = 0;
+	v->unframed = 0;
+	if (!v->up || v->leaving)
+		server_return(v);
+}
--- /dev/null
+++ b/test/soak/store.c
@@ -0,0 +1,280 @@
+/* The platform's store: topics that keep the newest record of each key. */
+#include <inttypes.h>
+#include <jansson.h>
+#include <string.h>
+#include "fns.h"
+
+/* A read that waits for records. */
+typedef struct wait {
+	uv_timer_t timer;
+	sconn_t *c;
+	topic_t *t;
+	uint64_t from;
+} wait_t;
+
+static topic_t *topic_get(store_t *st, const char *name)
+{
+	topic_t *t = g_hash_table_lookup(st->topics, name);
+
+	if (t)
+		return t;
+	t = g_new0(topic_t, 1);
+	t->name = g_strdup(name);
+	t->recs = g_ptr_array_new();
+	t->newest = g_hash_table_new(g_str_hash, g_str_equal);
+	g_hash_table_insert(st->topics, t->name, t);
+	return t;
+}
+
+static void put_number(GByteArray *out, uint64_t v, int bytes)
+{
+	for (int i = bytes - 1; i >= 0; i--) {
+		guint8 b = (guint8)(v >> (8 * i));
+
+		g_byte_array_append(out, &b, 1);
+	}
+}
+
+/* Answers a read with the records from an offset on. */
+static void give(sconn_t *c, const topic_t *t, uint64_t from)
+{
+	GByteArray *out = g_byte_array_new();
+
+	put_number(out, t->recs->len, 8);
+	put_number(out, t->first, 8);
+	for (uint64_t i = from; i < t->recs->len; i++) {
+		const rec_t *r = t->recs->pdata[i];
+		size_t nk = strlen(r->key);
+		size_t nv = r->value ? strlen(r->value) : 0;
+
+		put_number(out, 1 + nk + nv, 4);
+		put_number(out, nk, 1);
+		http_put(out, r->key);
+		if (r->value)
+			http_put(out, r->value);
+	}
+	sconn_reply(c, 200, "",
+		    (str_t){ (char *)out->data, out->len });
+	g_byte_array_free(out, TRUE);
+}
+
+static void on_wait_closed(uv_handle_t *h)
+{
+	g_free(h->data);
+}
+
+static void end_wait(wait_t *w)
+{
+	sconn_t *c = w->c;
+
+	uv_close((uv_handle_t *)&w->timer, on_wait_closed);
+	w->c = NULL;
+	if (c) {
+		c->job = c;
+		give(c, w->t, w->from);
+	}
+}
+
+static void on_wait(uv_timer_t *timer)
+{
+	end_wait(timer->data);
+}
+
+static void read_topic(store_t *st, sconn_t *c, topic_t *t, uint64_t from,
+		       uint64_t wait_ms)
+{
+	char gone[64];
+	wait_t *w;
+
+	if (from < t->first || from > t->recs->len) {
+		snprintf(gone, sizeof(gone), "{\"first\":%" PRIu64 "}",
+			 t->first);
+		sconn_reply(c, 410, "", str_of(gone));
+		return;
+	}
+	if (from < t->recs->len || wait_ms == 0) {
+		give(c, t, from);
+		return;
+	}
+	w = g_new0(wait_t, 1);
+	w->c = c;
+	w->t = t;
+	w->from = from;
+	uv_timer_init(&st->at.s->loop, &w->timer);
+	w->timer.data = w;
+	uv_timer_start(&w->timer, on_wait, wait_ms, 0);
+	c->job = w;
+}
+
+static void list_topic(sconn_t *c, const topic_t *t)
+{
+	json_t *root = json_object();
+	json_t *items = json_array();
+	GHashTableIter it;
+	gpointer v;
+	char *text;
+
+	g_hash_table_iter_init(&it, t->newest);
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		const rec_t *r = v;
+		char *b64 = g_base64_encode((const guchar *)r->value,
+					    strlen(r->value));
+
+		json_array_append_new(items, json_pack("{ssss}", "key", r->key,
+						       "value", b64));
+		g_free(b64);
+	}
+	json_object_set_new(root, "items", items);
+	json_object_set_new(root, "has_more", json_false());
+	json_object_set_new(root, "end", json_integer(t->recs->len));
+	text = json_dumps(root, JSON_COMPACT);
+	sconn_reply(c, 200, "", str_of(text));
+	free(text);
+	json_decref(root);
+}
+
+static void wake(store_t *st, const topic_t *t)
+{
+	list_t *pos;
+	list_t *tmp;
+
+	list_for_each_safe(pos, tmp, &st->at.conns)
+	{
+		sconn_t *c = list_entry(pos, sconn_t, link);
+		wait_t *w = c->job;
+
+		if (w && (void *)w != (void *)c && w->t == t)
+			end_wait(w);
+	}
+}
+
+/* Writes a record; no value drops the key. */
+void store_put(store_t *st, const char *topic, const char *key,
+	       const char *value)
+{
+	topic_t *t = topic_get(st, topic);
+	rec_t *r = g_new0(rec_t, 1);
+
+	r->key = g_strdup(key);
+	r->value = g_strdup(value);
+	g_ptr_array_add(t->recs, r);
+	if (value)
+		g_hash_table_replace(t->newest, r->key, r);
+	else
+		g_hash_table_remove(t->newest, key);
+	wake(st, t);
+}
+
+static void append(store_t *st, sconn_t *c, const char *topic)
+{
+	const guint8 *p = c->body->data;
+	char *key;
+	char *value;
+	size_t nk;
+
+	if (c->body->len < 5 || (nk = p[4]) + 5 > c->body->len) {
+		sconn_reply(c, 400, "", str_of("bad record"));
+		return;
+	}
+	key = g_strndup((const char *)p + 5, nk);
+	value = g_strndup((const char *)p + 5 + nk, c->body->len - 5 - nk);
+	store_put(st, topic, key, value);
+	g_free(key);
+	g_free(value);
+	sconn_reply(c, 200, "", str_of("{\"offset\":0,\"end\":1}"));
+}
+
+static uint64_t param(const char *query, const char *name)
+{
+	const char *at = strstr(query, name);
+
+	return at ? g_ascii_strtoull(at + strlen(name), NULL, 10) : 0;
+}
+
+static void on_request(sconn_t *c)
+{
+	store_t *st = c->at->owner;
+	char *target = str_dup(c->head->target);
+	char *topic = strstr(target, "topic=");
+	char *name;
+
+	if (st->state == STORE_SILENT) {
+		c->mute = true;
+		g_free(target);
+		return;
+	}
+	if (st->state == STORE_RESET) {
+		sconn_close(c, true);
+		g_free(target);
+		return;
+	}
+	if (st->state == STORE_BUSY || !topic) {
+		sconn_reply(c, 503, "", str_of(""));
+		g_free(target);
+		return;
+	}
+	name = g_strndup(topic + 6, strcspn(topic + 6, "&"));
+	if (g_str_has_prefix(target, "/v1/log-append"))
+		append(st, c, name);
+	else if (g_str_has_prefix(target, "/v1/log-newest"))
+		list_topic(c, topic_get(st, name));
+	else
+		read_topic(st, c, topic_get(st, name), param(target, "from="),
+			   param(target, "wait_ms="));
+	g_free(name);
+	g_free(target);
+}
+
+static void on_gone(sconn_t *c)
+{
+	wait_t *w = c->job;
+
+	if (!w || (void *)w == (void *)c)
+		return;
+	w->c = NULL;
+	uv_close((uv_handle_t *)&w->timer, on_wait_closed);
+}
+
+/* Changes how the store answers; a return closes what hangs. */
+void store_set(store_t *st, store_state_t state)
+{
+	list_t *pos;
+	list_t *tmp;
+
+	st->state = state;
+	if (state == STORE_BUSY)
+		return;
+	list_for_each_safe(pos, tmp, &st->at.conns)
+	{
+		sconn_t *c = list_entry(pos, sconn_t, link);
+
+		if (state == STORE_SILENT)
+			c->mute = true;
+		else if (state == STORE_RESET || c->mute)
+			sconn_close(c, state == STORE_RESET);
+	}
+}
+
+/* Forgets all history; the newest record of each key stays. */
+void store_compact(store_t *st)
+{
+	GHashTableIter it;
+	gpointer v;
+
+	g_hash_table_iter_init(&it, st->topics);
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		topic_t *t = v;
+
+		t->first = t->recs->len;
+	}
+}
+
+/* Starts an empty store. */
+void store_start(store_t *st, soak_t *s)
+{
+	st->topics = g_hash_table_new(g_str_hash, g_str_equal);
+	st->at.owner = st;
+	st->at.request = on_request;
+	st->at.gone = on_gone;
+	listen_start(&st->at, s, "127.0.0.1", 0);
+}
