--- a/cmd/chestnuthinged/edged.c
+++ b/cmd/chestnuthinged/edged.c
@@ -16,16 +16,19 @@
 				  apart, take this host out; what comes later
 				  could not be finished within the grace */
 	GRACE_LEFT_MS = 700,   /* of the grace, kept for closing */
-	ORDERS_WAIT_MS = 1200, /* a silent path to the store shows after this */
-	SERVERS_PAUSE_MS = 500, /* entries are rewritten by heartbeats: read a
-				   few at a time; a leaving server is known in
-				   a quarter of the time there is */
+	ORDERS_WAIT_MS = 3500, /* a path to the store that went silent shows
+				  after this; other hosts tell of a newer
+				  configuration meanwhile */
 	SERVERS_WAIT_MS = 1200,
 	HOSTS_WAIT_MS = 10000, /* hosts come seldom, and are told of late
 				  without harm */
 };
 
 static const double retry_use = 0.85; /* of the ratio: windows overlap */
+static const double drain_use = 0.35; /* of the time in which a leaving server
+					 must be known: entries are rewritten
+					 by heartbeats, so they are read in
+					 groups */
 
 typedef struct edged {
 	uv_loop_t loop;
@@ -357,7 +360,7 @@
 	d->orders = follow_new(&d->loop, &conf, &orders_ops, d, d->counters);
 	conf.topic = adapter_topic_servers();
 	conf.wait = SERVERS_WAIT_MS;
-	conf.pause = SERVERS_PAUSE_MS;
+	conf.pause = (ms_t)((double)d->set->drain * drain_use);
 	d->servers = follow_new(&d->loop, &conf, &servers_ops, d, d->counters);
 	conf.topic = adapter_topic_hosts();
 	conf.wait = HOSTS_WAIT_MS;
--- a/lib/edge/dat.h
+++ b/lib/edge/dat.h
@@ -87,6 +87,7 @@
 	const char *data_center;
 	addr_t addr;
 	int64_t born; /* unix milliseconds; 0 unknown */
+	uint64_t seq; /* of the entry: it grows while the server lives */
 	unsigned int slots;
 	bool leaving;
 } backend_info_t;
@@ -109,6 +110,8 @@
 	int64_t born;
 	unsigned int slots;
 	bool leaving;
+	uint64_t seq;	/* of its entry */
+	bool displaced; /* another server answered at its address */
 	bool gone;	      /* off the list; kept while requests run there */
 	unsigned int running; /* requests of this host there */
 	unsigned int others;  /* of other hosts, at the last answer */
--- a/lib/edge/fleet.c
+++ b/lib/edge/fleet.c
@@ -111,6 +111,9 @@
 	if (info->leaving && !b->leaving)
 		log_line(LOG_INFO, "server_leaving", "server=%s running=%u",
 			 b->id, b->running);
+	if (info->seq > b->seq)
+		b->displaced = false;
+	b->seq = MAX(b->seq, info->seq);
 	b->slots = info->slots;
 	b->leaving = info->leaving;
 	e->ops->listed(e->ctx, b);
--- a/lib/edge/health.c
+++ b/lib/edge/health.c
@@ -38,7 +38,7 @@
 /* Whether new requests may go to the server now. */
 bool health_usable(const backend_t *b, ms_t now)
 {
-	if (b->leaving || b->gone || now < b->aside_until)
+	if (b->leaving || b->gone || b->displaced || now < b->aside_until)
 		return false;
 	if (b->trying && b->running > 0)
 		return false;
@@ -98,6 +98,19 @@
 	b->aside_span = 0;
 }
 
+/*
+ * Another server answered at the address: this one is gone, whatever its entry
+ * still says. Only a newer entry of its own shows that it lives.
+ */
+static void displace(backend_t *b)
+{
+	if (b->displaced)
+		return;
+	b->displaced = true;
+	log_line(LOG_INFO, "server_displaced", "server=%s service=%s seq=%llu",
+		 b->id, b->pool->name, (unsigned long long)b->seq);
+}
+
 /* Learns from how a send ended. */
 void health_note(edge_t *e, backend_t *b, sent_t how, ms_t now)
 {
@@ -105,7 +118,7 @@
 	bool failed = lost || how == SENT_FAILED || how == SENT_BAD;
 
 	if (how == SENT_WRONG) {
-		set_aside(e, b, "other_server_there", now);
+		displace(b);
 		return;
 	}
 	if (how == SENT_REJECTED)
--- a/lib/edge/place.c
+++ b/lib/edge/place.c
@@ -6,25 +6,48 @@
 #include "edge/priv.h"
 
 enum {
-	OTHERS_FADE_MS = 2000, /* an estimate of others' load is worth nothing
-				  after this: most runs are shorter */
+	FADE_LEAST_MS = 40,  /* a few turns of an answer */
+	FADE_MOST_MS = 2000, /* most runs are shorter */
+	SHARE_TIMES = 2,     /* an equal part of the places, so often: hosts
+				have unlike numbers of callers */
 };
 
+/* Others' load, when seen, says little after so many runs have ended. */
+static const double fade_runs = 2;
+
 static const double full_cost = 0.6; /* more time, relative, when full */
 static const double away_ms = 12;    /* what another data centre counts */
 static const double spread = 0.15;   /* random part, so hosts differ */
 
+/* How long an answer's word on the load is of use, in ms. */
+static double fade_time(const pool_t *p)
+{
+	return CLAMP(p->run_mean * fade_runs, FADE_LEAST_MS, FADE_MOST_MS);
+}
+
 /* Requests at the server, ours and, as far as they are known, others'. */
 unsigned int place_load(const backend_t *b, ms_t now)
 {
-	ms_t age = now - b->others_at;
-	double left = 1 - (double)age / OTHERS_FADE_MS;
+	double left = 1 - (double)(now - b->others_at) / fade_time(b->pool);
 
 	if (left <= 0)
 		return b->running;
 	return b->running + (unsigned int)(b->others * left + 0.5);
 }
 
+/*
+ * Places that this host may use there without a keeper's grant. Where nothing
+ * was heard of the others for long, no more than a part that leaves some.
+ */
+static unsigned int places(const edge_t *e, const backend_t *b, ms_t now)
+{
+	unsigned int part = b->slots * SHARE_TIMES / MAX(e->hosts, 1);
+
+	if (b->others_at > 0 && now - b->others_at < FADE_MOST_MS)
+		return b->slots;
+	return CLAMP(part, 1, b->slots);
+}
+
 /* Places of the pool that seem free now. */
 unsigned int place_free(const pool_t *p, ms_t now)
 {
@@ -84,7 +107,7 @@
 			continue;
 		untried = untried || !again;
 		load = place_load(b, now);
-		if (load >= b->slots)
+		if (load >= places(e, b, now))
 			continue;
 		s = place_score(e, b, r, load);
 		if (!best[again] || s < least[again]) {
--- a/test/edge.c
+++ b/test/edge.c
@@ -286,6 +286,61 @@
 }
 END_TEST
 
+/* Another server at the address: nothing more until a newer entry shows it. */
+START_TEST(test_displaced)
+{
+	backend_info_t info;
+	request_t r;
+	world_t w;
+
+	world_init(&w, 1);
+	info_of(&info);
+	info.seq = 5;
+	edge_server_put(w.edge, &info, 0);
+	request_init(&r, &route, 0);
+	edge_submit(w.edge, &r, 0);
+	ck_assert_int_eq(edge_sent(w.edge, &r, SENT_WRONG, true, 1), NEXT_AGAIN);
+	ck_assert_uint_eq(w.sent, 1);
+	edge_server_put(w.edge, &info, 100);
+	edge_tick(w.edge, 100);
+	ck_assert_uint_eq(w.sent, 1);
+	info.seq = 6;
+	edge_server_put(w.edge, &info, 200);
+	edge_tick(w.edge, 200);
+	ck_assert_uint_eq(w.sent, 2);
+	edge_drop(w.edge, &r, 201);
+	world_clear(&w);
+}
+END_TEST
+
+/*
+ * Short runs at a server that many hosts use: that it was full once, some runs
+ * ago, keeps no request waiting.
+ */
+START_TEST(test_old_load)
+{
+	unsigned int late = 0;
+	world_t w;
+
+	world_init(&w, 1);
+	put_server(&w, "s", "10.0.0.1", 6, false, 1, 0);
+	for (int i = 0; i < REQUESTS; i++) {
+		ms_t now = 1 + (ms_t)i * 200;
+		request_t r;
+
+		request_init(&r, &route, now);
+		edge_submit(w.edge, &r, now);
+		for (; r.state == REQUEST_WAITING; now += 10)
+			edge_tick(w.edge, now);
+		late += now - r.arrived > 100;
+		edge_load(w.edge, r.server, 6, 4, now + 30);
+		edge_sent(w.edge, &r, SENT_WHOLE, true, now + 30);
+	}
+	ck_assert_uint_le(late, REQUESTS / 10);
+	world_clear(&w);
+}
+END_TEST
+
 /* What follows a send that ended, by what may be repeated. */
 typedef struct sent_case {
 	const char *name;
@@ -640,6 +695,8 @@
 	tcase_add_loop_test(t, test_roster, 0, G_N_ELEMENTS(roster_cases));
 	tcase_add_loop_test(t, test_servers, 0, G_N_ELEMENTS(server_cases));
 	tcase_add_loop_test(t, test_sent, 0, G_N_ELEMENTS(sent_cases));
+	tcase_add_test(t, test_displaced);
+	tcase_add_test(t, test_old_load);
 	tcase_add_test(t, test_budget);
 	tcase_add_loop_test(t, test_order, 0, G_N_ELEMENTS(order_cases));
 	tcase_add_test(t, test_give_up);
