--- a/lib/edge/health.c
+++ b/lib/edge/health.c
@@ -58,7 +58,7 @@
 		all++;
 		aside += now < b->aside_until;
 	}
-	return aside * 2 >= all;
+	return (aside + 1) * 2 > all;
 }
 
 static double mean_failures(const pool_t *p)
