Lines for each decision on a request, explain; one order of ranks for hosts and keepers

The order of ranks is one table for hosts and keepers: what is late among the urgent goes behind what is in time and next to it.

--- a/cmd/chestnuthinge/check.c
+++ b/cmd/chestnuthinge/check.c
@@ -14,10 +14,23 @@
 	return yes;
 }
 
-static bool check_settings(const char *path, GError **err)
+/* Tells whether settings are an edge host's or a keeper's. */
+static bool is_edge(const char *text)
 {
-	settings_t *s = settings_load(path, err);
+	return strstr(text, "\npeers = ") && !strstr(text, "\nrole = ");
+}
+
+static bool check_settings(const char *path, const char *text, GError **err)
+{
+	edge_settings_t *e;
+	settings_t *s;
 
+	if (is_edge(text)) {
+		e = edge_settings_load(path, err);
+		edge_settings_free(e);
+		return e != NULL;
+	}
+	s = settings_load(path, err);
 	settings_free(s);
 	return s != NULL;
 }
@@ -47,7 +60,7 @@
 	ok = g_file_get_contents(argv[1], &text, NULL, &err);
 	settings = ok && is_settings(text);
 	if (ok)
-		ok = settings ? check_settings(argv[1], &err)
+		ok = settings ? check_settings(argv[1], text, &err)
 			      : check_intent(argv[1], &err);
 	g_free(text);
 	if (!ok) {
--- a/cmd/chestnuthinge/fns.h
+++ b/cmd/chestnuthinge/fns.h
@@ -11,6 +11,7 @@
 int run_status(int argc, char **argv);
 int run_watch(int argc, char **argv);
 int run_drain(int argc, char **argv);
+int run_explain(int argc, char **argv);
 int run_burn(int argc, char **argv);
 
 /* opts.c */
--- a/cmd/chestnuthinge/main.c
+++ b/cmd/chestnuthinge/main.c
@@ -11,6 +11,8 @@
 	{ "status", run_status, "", "print the revision, results, entries" },
 	{ "watch", run_watch, "", "follow the configuration stream" },
 	{ "drain", run_drain, "HOST", "let a host finish and stop" },
+	{ "explain", run_explain, "ID [LOG...]",
+	  "tell what became of a request, from logs" },
 	{ "burn", run_burn, "", "report the service-level burn" },
 };
 
@@ -28,7 +30,7 @@
 {
 	fprintf(to, "usage: chestnuthinge COMMAND [OPTION...] [ARGUMENT]\n\n");
 	for (size_t i = 0; i < G_N_ELEMENTS(commands); i++)
-		fprintf(to, "  %-8s %-7s %s\n", commands[i].name,
+		fprintf(to, "  %-8s %-11s %s\n", commands[i].name,
 			commands[i].args, commands[i].summary);
 	fprintf(to, "\nchestnuthinge COMMAND --help lists the options.\n"
 		    "Exit codes: 0 done, 1 failed, 2 wrong usage, "
--- a/cmd/chestnuthinged/edged.c
+++ b/cmd/chestnuthinged/edged.c
@@ -76,6 +76,14 @@
 	forward_forget(d->forward, b);
 }
 
+static void on_note(void *ctx, const request_t *r, ms_t now, const char *step,
+		    const char *text)
+{
+	edged_t *d = ctx;
+
+	forward_note(d->forward, r, now, step, text);
+}
+
 static void on_ask(void *ctx, backend_t *b, const request_t *r, ms_t now)
 {
 	edged_t *d = ctx;
@@ -101,7 +109,7 @@
 		mates_server(d->mates, b);
 }
 
-static const edge_ops_t edge_ops = { on_send,	 on_refuse, on_ask,
+static const edge_ops_t edge_ops = { on_send,	 on_refuse, on_note,  on_ask,
 				     on_release, on_listed, on_forget };
 
 static void bad_record(edged_t *d, str_t key, const char *why)
--- a/cmd/chestnuthinged/keepd.c
+++ b/cmd/chestnuthinged/keepd.c
@@ -63,7 +63,7 @@
 	if (m->type != MSG_ASK)
 		return;
 	a.rid = m->u.ask.rid;
-	a.rank = (unsigned int)MIN(m->u.ask.rank, KEEPER_RANKS);
+	a.rank = (unsigned int)MIN(m->u.ask.rank, RANKS);
 	a.places = (unsigned int)m->u.ask.places;
 	a.in_time = (ms_t)m->u.ask.in_time;
 	a.of_use = (ms_t)m->u.ask.of_use;
--- a/lib/base/dat.h
+++ b/lib/base/dat.h
@@ -134,6 +134,23 @@
 	size_t n;
 } str_t;
 
+/*
+ * Ranks of requests: a customer's rank goes first, then its route's. Less
+ * urgent ones than these share the last.
+ */
+enum {
+	ROUTE_RANKS = 4,
+	CUSTOMER_RANKS = 2,
+	RANKS = CUSTOMER_RANKS * ROUTE_RANKS,
+	RANK_TURNS = 2 * RANKS,
+};
+
+/* One step of the order in which places are given. */
+typedef struct turn {
+	unsigned int rank;
+	unsigned int late; /* 1: requests that are past their target */
+} turn_t;
+
 enum {
 	MS_PER_S = 1000,
 	TIER_COUNT = 4, /* tier 0 is the highest, 3 the lowest */
--- a/lib/base/fns.h
+++ b/lib/base/fns.h
@@ -38,6 +38,9 @@
 ms_t backoff_next(backoff_t *b, GRand *rand);
 void backoff_reset(backoff_t *b);
 
+/* rank.c */
+extern const turn_t rank_turns[RANK_TURNS];
+
 /* str.c */
 str_t str_of(const char *s);
 bool str_eq(str_t a, str_t b);
--- a/lib/edge/ask.c
+++ b/lib/edge/ask.c
@@ -66,6 +66,8 @@
 	r->asked_at = now;
 	b->asks++;
 	e->ops->ask(e->ctx, b, r, now);
+	edge_note(e, r, now, "asked", "server=%s load=%u asks=%u slots=%u",
+		  b->id, place_load(b, now), b->asks, b->slots);
 	return place_load(b, now) + b->asks <= b->slots;
 }
 
@@ -125,8 +127,8 @@
 void ask_tick(edge_t *e, pool_t *p, ms_t now)
 {
 	for (int i = 0; i < RANKS; i++) {
-		ask_more(e, &p->waiting[i], now);
-		ask_more(e, &p->late[i], now);
+		ask_more(e, &p->waiting[i][0], now);
+		ask_more(e, &p->waiting[i][1], now);
 	}
 }
 
--- a/lib/edge/dat.h
+++ b/lib/edge/dat.h
@@ -110,8 +110,8 @@
 	int64_t born;
 	unsigned int slots;
 	bool leaving;
-	uint64_t seq;	/* of its entry */
-	bool displaced; /* another server answered at its address */
+	uint64_t seq;	      /* of its entry */
+	bool displaced;	      /* another server answered at its address */
 	bool gone;	      /* off the list; kept while requests run there */
 	unsigned int running; /* requests of this host there */
 	unsigned int others;  /* of other hosts, at the last answer */
@@ -216,6 +216,9 @@
 	void (*send)(void *ctx, request_t *r);
 	/* The request is given up, not run: code and when to come back. */
 	void (*refuse)(void *ctx, request_t *r, code_t code, ms_t after);
+	/* A decision on the request, with what decided it as key=value. */
+	void (*note)(void *ctx, const request_t *r, ms_t now, const char *step,
+		     const char *text);
 	/* Ask the server's keeper for a place, or give it back. */
 	void (*ask)(void *ctx, backend_t *b, const request_t *r, ms_t now);
 	void (*release)(void *ctx, uint64_t keeper, const request_t *r);
--- a/lib/edge/edge.c
+++ b/lib/edge/edge.c
@@ -1,7 +1,9 @@
 /* The life of a request: admitted, waiting, sent, sent again, ended. */
+#include <stdarg.h>
 #include "edge/priv.h"
 
 enum {
+	NOTE_BYTES = 256,     /* of one decision's inputs */
 	ARRIVALS_MAX = 4,     /* servers that a request is shown to, with those
 				 that reject it */
 	STALL_LEAST_MS = 250, /* shorter silences are ordinary */
@@ -92,6 +94,32 @@
 	return e->desired;
 }
 
+/* How a send ended, as logs name it. */
+const char *sent_name(sent_t how)
+{
+	static const char *const names[] = {
+		[SENT_WHOLE] = "whole",	       [SENT_FAILED] = "failed",
+		[SENT_REJECTED] = "rejected",  [SENT_NOT] = "not_sent",
+		[SENT_LOST] = "lost",	       [SENT_BAD] = "bad_answer",
+		[SENT_WRONG] = "wrong_server",
+	};
+
+	return names[how];
+}
+
+/* Tells a decision on a request, for its lines in the log. */
+void edge_note(edge_t *e, const request_t *r, ms_t now, const char *step,
+	       const char *fmt, ...)
+{
+	char text[NOTE_BYTES];
+	va_list ap;
+
+	va_start(ap, fmt);
+	g_vsnprintf(text, sizeof(text), fmt, ap);
+	va_end(ap);
+	e->ops->note(e->ctx, r, now, step, text);
+}
+
 /* Sends a request that is in no queue. */
 void edge_run(edge_t *e, request_t *r, backend_t *b, ms_t now)
 {
@@ -110,6 +138,14 @@
 	r->charged = true;
 	b->running++;
 	list_add_tail(&b->runs, &r->run);
+	edge_note(
+		e, r, now, "sent",
+		"server=%s by=%s running=%u load=%u slots=%u load_age_ms=%lld "
+		"first_ms=%.0f waited_ms=%lld waiting=%u",
+		b->id, r->granted ? "keeper" : "estimate", b->running,
+		place_load(b, now), b->slots, (long long)(now - b->others_at),
+		cost_first(b->pool, b, r->prompt),
+		(long long)(now - r->arrived), r->pool->nwaiting);
 	e->ops->send(e->ctx, r);
 }
 
@@ -168,6 +204,12 @@
 	r->rid.seq = ++e->rids;
 	budget_earn(p, now);
 	if (refuse_hopeless(p, r, now)) {
+		edge_note(e, r, now, "refused",
+			  "why=cannot_finish alike=%u sent_lately=%.0f "
+			  "waiting=%u",
+			  queue_alike(p, r),
+			  window_sum(&p->placed[MIN(r->rank, RANKS - 1)], now),
+			  p->nwaiting);
 		refuse(e, r, CODE_CANNOT_FINISH, refuse_after(e, p, r, now));
 		return;
 	}
@@ -175,6 +217,11 @@
 		r->cost = quota_cost(c, r->tokens);
 		wait = quota_take(e, c, r->cost, r->rank, now);
 		if (wait > 0) {
+			edge_note(e, r, now, "refused",
+				  "why=over_quota rate=%.0f burst=%.0f "
+				  "cost=%.0f hosts=%u silent=%u after_ms=%lld",
+				  c->rate, c->burst, r->cost, e->hosts,
+				  e->hosts_silent, (long long)wait);
 			refuse(e, r, CODE_OVER_LIMIT, wait);
 			return;
 		}
@@ -286,6 +333,14 @@
 	health_note(e, b, how, now);
 	leave_server(e, r, now);
 	again = worth_again(e, r, how, resumable, now);
+	if (how != SENT_WHOLE)
+		edge_note(e, r, now, again ? "again" : "no_more",
+			  "sends=%u attempts=%u arrivals=%u left_ms=%lld "
+			  "repeats=%.0f asked=%.0f",
+			  r->sends, r->route->attempts, r->arrivals,
+			  (long long)(r->deadline - now),
+			  window_sum(&p->repeats, now),
+			  window_sum(&p->asked, now));
 	if (again)
 		queue_push(e, r, now);
 	else
--- a/lib/edge/fleet.c
+++ b/lib/edge/fleet.c
@@ -20,8 +20,8 @@
 	p->name = g_strdup(service);
 	list_init(&p->servers);
 	for (int i = 0; i < RANKS; i++) {
-		list_init(&p->waiting[i]);
-		list_init(&p->late[i]);
+		list_init(&p->waiting[i][0]);
+		list_init(&p->waiting[i][1]);
 	}
 	p->first_mean = first_guess;
 	p->run_mean = run_guess;
--- a/lib/edge/fns.h
+++ b/lib/edge/fns.h
@@ -46,6 +46,7 @@
 void edge_free(edge_t *e);
 bool edge_configure(edge_t *e, desired_t *d);
 desired_t *edge_desired(const edge_t *e);
+const char *sent_name(sent_t how);
 void edge_submit(edge_t *e, request_t *r, ms_t now);
 void edge_first(edge_t *e, request_t *r, ms_t now);
 void edge_event(edge_t *e, request_t *r, ms_t now);
--- a/lib/edge/priv.h
+++ b/lib/edge/priv.h
@@ -4,12 +4,6 @@
 
 #include "edge/fns.h"
 
-enum {
-	ROUTE_RANKS = 4,    /* less urgent routes share the last */
-	CUSTOMER_RANKS = 2, /* the same for customers */
-	RANKS = CUSTOMER_RANKS * ROUTE_RANKS, /* a customer's rank goes first */
-};
-
 /* A customer's quota on this host. */
 typedef struct quota {
 	double level; /* left now; below zero after a large request */
@@ -20,9 +14,8 @@
 /* The servers of one service and what waits for them. */
 struct pool {
 	char *name;
-	list_t servers;	       /* backend_t */
-	list_t waiting[RANKS]; /* may still be in time */
-	list_t late[RANKS];    /* cannot be any more */
+	list_t servers;		  /* backend_t */
+	list_t waiting[RANKS][2]; /* in time, and past their target */
 	unsigned int nwaiting;
 	window_t asked;		/* requests of callers */
 	window_t repeats;	/* sends beyond the first of each */
@@ -53,6 +46,8 @@
 };
 
 /* edge.c */
+void edge_note(edge_t *e, const request_t *r, ms_t now, const char *step,
+	       const char *fmt, ...) G_GNUC_PRINTF(5, 6);
 void edge_run(edge_t *e, request_t *r, backend_t *b, ms_t now);
 
 /* fleet.c */
--- a/lib/edge/queue.c
+++ b/lib/edge/queue.c
@@ -1,7 +1,7 @@
 /*
  * Requests that wait here for a place, rather than in a server's own queue,
- * which knows no order but that of arrival. More urgent ranks go first; within
- * a rank those that can still be in time, then the rest, each in order.
+ * which knows no order but that of arrival. The order of ranks is the one that
+ * keepers have too (rank_turns).
  */
 #include "edge/priv.h"
 
@@ -27,7 +27,7 @@
 
 	r->state = REQUEST_WAITING;
 	r->late = now >= r->first_by;
-	list_add_tail(r->late ? &p->late[rank] : &p->waiting[rank], &r->link);
+	list_add_tail(&p->waiting[rank][r->late], &r->link);
 	p->nwaiting++;
 	g_hash_table_insert(e->waiting, &r->rid, r);
 }
@@ -54,17 +54,18 @@
 {
 	unsigned int rank = rank_of(r);
 
-	return list_len(&p->waiting[rank]) + list_len(&p->late[rank]);
+	return list_len(&p->waiting[rank][0]) + list_len(&p->waiting[rank][1]);
 }
 
 /* Returns the request that is to be sent next, or NULL. */
 request_t *queue_next(pool_t *p, ms_t now)
 {
-	for (int i = 0; i < RANKS; i++) {
-		if (!list_empty(&p->waiting[i]))
-			return list_entry(p->waiting[i].next, request_t, link);
-		if (!list_empty(&p->late[i]))
-			return list_entry(p->late[i].next, request_t, link);
+	for (int i = 0; i < RANK_TURNS; i++) {
+		const turn_t *t = &rank_turns[i];
+		const list_t *head = &p->waiting[t->rank][t->late];
+
+		if (!list_empty(head))
+			return list_entry(head->next, request_t, link);
 	}
 	return NULL;
 }
@@ -75,7 +76,7 @@
 	list_t *pos;
 	list_t *tmp;
 
-	list_for_each_safe(pos, tmp, &p->waiting[rank])
+	list_for_each_safe(pos, tmp, &p->waiting[rank][0])
 	{
 		request_t *r = list_entry(pos, request_t, link);
 
@@ -83,7 +84,7 @@
 			continue;
 		list_del(&r->link);
 		r->late = true;
-		list_add_tail(&p->late[rank], &r->link);
+		list_add_tail(&p->waiting[rank][1], &r->link);
 	}
 }
 
@@ -100,6 +101,10 @@
 
 		if (now < r->deadline - need && now < r->leaves - need)
 			continue;
+		edge_note(e, r, now, "given_up",
+			  "why=no_place waiting=%u asked=%u usable_places=%u "
+			  "late=%d",
+			  p->nwaiting, r->nasked, place_free(p, now), r->late);
 		queue_abandon(e, r);
 		r->state = REQUEST_ENDED;
 		e->ops->refuse(e->ctx, r, CODE_EXPIRED_WAITING,
@@ -112,7 +117,7 @@
 {
 	for (int i = 0; i < RANKS; i++) {
 		sort_late(p, i, now);
-		expire(e, &p->waiting[i], now);
-		expire(e, &p->late[i], now);
+		expire(e, &p->waiting[i][0], now);
+		expire(e, &p->waiting[i][1], now);
 	}
 }
--- a/lib/forward/exchange.c
+++ b/lib/forward/exchange.c
@@ -61,6 +61,7 @@
 	if (x->lane)
 		lane_drop(x->lane);
 	events_clear(&x->ev);
+	trail_clear(x);
 	buffer_free(x->pass);
 	buffer_free(x->body);
 	buffer_free(x->head);
@@ -74,14 +75,18 @@
 	g_free(x);
 }
 
-/* One line for a request that ended, with what decided it. */
-static void log_end(const exchange_t *x, const char *outcome, int status,
-		    ms_t now)
+/*
+ * The lines of a request that ended: its decisions and how it ended. Answers
+ * below 400 are successes.
+ */
+static void log_end(exchange_t *x, const char *outcome, int status, ms_t now)
 {
 	const request_t *r = &x->req;
 
-	log_line(status >= 400 || status == 0 ? LOG_INFO : LOG_DEBUG,
-		 "request_end",
+	if (!trail_wanted(x, status >= 400 || status == 0, now))
+		return;
+	trail_write(x);
+	log_line(LOG_INFO, "request_end",
 		 "id=%s outcome=%s status=%d route=%s customer=%s config=%llu "
 		 "sends=%u arrivals=%u events=%u took_ms=%lld first_ms=%lld "
 		 "left_ms=%lld cost=%.0f",
@@ -168,6 +173,7 @@
 	const char *text = NULL;
 	int status;
 
+	x->read_at = now;
 	if (!d) {
 		answer_own(x, 503, MS_PER_S, "no configuration yet");
 		return;
@@ -188,6 +194,14 @@
 	r->prompt = x->call.prompt;
 	r->output = x->call.output > 0 ? x->call.output : x->call.output_max;
 	r->tokens = x->call.prompt + x->call.output_max;
+	trail_add(x, now, "taken",
+		  "route=%s rank=%u customer=%s config=%llu prompt=%.0f "
+		  "tokens=%.0f time_ms=%lld patience_ms=%lld body=%u",
+		  r->route->name, r->rank,
+		  r->customer ? r->customer->name : "-",
+		  (unsigned long long)d->version, r->prompt, r->tokens,
+		  (long long)(r->deadline - now), (long long)(r->leaves - now),
+		  x->body->len);
 	edge_submit(x->forward->edge, r, now);
 }
 
@@ -415,11 +429,10 @@
 	bool answered = how == SENT_WHOLE || how == SENT_FAILED;
 	verdict_next_t next;
 
-	if (how != SENT_WHOLE)
-		log_line(LOG_INFO, "send_failed",
-			 "id=%s server=%s how=%d status=%d events=%u",
-			 x->id ? x->id : "-", x->req.server->id, how, x->status,
-			 x->events);
+	trail_add(x, now, "send_over",
+		  "server=%s result=%s status=%d events=%u resumable=%d",
+		  x->req.server->id, sent_name(how), x->status, x->events,
+		  resumable);
 	if (x->begun && how == SENT_FAILED)
 		answered = false;
 	next = edge_sent(x->forward->edge, &x->req, how, resumable, now);
--- a/lib/forward/fns.h
+++ b/lib/forward/fns.h
@@ -43,6 +43,8 @@
 code_t forward_listen(forward_t *r);
 void forward_send(forward_t *r, request_t *req);
 void forward_refuse(forward_t *r, request_t *req, code_t code, ms_t after);
+void forward_note(forward_t *r, const request_t *req, ms_t now,
+		  const char *step, const char *text);
 void forward_forget(forward_t *r, backend_t *b);
 void forward_drain(forward_t *r, ms_t now);
 bool forward_idle(const forward_t *r);
--- a/lib/forward/priv.h
+++ b/lib/forward/priv.h
@@ -79,6 +79,8 @@
 	GByteArray *content;
 	GByteArray *chunk; /* whole events of this read */
 	ms_t first_at;
+	ms_t read_at;	/* when the request had been read */
+	GString *trail; /* decisions on it, a line each; NULL none */
 };
 
 struct forward {
@@ -101,6 +103,10 @@
 	counter_t *connects;
 	counter_t *reused;
 	counter_t *strays;
+	counter_t *left_out; /* failed requests without their lines */
+	int64_t trail_second;
+	unsigned int trails; /* failed requests written in it */
+	unsigned int trails_left_out;
 };
 
 /* caller.c */
@@ -124,6 +130,13 @@
 void exchange_body(exchange_t *x, str_t data);
 bool exchange_end(exchange_t *x);
 
+/* trail.c */
+void trail_add(exchange_t *x, ms_t now, const char *step, const char *fmt, ...)
+	G_GNUC_PRINTF(4, 5);
+bool trail_wanted(exchange_t *x, bool failed, ms_t now);
+void trail_write(const exchange_t *x);
+void trail_clear(exchange_t *x);
+
 /* lane.c */
 void lane_send(exchange_t *x);
 void lane_drop(lane_t *l);
--- a/lib/forward/relay.c
+++ b/lib/forward/relay.c
@@ -47,6 +47,8 @@
 	r->requests = counter_get(counters, "edge_requests_total", NULL);
 	r->connects = counter_get(counters, "edge_server_connects_total", NULL);
 	r->reused = counter_get(counters, "edge_server_reuses_total", NULL);
+	r->left_out = counter_get(counters, "edge_request_lines_left_out_total",
+				  NULL);
 	r->strays = counter_get(counters, "edge_stray_answers_total", NULL);
 	return r;
 }
@@ -103,6 +105,14 @@
 	r->drain_at = now;
 }
 
+/* Keeps a decision of the edge for the request's lines. */
+void forward_note(forward_t *r, const request_t *req, ms_t now,
+		  const char *step, const char *text)
+{
+	(void)r;
+	trail_add(exchange_of((request_t *)req), now, step, "%s", text);
+}
+
 /* Whether it is too late to take another request before the end. */
 bool forward_stopped(const forward_t *r, ms_t now)
 {
--- a/lib/keeper/dat.h
+++ b/lib/keeper/dat.h
@@ -10,10 +10,6 @@
 
 typedef struct keeper keeper_t;
 
-enum {
-	KEEPER_RANKS = 8, /* 0 is the most urgent */
-};
-
 /* A host asks for a place. */
 typedef struct ask {
 	rid_t rid;
--- a/lib/keeper/keeper.c
+++ b/lib/keeper/keeper.c
@@ -26,9 +26,8 @@
 struct keeper {
 	const keeper_ops_t *ops;
 	void *ctx;
-	unsigned int places; /* 0: not told yet */
-	list_t waiting[KEEPER_RANKS];
-	list_t late[KEEPER_RANKS];
+	unsigned int places;	  /* 0: not told yet */
+	list_t waiting[RANKS][2]; /* in time, and past their target */
 	list_t granted;
 	GHashTable *all; /* holder_t by rid */
 	unsigned int nwaiting;
@@ -46,9 +45,9 @@
 
 	k->ops = ops;
 	k->ctx = ctx;
-	for (int i = 0; i < KEEPER_RANKS; i++) {
-		list_init(&k->waiting[i]);
-		list_init(&k->late[i]);
+	for (int i = 0; i < RANKS; i++) {
+		list_init(&k->waiting[i][0]);
+		list_init(&k->waiting[i][1]);
 	}
 	list_init(&k->granted);
 	k->all = g_hash_table_new_full(rid_hash, rid_equal, NULL, g_free);
@@ -82,8 +81,8 @@
 {
 	holder_t *found = NULL;
 
-	for (int i = 0; i < KEEPER_RANKS; i++) {
-		holder_t *h = first(&k->waiting[i]);
+	for (int i = 0; i < RANKS; i++) {
+		holder_t *h = first(&k->waiting[i][0]);
 
 		if (h && (!found || h->asked < found->asked))
 			found = h;
@@ -91,17 +90,17 @@
 	return found;
 }
 
-/* Who is next: by rank, and in a rank those first that can be in time. */
+/* Who is next: in the order of rank_turns, one in a few the oldest. */
 static holder_t *next(keeper_t *k)
 {
 	holder_t *h = NULL;
 
 	if (++k->turn % OLDEST_EVERY == 0)
 		h = oldest(k);
-	for (int i = 0; i < KEEPER_RANKS && !h; i++) {
-		h = first(&k->waiting[i]);
-		if (!h)
-			h = first(&k->late[i]);
+	for (int i = 0; i < RANK_TURNS && !h; i++) {
+		const turn_t *t = &rank_turns[i];
+
+		h = first(&k->waiting[t->rank][t->late]);
 	}
 	return h;
 }
@@ -111,14 +110,14 @@
 	list_t *pos;
 	list_t *tmp;
 
-	list_for_each_safe(pos, tmp, &k->waiting[rank])
+	list_for_each_safe(pos, tmp, &k->waiting[rank][0])
 	{
 		holder_t *h = list_entry(pos, holder_t, link);
 
 		if (now < h->in_time)
 			continue;
 		list_del(&h->link);
-		list_add_tail(&k->late[rank], &h->link);
+		list_add_tail(&k->waiting[rank][1], &h->link);
 	}
 }
 
@@ -166,13 +165,12 @@
 	h = g_new0(holder_t, 1);
 	h->rid = a->rid;
 	h->host = host;
-	h->rank = MIN(a->rank, KEEPER_RANKS - 1);
+	h->rank = MIN(a->rank, RANKS - 1);
 	h->asked = now;
 	h->in_time = now + a->in_time;
 	h->of_use = now + a->of_use;
 	g_hash_table_insert(k->all, &h->rid, h);
-	list_add_tail(a->in_time > 0 ? &k->waiting[h->rank] : &k->late[h->rank],
-		      &h->link);
+	list_add_tail(&k->waiting[h->rank][a->in_time <= 0], &h->link);
 	k->nwaiting++;
 	grant(k, now);
 }
@@ -206,9 +204,9 @@
 /* A host is gone, and its requests with it. */
 void keeper_host_gone(keeper_t *k, uint64_t host, ms_t now)
 {
-	for (int i = 0; i < KEEPER_RANKS; i++) {
-		drop_host(k, &k->waiting[i], host, &k->nwaiting);
-		drop_host(k, &k->late[i], host, &k->nwaiting);
+	for (int i = 0; i < RANKS; i++) {
+		drop_host(k, &k->waiting[i][0], host, &k->nwaiting);
+		drop_host(k, &k->waiting[i][1], host, &k->nwaiting);
 	}
 	drop_host(k, &k->granted, host, &k->ngranted);
 	grant(k, now);
@@ -217,10 +215,10 @@
 /* Orders what waits by the time. To be called every few tens of ms. */
 void keeper_tick(keeper_t *k, ms_t now)
 {
-	for (int i = 0; i < KEEPER_RANKS; i++) {
+	for (int i = 0; i < RANKS; i++) {
 		sort_late(k, i, now);
-		drop_useless(k, &k->waiting[i], now);
-		drop_useless(k, &k->late[i], now);
+		drop_useless(k, &k->waiting[i][0], now);
+		drop_useless(k, &k->waiting[i][1], now);
 	}
 	grant(k, now);
 }
--- a/test/edge.c
+++ b/test/edge.c
@@ -43,6 +43,11 @@
 	w->last_after = after;
 }
 
+static void on_note(void *ctx, const request_t *r, ms_t now, const char *step,
+		    const char *text)
+{
+}
+
 static void on_ask(void *ctx, backend_t *b, const request_t *r, ms_t now)
 {
 	((world_t *)ctx)->asked++;
@@ -62,7 +67,7 @@
 	((world_t *)ctx)->forgotten++;
 }
 
-static const edge_ops_t ops = { on_send,    on_refuse, on_ask,
+static const edge_ops_t ops = { on_send,    on_refuse, on_note,	 on_ask,
 				on_release, on_listed, on_forget };
 
 static void world_init(world_t *w, double retry_ratio)
@@ -299,7 +304,8 @@
 	edge_server_put(w.edge, &info, 0);
 	request_init(&r, &route, 0);
 	edge_submit(w.edge, &r, 0);
-	ck_assert_int_eq(edge_sent(w.edge, &r, SENT_WRONG, true, 1), NEXT_AGAIN);
+	ck_assert_int_eq(edge_sent(w.edge, &r, SENT_WRONG, true, 1),
+			 NEXT_AGAIN);
 	ck_assert_uint_eq(w.sent, 1);
 	edge_server_put(w.edge, &info, 100);
 	edge_tick(w.edge, 100);
