--- a/lib/keeper/keeper.c
+++ b/lib/keeper/keeper.c
@@ -7,6 +7,8 @@
 #include "keeper/fns.h"
 
 enum {
+	OVERLAP = 1, /* requests more than the places: one waits in the server,
+			so that no place is empty while a grant travels */
 	OLDEST_EVERY = 4, /* one grant in so many goes to the request that has
 			     waited longest, so that no rank starves */
 };
@@ -140,7 +142,7 @@
 /* Grants places while there are any and somebody waits. */
 static void grant(keeper_t *k, ms_t now)
 {
-	while (k->ngranted < k->places && k->nwaiting > 0) {
+	while (k->ngranted < k->places + OVERLAP && k->nwaiting > 0) {
 		holder_t *h = next(k);
 
 		list_del(&h->link);
