--- a/lib/edge/dat.h
+++ b/lib/edge/dat.h
@@ -140,7 +140,7 @@
 
 enum {
 	TRIED_MAX = 4, /* servers remembered of one request */
-	ASKS_MAX = 5,  /* servers asked for a place at a time */
+	ASKS_MAX = 8,  /* servers asked for a place at a time */
 };
 
 /* A caller's request, from its arrival to its final answer. */
