--- a/lib/edge/ask.c
+++ b/lib/edge/ask.c
@@ -44,7 +44,7 @@
 
 		if (!b->keeper || was_asked(r, b) || !health_usable(b, now))
 			continue;
-		s = place_score(e, b, r, place_load(b, now) + b->asks);
+		s = place_score(e, b, r, place_load(b, now) + b->asks, now);
 		if (!found[again] || s < least[again]) {
 			found[again] = b;
 			least[again] = s;
--- a/lib/edge/cost.c
+++ b/lib/edge/cost.c
@@ -4,7 +4,9 @@
  */
 #include "edge/priv.h"
 
-static const double fade = 0.97;       /* a sample counts for about 30 more */
+static const double fade = 0.97;	 /* a sample counts for about 30 more */
+static const double token_weight = 0.05; /* of one run in the mean */
+static const double far_off = 3; /* times what a caller expects of its output */
 static const double least_samples = 4; /* before the slope is believed */
 
 /* Adds one measured time to the first event. */
@@ -41,3 +43,31 @@
 {
 	return fit_guess(&b->fit, prompt, p->first_mean);
 }
+
+/* Learns from a whole stream how long a token of output takes there. */
+void cost_note(backend_t *b, const request_t *r, ms_t now)
+{
+	pool_t *p = b->pool;
+	double ms;
+
+	if (!r->route->stream || r->output <= 0 || !r->first_here)
+		return;
+	ms = (double)(now - r->first_at) / r->output;
+	p->token_ms += token_weight * (ms - p->token_ms);
+	if (b->token_ms <= 0)
+		b->token_ms = p->token_ms;
+	b->token_ms += token_weight * (ms - b->token_ms);
+}
+
+/*
+ * By how much the request would outlast its time there, in ms; 0 when it fits.
+ * What callers expect of the output is right at the median and often far off,
+ * so a run is taken to be several times as long.
+ */
+double cost_late(const backend_t *b, const request_t *r, double first, ms_t now)
+{
+	double token_ms = b->token_ms > 0 ? b->token_ms : b->pool->token_ms;
+	double run = first + token_ms * r->output * far_off;
+
+	return MAX(run - (double)(r->deadline - now), 0);
+}
--- a/lib/edge/dat.h
+++ b/lib/edge/dat.h
@@ -120,6 +120,7 @@
 	ms_t heard;	 /* last byte of an answer */
 	fit_t fit;	 /* first event, by prompt tokens */
 	double step;	 /* ms between events */
+	double token_ms; /* ms for each token of output that was expected */
 	double failures; /* fading share, 0 to 1 */
 	double samples;	 /* fading number of ended requests */
 	unsigned int lost_in_row;
@@ -175,6 +176,7 @@
 	ms_t asked_at;	  /* when the last of them was asked */
 	uint64_t granted; /* incarnation of the keeper that gave its place */
 	ms_t sent_at;
+	ms_t first_at; /* the first event from this server */
 	ms_t last_event;
 	bool started;	 /* the first event has come, over all sends */
 	bool first_here; /* and from this server */
--- a/lib/edge/edge.c
+++ b/lib/edge/edge.c
@@ -143,7 +143,8 @@
 		"server=%s by=%s running=%u load=%u slots=%u load_age_ms=%lld "
 		"first_ms=%.0f waited_ms=%lld waiting=%u",
 		b->id, r->granted ? "keeper" : "estimate", b->running,
-		place_load(b, now), b->slots, (long long)(now - b->others_at),
+		place_load(b, now), b->slots,
+		b->others_at ? (long long)(now - b->others_at) : -1,
 		cost_first(b->pool, b, r->prompt),
 		(long long)(now - r->arrived), r->pool->nwaiting);
 	e->ops->send(e->ctx, r);
@@ -243,6 +244,7 @@
 	if (r->first_here)
 		return;
 	r->first_here = true;
+	r->first_at = now;
 	r->started = true;
 	fit_add(&b->fit, r->prompt, ms);
 	b->pool->first_mean += learn * (ms - b->pool->first_mean);
@@ -330,6 +332,8 @@
 	b->heard = how == SENT_LOST || how == SENT_NOT ? b->heard : now;
 	if (how != SENT_REJECTED && how != SENT_NOT && how != SENT_WRONG)
 		r->sends++;
+	if (how == SENT_WHOLE)
+		cost_note(b, r, now);
 	health_note(e, b, how, now);
 	leave_server(e, r, now);
 	again = worth_again(e, r, how, resumable, now);
--- a/lib/edge/fleet.c
+++ b/lib/edge/fleet.c
@@ -25,6 +25,7 @@
 	}
 	p->first_mean = first_guess;
 	p->run_mean = run_guess;
+	p->token_ms = 0;
 	window_init(&p->asked, e->conf.retry_window);
 	window_init(&p->repeats, e->conf.retry_window);
 	for (int i = 0; i < RANKS; i++)
--- a/lib/edge/place.c
+++ b/lib/edge/place.c
@@ -75,13 +75,15 @@
 
 /* Expected cost of sending the request there, in ms; lower is better. */
 double place_score(edge_t *e, const backend_t *b, const request_t *r,
-		   unsigned int load)
+		   unsigned int load, ms_t now)
 {
-	double ms = cost_first(b->pool, b, r->prompt) + b->step;
+	double first = cost_first(b->pool, b, r->prompt);
+	double ms = first + b->step;
 
 	ms *= 1 + full_cost * load / MAX(b->slots, 1);
 	if (load >= b->slots)
 		ms += (load - b->slots + 1) * b->pool->run_mean / b->slots;
+	ms += cost_late(b, r, first, now);
 	if (strcmp(b->data_center, e->conf.data_center) != 0)
 		ms += away_ms;
 	return ms * (1 + spread * g_rand_double(e->rand));
@@ -109,7 +111,7 @@
 		load = place_load(b, now);
 		if (load >= places(e, b, now))
 			continue;
-		s = place_score(e, b, r, load);
+		s = place_score(e, b, r, load, now);
 		if (!best[again] || s < least[again]) {
 			best[again] = b;
 			least[again] = s;
--- a/lib/edge/priv.h
+++ b/lib/edge/priv.h
@@ -21,8 +21,9 @@
 	window_t repeats;	/* sends beyond the first of each */
 	window_t placed[RANKS]; /* first sends, by rank */
 	double mean_tokens;
-	double first_mean;   /* ms to the first event, over all servers */
-	double run_mean;     /* ms that a request holds its place */
+	double first_mean; /* ms to the first event, over all servers */
+	double token_ms;   /* ms for an expected token of output, all servers */
+	double run_mean;   /* ms that a request holds its place */
 	unsigned int unkept; /* servers without a keeper in touch */
 };
 
@@ -63,12 +64,15 @@
 /* cost.c */
 void fit_add(fit_t *f, double tokens, double ms);
 double fit_guess(const fit_t *f, double tokens, double otherwise);
+double cost_late(const backend_t *b, const request_t *r, double first,
+		 ms_t now);
+void cost_note(backend_t *b, const request_t *r, ms_t now);
 double cost_first(const pool_t *p, const backend_t *b, double prompt);
 
 /* place.c */
 backend_t *place_pick(edge_t *e, pool_t *p, const request_t *r, ms_t now);
 double place_score(edge_t *e, const backend_t *b, const request_t *r,
-		   unsigned int load);
+		   unsigned int load, ms_t now);
 bool place_tried(const request_t *r, const backend_t *b);
 unsigned int place_load(const backend_t *b, ms_t now);
 unsigned int place_free(const pool_t *p, ms_t now);
--- a/test/edge.c
+++ b/test/edge.c
@@ -655,6 +655,40 @@
 }
 END_TEST
 
+/* A long stream goes to the fast server, a short one to any. */
+START_TEST(test_long_runs)
+{
+	static const double ms_a_token[] = { 9, 2 }; /* slow, fast */
+	edge_route_t rt = route;
+	unsigned int to_slow = 0;
+	world_t w;
+
+	world_init(&w, 1);
+	rt.stream = true;
+	rt.repeat = REPEAT_NEVER;
+	rt.timeout = 8 * MS;
+	put_server(&w, "slow", "10.0.0.1", 9, false, 1, 0);
+	put_server(&w, "fast", "10.0.0.2", 9, false, 1, 0);
+	for (int i = 0; i < REQUESTS; i++) {
+		ms_t now = 1 + (ms_t)i * 10 * MS;
+		bool is_long = i >= REQUESTS / 2 && i % 2;
+		request_t r;
+		bool fast;
+
+		request_init(&r, &rt, now);
+		r.output = is_long ? 500 : 40;
+		edge_submit(w.edge, &r, now);
+		fast = strcmp(r.server->id, "fast") == 0;
+		to_slow += is_long && !fast;
+		edge_first(w.edge, &r, now + 50);
+		edge_sent(w.edge, &r, SENT_WHOLE, true,
+			  now + 50 + (ms_t)(r.output * ms_a_token[fast]));
+	}
+	ck_assert_uint_eq(to_slow, 0);
+	world_clear(&w);
+}
+END_TEST
+
 /* With a keeper in touch nothing is sent before a place is granted. */
 START_TEST(test_asking)
 {
@@ -708,6 +742,7 @@
 	tcase_add_test(t, test_give_up);
 	tcase_add_loop_test(t, test_quota, 0, G_N_ELEMENTS(quota_cases));
 	tcase_add_test(t, test_set_aside);
+	tcase_add_test(t, test_long_runs);
 	tcase_add_test(t, test_asking);
 	srunner_run_all(r, CK_NORMAL);
 	failed = srunner_ntests_failed(r);
