--- a/cmd/chestnuthinged/edged.c
+++ b/cmd/chestnuthinged/edged.c
@@ -91,11 +91,12 @@
 	mates_ask(d->mates, b, r, now);
 }
 
-static void on_release(void *ctx, uint64_t keeper, const request_t *r)
+static void on_release(void *ctx, uint64_t keeper, const request_t *r,
+		       bool unreached)
 {
 	edged_t *d = ctx;
 
-	mates_release(d->mates, keeper, r);
+	mates_release(d->mates, keeper, r, unreached);
 }
 
 static void on_listed(void *ctx, const backend_t *b)
--- a/cmd/chestnuthinged/keepd.c
+++ b/cmd/chestnuthinged/keepd.c
@@ -7,6 +7,8 @@
 
 enum {
 	TICK_MS = 20, /* requests that turn late are found this late */
+	OVERLAP = 1,  /* requests more than the places: one waits in the server,
+			 so that no place is empty while a grant travels */
 	FRAME_MAX = 64 << 10,
 	QUEUE_MAX = 4 << 20,
 	HEARTBEAT_MS = 800,
@@ -60,6 +62,10 @@
 		keeper_release(d->keeper, m->u.withdraw.rid, clock_now());
 		return;
 	}
+	if (m->type == MSG_NOT_RUN) {
+		keeper_unreached(d->keeper, m->u.not_run.rid, clock_now());
+		return;
+	}
 	if (m->type != MSG_ASK)
 		return;
 	a.rid = m->u.ask.rid;
@@ -129,7 +135,7 @@
 
 	d->set = set;
 	d->counters = counters_new();
-	d->keeper = keeper_new(&keeper_ops, d, d->counters);
+	d->keeper = keeper_new(&keeper_ops, d, OVERLAP, d->counters);
 	signal(SIGPIPE, SIG_IGN);
 	uv_loop_init(&d->loop);
 	if (!start(d, err))
--- a/cmd/chestnuthinged/mates.c
+++ b/cmd/chestnuthinged/mates.c
@@ -238,11 +238,17 @@
 }
 
 /* Gives a place back, or withdraws the request for it. */
-void mates_release(mates_t *m, uint64_t keeper, const request_t *r)
+void mates_release(mates_t *m, uint64_t keeper, const request_t *r,
+		   bool unreached)
 {
 	msg_t back = { .type = MSG_WITHDRAW };
 
 	back.u.withdraw.rid = r->rid;
+	if (unreached) {
+		back.type = MSG_NOT_RUN;
+		back.u.not_run.rid = r->rid;
+		back.u.not_run.code = CODE_NOT_SENT;
+	}
 	peers_send(m->peers, keeper, &back);
 }
 
--- a/lib/edge/ask.c
+++ b/lib/edge/ask.c
@@ -84,7 +84,7 @@
 	for (unsigned int i = 0; i < r->nasked; i++) {
 		r->asked[i]->asks--;
 		if (r->asked[i]->keeper && r->asked[i]->keeper != r->granted)
-			e->ops->release(e->ctx, r->asked[i]->keeper, r);
+			e->ops->release(e->ctx, r->asked[i]->keeper, r, false);
 	}
 	r->nasked = 0;
 }
--- a/lib/edge/dat.h
+++ b/lib/edge/dat.h
@@ -223,7 +223,8 @@
 		     const char *text);
 	/* Ask the server's keeper for a place, or give it back. */
 	void (*ask)(void *ctx, backend_t *b, const request_t *r, ms_t now);
-	void (*release)(void *ctx, uint64_t keeper, const request_t *r);
+	void (*release)(void *ctx, uint64_t keeper, const request_t *r,
+			bool unreached); /* the server could not be */
 	/* A server is listed: its keeper may be connected to. */
 	void (*listed)(void *ctx, const backend_t *b);
 	/* A server was forgotten: close what is kept open to it. */
--- a/lib/edge/edge.c
+++ b/lib/edge/edge.c
@@ -271,7 +271,7 @@
 }
 
 /* Takes the request off its server and lets waiting ones have the place. */
-static void leave_server(edge_t *e, request_t *r, ms_t now)
+static void leave_server(edge_t *e, request_t *r, bool unreached, ms_t now)
 {
 	backend_t *b = r->server;
 	pool_t *p = r->pool;
@@ -280,7 +280,7 @@
 	b->running--;
 	r->server = NULL;
 	if (r->granted)
-		e->ops->release(e->ctx, r->granted, r);
+		e->ops->release(e->ctx, r->granted, r, unreached);
 	r->granted = 0;
 	p->run_mean += learn * ((double)(now - r->sent_at) - p->run_mean);
 	backend_release(e, b);
@@ -335,7 +335,7 @@
 	if (how == SENT_WHOLE)
 		cost_note(b, r, now);
 	health_note(e, b, how, now);
-	leave_server(e, r, now);
+	leave_server(e, r, how == SENT_NOT, now);
 	again = worth_again(e, r, how, resumable, now);
 	if (how != SENT_WHOLE)
 		edge_note(e, r, now, again ? "again" : "no_more",
@@ -363,7 +363,7 @@
 	if (r->state == REQUEST_WAITING)
 		queue_abandon(e, r);
 	else if (r->state == REQUEST_RUNNING)
-		leave_server(e, r, now);
+		leave_server(e, r, false, now);
 	r->state = REQUEST_ENDED;
 	if (p)
 		dispatch(e, p, now);
--- a/lib/keeper/keeper.c
+++ b/lib/keeper/keeper.c
@@ -7,8 +7,8 @@
 #include "keeper/fns.h"
 
 enum {
-	OVERLAP = 1, /* requests more than the places: one waits in the server,
-			so that no place is empty while a grant travels */
+	SHUT_MS = 250,	  /* no grants after the server could not be reached: a
+			     restart takes longer, a lost packet less */
 	OLDEST_EVERY = 4, /* one grant in so many goes to the request that has
 			     waited longest, so that no rank starves */
 };
@@ -29,24 +29,32 @@
 	const keeper_ops_t *ops;
 	void *ctx;
 	unsigned int places;	  /* 0: not told yet */
+	unsigned int overlap;	  /* granted beyond the places */
 	list_t waiting[RANKS][2]; /* in time, and past their target */
 	list_t granted;
 	GHashTable *all; /* holder_t by rid */
 	unsigned int nwaiting;
 	unsigned int ngranted;
 	unsigned int turn;
+	ms_t shut_until; /* the server could not be reached */
+	bool trying;	 /* since then no request has ended there */
 	counter_t *asks;
 	counter_t *grants;
 	counter_t *expired;
 };
 
-/* Returns a keeper of a server whose places are not known yet. */
-keeper_t *keeper_new(const keeper_ops_t *ops, void *ctx, counters_t *counters)
+/*
+ * Returns a keeper of a server whose places are not known yet. It grants as
+ * many more than these as overlap says.
+ */
+keeper_t *keeper_new(const keeper_ops_t *ops, void *ctx, unsigned int overlap,
+		     counters_t *counters)
 {
 	keeper_t *k = g_new0(keeper_t, 1);
 
 	k->ops = ops;
 	k->ctx = ctx;
+	k->overlap = overlap;
 	for (int i = 0; i < RANKS; i++) {
 		list_init(&k->waiting[i][0]);
 		list_init(&k->waiting[i][1]);
@@ -139,10 +147,18 @@
 	}
 }
 
+/* Places that may be granted now. */
+static unsigned int most(const keeper_t *k, ms_t now)
+{
+	if (now < k->shut_until)
+		return 0;
+	return k->trying ? 1 : k->places + k->overlap;
+}
+
 /* Grants places while there are any and somebody waits. */
 static void grant(keeper_t *k, ms_t now)
 {
-	while (k->ngranted < k->places + OVERLAP && k->nwaiting > 0) {
+	while (k->ngranted < most(k, now) && k->nwaiting > 0) {
 		holder_t *h = next(k);
 
 		list_del(&h->link);
@@ -184,10 +200,27 @@
 
 	if (!h)
 		return;
+	if (h->placed)
+		k->trying = false;
 	forget(k, h, h->placed ? &k->ngranted : &k->nwaiting);
 	grant(k, now);
 }
 
+/*
+ * The request could not be handed to the server, which seems to be down. Its
+ * places are shut for a while, and then tried one at a time: else a dead
+ * server would always have a free place and draw all that waits elsewhere.
+ */
+void keeper_unreached(keeper_t *k, rid_t rid, ms_t now)
+{
+	if (!k->trying)
+		log_line(LOG_INFO, "server_unreached", "granted=%u waiting=%u",
+			 k->ngranted, k->nwaiting);
+	k->shut_until = now + SHUT_MS;
+	keeper_release(k, rid, now);
+	k->trying = true;
+}
+
 static void drop_host(keeper_t *k, list_t *head, uint64_t host,
 		      unsigned int *count)
 {
--- a/test/edge.c
+++ b/test/edge.c
@@ -53,7 +53,8 @@
 	((world_t *)ctx)->asked++;
 }
 
-static void on_release(void *ctx, uint64_t keeper, const request_t *r)
+static void on_release(void *ctx, uint64_t keeper, const request_t *r,
+		       bool unreached)
 {
 	((world_t *)ctx)->released++;
 }
--- a/test/keeper.c
+++ b/test/keeper.c
@@ -43,6 +43,7 @@
 	FREE,
 	TICK,
 	GONE,
+	FAIL, /* the server could not be reached with it */
 } what_t;
 
 typedef struct step {
@@ -57,30 +58,43 @@
 	const char *name;
 	step_t steps[12];
 	const char *granted; /* one digit a request */
+	unsigned int overlap;
 } order_case_t;
 
 static const order_case_t orders[] = {
-	{ "one place", { { ASK, 0, 1, 0, 100 }, { ASK, 0, 2, 0, 100 } }, "1" },
+	{ "one place",
+	  { { ASK, 0, 1, 0, 100 }, { ASK, 0, 2, 0, 100 } },
+	  "1",
+	  0 },
+	{ "one more than the places",
+	  { { ASK, 0, 1, 0, 100 },
+	    { ASK, 0, 2, 0, 100 },
+	    { ASK, 0, 3, 0, 100 } },
+	  "12",
+	  1 },
 	{ "in order",
 	  { { ASK, 0, 1, 0, 100 },
 	    { ASK, 1, 2, 0, 100 },
 	    { ASK, 2, 3, 0, 100 },
 	    { FREE, 9, 1, 0, 0 },
 	    { FREE, 9, 2, 0, 0 } },
-	  "123" },
+	  "123",
+	  0 },
 	{ "urgent first",
 	  { { ASK, 0, 1, 0, 100 },
 	    { ASK, 1, 2, 5, 100 },
 	    { ASK, 2, 3, 0, 100 },
 	    { FREE, 9, 1, 0, 0 } },
-	  "13" },
+	  "13",
+	  0 },
 	{ "late behind those in time",
 	  { { ASK, 0, 1, 0, 100 },
 	    { ASK, 1, 2, 0, 5 },
 	    { ASK, 2, 3, 0, 100 },
 	    { TICK, 20, 0, 0, 0 },
 	    { FREE, 21, 1, 0, 0 } },
-	  "13" },
+	  "13",
+	  0 },
 	{ "late and urgent after in time and next to it",
 	  { { ASK, 0, 1, 0, 100 },
 	    { ASK, 1, 2, 0, 5 },
@@ -88,7 +102,8 @@
 	    { TICK, 20, 0, 0, 0 },
 	    { FREE, 21, 1, 0, 0 },
 	    { FREE, 22, 3, 0, 0 } },
-	  "132" },
+	  "132",
+	  0 },
 	{ "late and urgent before in time and little urgent",
 	  { { ASK, 0, 1, 0, 100 },
 	    { ASK, 1, 2, 2, 100 },
@@ -96,7 +111,8 @@
 	    { TICK, 20, 0, 0, 0 },
 	    { FREE, 21, 1, 0, 0 },
 	    { FREE, 22, 3, 0, 0 } },
-	  "132" },
+	  "132",
+	  0 },
 	{ "one in four is the oldest",
 	  { { ASK, 0, 1, 0, 500 },
 	    { ASK, 1, 2, 5, 500 },
@@ -106,31 +122,48 @@
 	    { FREE, 5, 1, 0, 0 },
 	    { FREE, 6, 3, 0, 0 },
 	    { FREE, 7, 4, 0, 0 } },
-	  "1342" },
+	  "1342",
+	  0 },
 	{ "withdrawn",
 	  { { ASK, 0, 1, 0, 100 },
 	    { ASK, 0, 2, 0, 100 },
 	    { FREE, 1, 2, 0, 0 },
 	    { FREE, 2, 1, 0, 0 } },
-	  "1" },
+	  "1",
+	  0 },
 	{ "of no use any more",
 	  { { ASK, 0, 1, 0, 100 },
 	    { ASK, 0, 2, 0, 100 },
 	    { TICK, 2500, 0, 0, 0 },
 	    { FREE, 2600, 1, 0, 0 } },
-	  "1" },
+	  "1",
+	  0 },
+	{ "a server that cannot be reached grants nothing, then one",
+	  { { ASK, 0, 1, 0, 900 },
+	    { ASK, 0, 2, 0, 900 },
+	    { ASK, 0, 3, 0, 900 },
+	    { ASK, 0, 4, 0, 900 },
+	    { FAIL, 2, 1, 0, 0 },
+	    { FREE, 3, 2, 0, 0 },
+	    { TICK, 100, 0, 0, 0 },
+	    { TICK, 300, 0, 0, 0 },
+	    { TICK, 320, 0, 0, 0 } },
+	  "13",
+	  0 },
 	{ "a host that goes frees its places",
 	  { { ASK, 0, 1, 0, 100 },
 	    { ASK, 0, 2, 0, 100 },
 	    { GONE, 1, 1, 0, 0 },
 	    { ASK, 2, 3, 0, 100 } },
-	  "13" },
+	  "13",
+	  0 },
 	{ "asked twice",
 	  { { ASK, 0, 1, 0, 100 },
 	    { ASK, 0, 1, 0, 100 },
 	    { FREE, 1, 1, 0, 0 },
 	    { ASK, 2, 2, 0, 100 } },
-	  "12" },
+	  "12",
+	  0 },
 };
 
 static void play(keeper_t *k, const step_t *s)
@@ -145,6 +178,9 @@
 	case TICK:
 		keeper_tick(k, s->at);
 		break;
+	case FAIL:
+		keeper_unreached(k, (rid_t){ 1, s->seq }, s->at);
+		break;
 	case GONE:
 		keeper_host_gone(k, 1, s->at);
 		break;
@@ -158,7 +194,7 @@
 	const order_case_t *c = &orders[_i];
 	counters_t *counters = counters_new();
 	log_t l = { 0 };
-	keeper_t *k = keeper_new(&ops, &l, counters);
+	keeper_t *k = keeper_new(&ops, &l, c->overlap, counters);
 	char got[LOG_MAX + 1] = "";
 
 	for (const step_t *s = c->steps; s->what != END; s++)
