--- a/lib/edge/edge.c
+++ b/lib/edge/edge.c
@@ -51,7 +51,7 @@
 	GPtrArray *ids = edge_server_ids(e);
 
 	for (guint i = 0; i < ids->len; i++)
-		edge_server_gone(e, ids->pdata[i], 0);
+		server_forget(e, ids->pdata[i]);
 	g_ptr_array_free(ids, TRUE);
 	desired_unref(e->desired);
 	g_hash_table_destroy(e->pools);
--- a/lib/edge/fleet.c
+++ b/lib/edge/fleet.c
@@ -130,6 +130,15 @@
 		take_off(e, b, "unlisted");
 }
 
+/* Forgets a server because this process ends. */
+void server_forget(edge_t *e, const char *id)
+{
+	backend_t *b = g_hash_table_lookup(e->by_id, id);
+
+	if (b)
+		take_off(e, b, "stopping");
+}
+
 /* Returns the ids of all listed servers; the array is the caller's. */
 GPtrArray *edge_server_ids(const edge_t *e)
 {
--- a/lib/edge/priv.h
+++ b/lib/edge/priv.h
@@ -54,6 +54,7 @@
 /* fleet.c */
 pool_t *pool_get(edge_t *e, const char *service);
 void backend_release(edge_t *e, backend_t *b);
+void server_forget(edge_t *e, const char *id);
 
 /* health.c */
 bool health_usable(const backend_t *b, ms_t now);
