Servers that come back are found sooner; no refusing without a rate

Cause: after a loss of power hosts read the servers' entries once a second, and refused what waited since nothing had been sent lately.

--- a/cmd/chestnuthinged/edged.c
+++ b/cmd/chestnuthinged/edged.c
@@ -20,6 +20,8 @@
 				  after this; other hosts tell of a newer
 				  configuration meanwhile */
 	SERVERS_WAIT_MS = 1200,
+	HURRY_MS = 120,	       /* between reads while servers are missing */
+	YOUNG_MS = 4000,       /* servers register within two heartbeats */
 	HOSTS_WAIT_MS = 10000, /* hosts come seldom, and are told of late
 				  without harm */
 };
@@ -49,6 +51,7 @@
 	mates_t *mates;
 	GString *config_text; /* of the configuration in force */
 	uint64_t inc;
+	ms_t started;
 	bool servers_known;
 	bool stopping;
 	ms_t stop_at;
@@ -290,11 +293,21 @@
 		end(d);
 }
 
+/* Servers that come back, or came before we did, are looked for often. */
+static void hurry(edged_t *d, ms_t now)
+{
+	bool young = now - d->started < YOUNG_MS;
+	bool wanted = young || edge_servers_short(d->edge, now);
+
+	follow_hurry(d->servers, wanted ? HURRY_MS : 0);
+}
+
 static void on_tick(uv_timer_t *t)
 {
 	edged_t *d = t->data;
 	ms_t now = clock_now();
 
+	hurry(d, now);
 	follow_tick(d->orders, now);
 	follow_tick(d->servers, now);
 	follow_tick(d->hosts, now);
@@ -414,6 +427,7 @@
 
 	d->set = set;
 	d->inc = random_u64();
+	d->started = clock_now();
 	d->config_text = g_string_new(NULL);
 	d->counters = counters_new();
 	d->bad_records =
--- a/lib/edge/fleet.c
+++ b/lib/edge/fleet.c
@@ -151,3 +151,22 @@
 		g_ptr_array_add(ids, id);
 	return ids;
 }
+
+/*
+ * Whether servers are expected that are not listed yet: there are none, or
+ * some were displaced at their address by others.
+ */
+bool edge_servers_short(const edge_t *e, ms_t now)
+{
+	GHashTableIter it;
+	gpointer v;
+
+	if (g_hash_table_size(e->by_id) == 0)
+		return true;
+	g_hash_table_iter_init(&it, e->by_id);
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		if (((backend_t *)v)->displaced)
+			return true;
+	}
+	return false;
+}
--- a/lib/edge/refuse.c
+++ b/lib/edge/refuse.c
@@ -6,15 +6,26 @@
 #include "edge/priv.h"
 
 enum {
-	AFTER_LEAST_MS = 100,	/* a shorter pause only adds load */
-	AFTER_MOST_MS = 2500,	/* callers wait a third of their time at most */
-	LEAST_AHEAD = 4,	/* fewer say little about a wait */
+	AFTER_LEAST_MS = 100, /* a shorter pause only adds load */
+	AFTER_MOST_MS = 2500, /* callers wait a third of their time at most */
+	LEAST_SENT = 4,	 /* with fewer, as after a start, no rate is known */
+	LEAST_AHEAD = 4, /* fewer say little about a wait */
 	RATE_SPAN_MS = 2000,	/* as the window of sent requests */
 	AFTER_UNKNOWN_MS = 400, /* with no rate to go by */
 };
 
 static const double spread = 0.5; /* of the pause, so that few come together */
 
+/* Requests of any rank that were sent lately. */
+static double sent_at_all(pool_t *p, ms_t now)
+{
+	double sum = 0;
+
+	for (int i = 0; i < RANKS; i++)
+		sum += window_sum(&p->placed[i], now);
+	return sum;
+}
+
 /*
  * Expected wait for a place, in ms; 0 when the rate is not known. What goes
  * first of other ranks shows in how many of this rank were sent lately.
@@ -24,7 +35,7 @@
 	unsigned int ahead = queue_alike(p, r);
 	double sent = window_sum(&p->placed[MIN(r->rank, RANKS - 1)], now);
 
-	if (ahead < LEAST_AHEAD)
+	if (ahead < LEAST_AHEAD || sent_at_all(p, now) < LEAST_SENT)
 		return 0;
 	return ahead * (double)RATE_SPAN_MS / MAX(sent, 1);
 }
--- a/test/edge.c
+++ b/test/edge.c
@@ -320,6 +320,28 @@
 }
 END_TEST
 
+/* After a start nothing is known of rates: waiting requests are not refused. */
+START_TEST(test_no_rate)
+{
+	request_t r[20];
+	world_t w;
+
+	world_init(&w, 1);
+	for (int i = 0; i < 20; i++) {
+		request_init(&r[i], &route, i);
+		edge_submit(w.edge, &r[i], i);
+	}
+	ck_assert_uint_eq(w.refused, 0);
+	ck_assert(edge_servers_short(w.edge, 20));
+	put_server(&w, "s", "10.0.0.1", 20, false, 1, 30);
+	edge_tick(w.edge, 31);
+	ck_assert_uint_eq(w.sent, 20);
+	for (int i = 0; i < 20; i++)
+		edge_drop(w.edge, &r[i], 40);
+	world_clear(&w);
+}
+END_TEST
+
 /*
  * Short runs at a server that many hosts use: that it was full once, some runs
  * ago, keeps no request waiting.
@@ -737,6 +759,7 @@
 	tcase_add_loop_test(t, test_servers, 0, G_N_ELEMENTS(server_cases));
 	tcase_add_loop_test(t, test_sent, 0, G_N_ELEMENTS(sent_cases));
 	tcase_add_test(t, test_displaced);
+	tcase_add_test(t, test_no_rate);
 	tcase_add_test(t, test_old_load);
 	tcase_add_test(t, test_budget);
 	tcase_add_loop_test(t, test_order, 0, G_N_ELEMENTS(order_cases));
