--- a/Makefile
+++ b/Makefile
@@ -2,6 +2,7 @@
 B ?= rel
 LIBS = base wire conf net platform move ledger entry side http edge keeper forward
 DIRS = $(LIBS:%=lib/%) platform test/rig cmd/chestnuthinged cmd/chestnuthinge \
+	test/soak \
 	$(wildcard test/standin/*/)
 SRC = $(shell git ls-files '*.c' '*.h' '*.cc')
 CSRC = $(shell git ls-files '*.c')
@@ -27,7 +28,6 @@
 check:
 	$(MAKE) all B=san
 	$(MAKE) -C test B=san
-	$(MAKE) -C test/soak B=san
 	test/run build/san
 
 bench: all
@@ -38,7 +38,6 @@
 SEED ?= 1
 SECONDS_OF_FAULTS ?= 10
 soak: all
-	$(MAKE) -C test/soak B=$(B)
 	mkdir -p build/soak
 	build/$(B)/soak --seed $(SEED) --seconds $(SECONDS_OF_FAULTS) \
 		--dir build/soak --daemon build/$(B)/chestnuthinged
--- a/test/soak/caller.c
+++ b/test/soak/caller.c
@@ -4,11 +4,11 @@
 #include "fns.h"
 
 enum {
-	THINK_MS = 30,	     /* between two requests, at most */
-	PATIENCE_MS = 3000,  /* past the route's time: no answer came */
-	KEEP_REQUESTS = 20,  /* on one connection, at most */
-	QUIT_AFTER_MS = 60,  /* at most, of those that hang up */
-	GONE_MS = 1500,	     /* a server may work on for so long */
+	THINK_MS = 30,	    /* between two requests, at most */
+	PATIENCE_MS = 3000, /* past the route's time: no answer came */
+	KEEP_REQUESTS = 20, /* on one connection, at most */
+	QUIT_AFTER_MS = 60, /* at most, of those that hang up */
+	GONE_MS = 1500,	    /* a server may work on for so long */
 };
 
 static const double quit_share = 0.03;
@@ -146,8 +146,8 @@
 	soak_t *s = c->s;
 
 	for (int i = 0; i < 8; i++) {
-		proc_t *p = &s->procs[g_rand_int_range(
-			s->rand, 0, (gint32)s->nedges)];
+		proc_t *p = &s->procs[g_rand_int_range(s->rand, 0,
+						       (gint32)s->nedges)];
 
 		if (p->running && !p->stopping && !p->stopped_until)
 			return p;
@@ -163,13 +163,12 @@
 
 	snprintf(c->id, sizeof(c->id), "q%" PRIu64, ++c->s->next_id);
 	fate_get(c->s, c->id)->kind = c->kind;
-	text = g_strdup_printf("%s /a/%s HTTP/1.1\r\nHost: %s\r\n"
-			       "X-Request-Id: %s\r\nX-Timeout-Ms: %d\r\n"
-			       "Authorization: Bearer key\r\n%s\r\n%s",
-			       post ? "POST" : "GET", c->id, hosts[c->kind],
-			       c->id, TIMEOUT_MS,
-			       post ? "Content-Length: 4\r\n" : "",
-			       post ? "body" : "");
+	text = g_strdup_printf(
+		"%s /a/%s HTTP/1.1\r\nHost: %s\r\n"
+		"X-Request-Id: %s\r\nX-Timeout-Ms: %d\r\n"
+		"Authorization: Bearer key\r\n%s\r\n%s",
+		post ? "POST" : "GET", c->id, hosts[c->kind], c->id, TIMEOUT_MS,
+		post ? "Content-Length: 4\r\n" : "", post ? "body" : "");
 	http_put(out, text);
 	g_free(text);
 	c->status = 0;
@@ -221,8 +220,8 @@
 
 	if (!c->waiting || (!quits && !late))
 		return;
-	if (late && !c->to->stopped_until && c->to->running &&
-	    c->s->calm_at && c->sent_at > c->s->calm_at)
+	if (late && !c->to->stopped_until && c->to->running && c->s->calm_at &&
+	    c->sent_at > c->s->calm_at)
 		violation(c->s, "late", "%s has no answer from %s", c->id,
 			  c->to->name);
 	if (c->conn)
--- a/test/soak/dat.h
+++ b/test/soak/dat.h
@@ -36,7 +36,8 @@
 	http_head_t *head;   /* of the request being read; its strings owned */
 	GByteArray *copy;    /* what the head points into */
 	GByteArray *body;
-	void *job; /* what answers the present request */
+	GString *late; /* a second answer, sent before the next; NULL none */
+	void *job;     /* what answers the present request */
 	bool closed;
 	bool mute; /* reads and writes nothing more, stays open */
 } sconn_t;
@@ -61,8 +62,8 @@
 
 typedef struct topic {
 	char *name;
-	GPtrArray *recs; /* of rec_t */
-	uint64_t first;	 /* offset of the oldest that is kept */
+	GPtrArray *recs;    /* of rec_t */
+	uint64_t first;	    /* offset of the oldest that is kept */
 	GHashTable *newest; /* rec_t by key */
 } topic_t;
 
@@ -93,10 +94,10 @@
 	list_t jobs;
 	bool up;
 	bool leaving;
-	bool mute;	/* runs, but answers nothing */
-	double cut;	/* share of answers that are reset midway */
-	double fails;	/* share of runs that end with 500 */
-	double extra;	/* share of answers that come twice */
+	bool mute;	 /* runs, but answers nothing */
+	double cut;	 /* share of answers that are reset midway */
+	double fails;	 /* share of runs that end with 500 */
+	double extra;	 /* share of answers that come twice */
 	double unframed; /* share of answers without a length */
 } server_t;
 
@@ -128,9 +129,9 @@
 	char *ini;
 	bool edge;
 	bool running;
-	bool stopping;	   /* SIGTERM was sent */
+	bool stopping;	    /* SIGTERM was sent */
 	ms_t stopped_until; /* SIGSTOP was sent; 0 not */
-	ms_t start_at;	   /* to be started again; 0 not */
+	ms_t start_at;	    /* to be started again; 0 not */
 	addr_t callers;
 	addr_t ready;
 	unsigned int starts;
@@ -147,7 +148,7 @@
 	int status;
 	GString *body;
 	GString *stamp;
-	bool quits;    /* leaves before the answer */
+	bool quits; /* leaves before the answer */
 	bool waiting;
 	ms_t sent_at;
 	ms_t quit_at;
@@ -179,7 +180,7 @@
 	unsigned int nservers;
 	caller_s_t callers[CALLERS_MAX];
 	unsigned int ncallers;
-	uint64_t version; /* of the configuration */
+	uint64_t version;  /* of the configuration */
 	GHashTable *fates; /* fate_t by request id */
 	uint64_t next_id;
 	ms_t started;
--- a/test/soak/fault.c
+++ b/test/soak/fault.c
@@ -35,9 +35,10 @@
 			"%s{\"name\":\"m%d\",\"host\":\"m%d\",\"path_prefix\":"
 			"\"/\",\"kind\":\"safe\",\"service\":\"desk\"}",
 			i ? "," : "", i, i);
-	g_string_append(t, "],\"services\":[{\"name\":\"models\",\"engine\":{}},"
-			   "{\"name\":\"desk\"}],\"tenants\":[{\"name\":"
-			   "\"school\",\"api_keys\":[\"key\"]}]}");
+	g_string_append(t,
+			"],\"services\":[{\"name\":\"models\",\"engine\":{}},"
+			"{\"name\":\"desk\"}],\"tenants\":[{\"name\":"
+			"\"school\",\"api_keys\":[\"key\"]}]}");
 	store_put(&s->store, "keyed.op", "config", t->str);
 	g_string_free(t, TRUE);
 }
@@ -168,11 +169,11 @@
 }
 
 static void (*const faults[])(soak_t *s) = {
-	fault_kill,    fault_kill_all, fault_term,   fault_term,
-	fault_hup,     fault_stop,     fault_stop,   fault_store,
-	fault_store,   fault_compact,  fault_config, fault_config,
-	fault_crash,   fault_leave,    fault_return, fault_return,
-	fault_server,  fault_server,   fault_silence,
+	fault_kill,   fault_kill_all, fault_term,    fault_term,
+	fault_hup,    fault_stop,     fault_stop,    fault_store,
+	fault_store,  fault_compact,  fault_config,  fault_config,
+	fault_crash,  fault_leave,    fault_return,  fault_return,
+	fault_server, fault_server,   fault_silence,
 };
 
 static void calm(soak_t *s, ms_t now)
@@ -193,8 +194,8 @@
 		calm(s, now);
 		return;
 	}
-	s->next_fault = now + 50 +
-			g_rand_int_range(s->faults, 0, FAULT_EVERY_MS);
+	s->next_fault =
+		now + 50 + g_rand_int_range(s->faults, 0, FAULT_EVERY_MS);
 	s->nfaults++;
 	faults[g_rand_int_range(s->faults, 0, G_N_ELEMENTS(faults))](s);
 }
--- a/test/soak/listen.c
+++ b/test/soak/listen.c
@@ -21,6 +21,8 @@
 	g_byte_array_free(c->copy, TRUE);
 	g_byte_array_free(c->body, TRUE);
 	g_free(c->head);
+	if (c->late)
+		g_string_free(c->late, TRUE);
 	g_free(c);
 }
 
@@ -215,9 +217,9 @@
 {
 	GString *out = g_string_new(NULL);
 
-	g_string_append_printf(out,
-			       "HTTP/1.1 %d %s\r\n%sContent-Length: %zu\r\n\r\n",
-			       status, http_reason(status), fields, body.n);
+	g_string_append_printf(
+		out, "HTTP/1.1 %d %s\r\n%sContent-Length: %zu\r\n\r\n", status,
+		http_reason(status), fields, body.n);
 	g_string_append_len(out, body.p, (gssize)body.n);
 	sconn_write(c, out->str, out->len);
 	g_string_free(out, TRUE);
--- a/test/soak/main.c
+++ b/test/soak/main.c
@@ -7,7 +7,7 @@
 
 enum {
 	TICK_MS = 10,
-	SETTLE_MS = 3000, /* before the first fault */
+	SETTLE_MS = 3000,  /* before the first fault */
 	RECOVER_MS = 9000, /* from the last fault to the calm that is judged:
 			      a stopping daemon's grace and a fresh start */
 	JUDGED_MS = 2500,
@@ -26,11 +26,9 @@
 	char *daemon;
 } options_t;
 
-static options_t opt = { .seed = 1,
-			 .seconds = 10,
-			 .edges = 3,
-			 .servers = 6,
-			 .callers = 24 };
+static options_t opt = {
+	.seed = 1, .seconds = 10, .edges = 3, .servers = 6, .callers = 24
+};
 
 /* What became of the request; made when it is new. */
 fate_t *fate_get(soak_t *s, const char *id)
@@ -179,8 +177,7 @@
 	       "calm=%u/%u violations=%u\n",
 	       opt.seed, s->nfaults, s->good[KIND_SAFE], s->done[KIND_SAFE],
 	       s->good[KIND_ONCE], s->done[KIND_ONCE], s->good[KIND_STREAM],
-	       s->done[KIND_STREAM], s->calm_good, s->calm_done,
-	       s->violations);
+	       s->done[KIND_STREAM], s->calm_good, s->calm_done, s->violations);
 }
 
 int main(int argc, char **argv)
--- a/test/soak/proc.c
+++ b/test/soak/proc.c
@@ -38,10 +38,10 @@
 
 static void keeper_ini(proc_t *p, const char *peers)
 {
-	char *text = g_strdup_printf(
-		"[process]\nname = %s\ndata_center = dc-1\n"
-		"[listen]\npeers = %s:%u\n[fleet]\nkey = %s\n",
-		p->name, peers, p->s->port, key);
+	char *text =
+		g_strdup_printf("[process]\nname = %s\ndata_center = dc-1\n"
+				"[listen]\npeers = %s:%u\n[fleet]\nkey = %s\n",
+				p->name, peers, p->s->port, key);
 
 	write_ini(p, text);
 	g_free(text);
@@ -55,8 +55,9 @@
 	p->running = false;
 	p->stopped_until = 0;
 	if (!ours || (status != 0 && sig == 0))
-		violation(p->s, "exit", "%s ended by itself: status %d signal %d",
-			  p->name, (int)status, sig);
+		violation(p->s, "exit",
+			  "%s ended by itself: status %d signal %d", p->name,
+			  (int)status, sig);
 	p->start_at = clock_now() + RESTART_MS;
 	uv_close((uv_handle_t *)h, NULL);
 }
@@ -180,7 +181,8 @@
 			uv_process_kill(&p->handle, SIGCONT);
 			proc_signal(p, SIGTERM);
 		} else if (p->running &&
-			   now - s->end_at > GRACE_S * MS_PER_S + KILL_AFTER_MS) {
+			   now - s->end_at >
+				   GRACE_S * MS_PER_S + KILL_AFTER_MS) {
 			violation(s, "exit", "%s did not end in its grace",
 				  p->name);
 			uv_process_kill(&p->handle, SIGKILL);
--- a/test/soak/server.c
+++ b/test/soak/server.c
@@ -32,8 +32,8 @@
 	g_string_append_printf(out,
 			       "X-Request-Id: %s\r\nX-Server-Stamp: %s/%s\r\n"
 			       "X-Server-Load: %u,%zu,%d\r\n",
-			       id, id, v->id, v->running,
-			       list_len(&v->queued), PLACES);
+			       id, id, v->id, v->running, list_len(&v->queued),
+			       PLACES);
 }
 
 static bool chance(server_t *v, double share)
@@ -41,6 +41,16 @@
 	return share > 0 && g_rand_double(v->s->faults) < share;
 }
 
+/* Sends what was kept of an earlier answer, where the next one is due. */
+static void send_late(sconn_t *c)
+{
+	if (!c->late)
+		return;
+	sconn_write(c, c->late->str, c->late->len);
+	g_string_free(c->late, TRUE);
+	c->late = NULL;
+}
+
 /* Ends a plain call with its answer, spoiled as the faults say. */
 static void answer_plain(job_t *j)
 {
@@ -61,10 +71,12 @@
 	g_string_append(out, "\r\n");
 	g_string_append_len(out, body,
 			    (gssize)(cut ? strlen(body) / 2 : strlen(body)));
+	send_late(c);
 	sconn_write(c, out->str, out->len);
-	if (!cut && !unframed && chance(v, v->extra))
-		sconn_write(c, out->str, out->len);
-	g_string_free(out, TRUE);
+	if (!cut && !unframed && !c->late && chance(v, v->extra))
+		c->late = out;
+	else
+		g_string_free(out, TRUE);
 	g_free(body);
 	j->c = NULL;
 	c->job = NULL;
--- a/test/soak/store.c
+++ b/test/soak/store.c
@@ -53,8 +53,7 @@
 		if (r->value)
 			http_put(out, r->value);
 	}
-	sconn_reply(c, 200, "",
-		    (str_t){ (char *)out->data, out->len });
+	sconn_reply(c, 200, "", (str_t){ (char *)out->data, out->len });
 	g_byte_array_free(out, TRUE);
 }
 
