--- a/cmd/chestnuthinged/edged.c
+++ b/cmd/chestnuthinged/edged.c
@@ -354,13 +354,11 @@
 		.quota_tolerance = set->quota_tolerance,
 		.quota_slack = (double)set->quota_slack,
 		.quota_window = (ms_t)set->quota_window_s * MS_PER_S,
-		.drain = set->drain,
 	};
 	forward_conf_t rconf = {
 		.callers = set->callers,
 		.connect_time = CONNECT_MS,
 		.connections_max = set->connections_max,
-		.grace = (ms_t)set->grace_s * MS_PER_S,
 		.stop_wait = STOP_WAIT_MS,
 	};
 
--- a/lib/edge/dat.h
+++ b/lib/edge/dat.h
@@ -54,9 +54,7 @@
 /* What is known of a service before any of its servers is seen. */
 typedef struct edge_service {
 	char *name;
-	unsigned int conns_max; /* of one server, from all callers; 0 unknown */
 	bool is_model;
-	bool backups; /* runs can be copied to another server as they grow */
 } edge_service_t;
 
 /* Limits on what a caller may send and how long it may take. */
@@ -210,7 +208,6 @@
 	double quota_slack;	/* more than the quota in a window, the same */
 	ms_t quota_window;
 	double retry_slack; /* sends beyond the ratio, over all hosts */
-	ms_t drain;
 } edge_conf_t;
 
 typedef struct edge_ops {
--- a/lib/edge/fleet.c
+++ b/lib/edge/fleet.c
@@ -89,7 +89,8 @@
 	g_hash_table_insert(e->by_id, b->id, b);
 	ask_count(b->pool);
 	log_line(LOG_INFO, "server_new",
-		 "server=%s service=%s version=%s zone=%s slots=%u leaving=%d",
+		 "server=%s service=%s version=%s data_center=%s slots=%u "
+		 "leaving=%d",
 		 b->id, info->service, b->version, b->data_center, info->slots,
 		 info->leaving);
 	return b;
--- a/lib/forward/dat.h
+++ b/lib/forward/dat.h
@@ -83,11 +83,9 @@
 } hconn_ops_t;
 
 typedef struct forward_conf {
-	addr_t callers; /* where callers connect */
-	const char *data_center;
+	addr_t callers;	   /* where callers connect */
 	ms_t connect_time; /* a server that takes longer is given up */
 	size_t connections_max;
-	ms_t grace;	/* from the order to stop to the end */
 	ms_t stop_wait; /* connections are still taken for so long after it */
 } forward_conf_t;
 
--- /dev/null
+++ b/test/quota.c
@@ -0,0 +1,129 @@
+/* Customers' quotas over several hosts, in touch or not. */
+#include <check.h>
+#include <stdio.h>
+#include <string.h>
+#include "world.h"
+
+/*
+ * A customer that asks for four times its quota at several hosts. All hosts
+ * hear each other, or none does; the sum over a window keeps the quota.
+ */
+typedef struct quota_case {
+	const char *name;
+	unsigned int hosts;
+	bool heard;
+	double asks[4];	 /* requests a second at each host */
+	double at_least; /* of the quota, served in a window */
+	double at_most;
+} quota_case_t;
+
+static const quota_case_t quota_cases[] = {
+	{ "one host", 1, true, { 400 }, 0.95, 1.25 },
+	{ "even", 4, true, { 100, 100, 100, 100 }, 0.95, 1.25 },
+	{ "uneven", 4, true, { 340, 20, 20, 20 }, 0.95, 1.25 },
+	{ "out of touch", 4, false, { 100, 100, 100, 100 }, 0.5, 1.25 },
+	{ "out of touch, uneven", 4, false, { 340, 20, 20, 20 }, 0.2, 1.25 },
+};
+
+typedef struct hosts {
+	world_t w[4];
+	unsigned int n;
+	edge_customer_t customer;
+	double served; /* requests in the window */
+} hosts_t;
+
+typedef struct teller {
+	edge_t *to;
+	const char *name;
+} teller_t;
+
+static void tell_one(void *ctx, const char *customer, double sent)
+{
+	teller_t *t = ctx;
+
+	edge_host_sent(t->to, t->name, customer, sent);
+}
+
+static void tell_all(hosts_t *h, ms_t now)
+{
+	static const char *const names[] = { "h0", "h1", "h2", "h3" };
+
+	for (unsigned int i = 0; i < h->n; i++) {
+		for (unsigned int k = 0; k < h->n; k++) {
+			teller_t t = { h->w[k].edge, names[i] };
+
+			if (i == k)
+				continue;
+			edge_host_heard(t.to, t.name, i + 1, now);
+			edge_each_use(h->w[i].edge, tell_one, &t);
+		}
+	}
+}
+
+static void ask_once(hosts_t *h, unsigned int i, ms_t now, bool counts)
+{
+	edge_route_t rt = route;
+	world_t *w = &h->w[i];
+	unsigned int sent = w->sent;
+	request_t r;
+
+	request_init(&r, &rt, now);
+	r.customer = &h->customer;
+	edge_submit(w->edge, &r, now);
+	if (w->sent == sent)
+		return;
+	edge_sent(w->edge, &r, SENT_WHOLE, true, now);
+	h->served += counts;
+}
+
+START_TEST(test_quota)
+{
+	const quota_case_t *c = &quota_cases[_i];
+	hosts_t h = { .n = c->hosts,
+		      .customer = { .name = "c", .rate = 100, .burst = 100 } };
+	double quota = 100 * 8 + 100;
+	double due[4] = { 0 };
+
+	for (unsigned int i = 0; i < h.n; i++) {
+		world_init(&h.w[i], 0.2);
+		put_server(&h.w[i], "s", "10.0.0.1", 100, false, 1, 0);
+		for (unsigned int k = 0; k < h.n; k++) {
+			char name[16];
+
+			snprintf(name, sizeof(name), "h%u", k);
+			if (k != i)
+				edge_host_listed(h.w[i].edge, name);
+		}
+	}
+	for (ms_t now = 0; now < 16 * MS; now += 10) {
+		if (c->heard && now % 100 == 0)
+			tell_all(&h, now);
+		for (unsigned int i = 0; i < h.n; i++) {
+			edge_tick(h.w[i].edge, now);
+			for (due[i] += c->asks[i] / 100; due[i] >= 1; due[i]--)
+				ask_once(&h, i, now, now >= 8 * MS);
+		}
+	}
+	ck_assert_msg(h.served >= quota * c->at_least * 8 / 9 &&
+			      h.served <= quota * c->at_most,
+		      "%s: %.0f of %.0f", c->name, h.served, quota);
+	for (unsigned int i = 0; i < h.n; i++)
+		world_clear(&h.w[i]);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *s = suite_create("quota");
+	TCase *t = tcase_create("all");
+	SRunner *r = srunner_create(s);
+	int failed;
+
+	log_open(2, LOG_ERROR, false);
+	suite_add_tcase(s, t);
+	tcase_add_loop_test(t, test_quota, 0, G_N_ELEMENTS(quota_cases));
+	srunner_run_all(r, CK_NORMAL);
+	failed = srunner_ntests_failed(r);
+	srunner_free(r);
+	return failed > 0;
+}
--- /dev/null
+++ b/test/world.h
@@ -0,0 +1,133 @@
+/* A world around an edge for its tests: what it asked for, servers, requests.
+ */
+#ifndef WORLD_H
+#define WORLD_H
+
+#include <string.h>
+#include "edge/fns.h"
+
+/* A second, in ms. */
+#define MS ((ms_t)1000)
+
+static const char svc[] G_GNUC_UNUSED = "pool";
+
+/* What the edge asked of the world. */
+typedef struct world {
+	edge_t *edge;
+	counters_t *counters;
+	unsigned int sent;
+	unsigned int refused;
+	code_t last_code;
+	ms_t last_after;
+	unsigned int asked;
+	unsigned int released;
+	unsigned int forgotten;
+	request_t *last;
+} world_t;
+
+static inline void on_send(void *ctx, request_t *r)
+{
+	world_t *w = ctx;
+
+	w->sent++;
+	w->last = r;
+}
+
+static inline void on_refuse(void *ctx, request_t *r, code_t code, ms_t after)
+{
+	world_t *w = ctx;
+
+	w->refused++;
+	w->last_code = code;
+	w->last_after = after;
+}
+
+static inline void on_note(void *ctx, const request_t *r, ms_t now,
+			   const char *step, const char *text)
+{
+}
+
+static inline void on_ask(void *ctx, backend_t *b, const request_t *r, ms_t now)
+{
+	((world_t *)ctx)->asked++;
+}
+
+static inline void on_release(void *ctx, uint64_t keeper, const request_t *r,
+			      bool unreached)
+{
+	((world_t *)ctx)->released++;
+}
+
+static inline void on_listed(void *ctx, const backend_t *b)
+{
+}
+
+static inline void on_forget(void *ctx, backend_t *b)
+{
+	((world_t *)ctx)->forgotten++;
+}
+
+static const edge_ops_t ops = { on_send,    on_refuse, on_note,	 on_ask,
+				on_release, on_listed, on_forget };
+
+static inline void world_init(world_t *w, double retry_ratio)
+{
+	edge_conf_t conf = { .inc = 7,
+			     .data_center = "a",
+			     .seed = 1,
+			     .retry_ratio = retry_ratio,
+			     .retry_window = 10 * MS,
+			     .quota_window = 8 * MS };
+
+	memset(w, 0, sizeof(*w));
+	w->counters = counters_new();
+	w->edge = edge_new(&conf, &ops, w, w->counters);
+}
+
+static inline void world_clear(world_t *w)
+{
+	edge_free(w->edge);
+	counters_free(w->counters);
+}
+
+static inline void put_server(world_t *w, const char *id, const char *ip,
+			      unsigned int slots, bool leaving, int64_t born,
+			      ms_t now)
+{
+	backend_info_t info = { .id = id,
+				.service = svc,
+				.version = "v1",
+				.data_center = "a",
+				.born = born,
+				.slots = slots,
+				.leaving = leaving };
+
+	g_strlcpy(info.addr.ip, ip, sizeof(info.addr.ip));
+	info.addr.port = 80;
+	edge_server_put(w->edge, &info, now);
+}
+
+static split_t split = { (char *)svc, 1 };
+static edge_route_t route G_GNUC_UNUSED = { .name = "r",
+					    .host = "h",
+					    .prefix = "/",
+					    .repeat = REPEAT_SAFE,
+					    .timeout = 2 * MS,
+					    .first_target = 200,
+					    .attempts = 2,
+					    .nsplits = 1,
+					    .splits = &split };
+
+static inline void request_init(request_t *r, const edge_route_t *rt, ms_t now)
+{
+	memset(r, 0, sizeof(*r));
+	r->id = "x";
+	r->route = rt;
+	r->rank = edge_rank(rt, NULL);
+	r->arrived = now;
+	r->deadline = now + rt->timeout;
+	r->leaves = r->deadline;
+	r->first_by = now + rt->first_target;
+}
+
+#endif
