--- a/cmd/chestnuthinged/edged.c
+++ b/cmd/chestnuthinged/edged.c
@@ -44,6 +44,7 @@
 	forward_t *forward;
 	roster_t *roster;
 	pages_t *pages;
+	pages_t *metrics; /* the same pages, at the metrics address */
 	follow_t *orders;
 	follow_t *servers;
 	follow_t *hosts;
@@ -276,6 +277,7 @@
 	uv_close((uv_handle_t *)&d->hup, NULL);
 	forward_close(d->forward);
 	pages_close(d->pages);
+	pages_close(d->metrics);
 	follow_free(d->orders);
 	follow_free(d->servers);
 	follow_free(d->hosts);
@@ -393,6 +395,11 @@
 static bool listen_all(edged_t *d, GError **err)
 {
 	d->pages = pages_new(&d->loop, on_page, d);
+	d->metrics = pages_new(&d->loop, on_page, d);
+	if (d->set->metrics.port &&
+	    pages_listen(d->metrics, &d->set->metrics) != CODE_OK)
+		log_line(LOG_WARN, "metrics_off", "port=%u",
+			 d->set->metrics.port);
 	if (forward_listen(d->forward) == CODE_OK &&
 	    pages_listen(d->pages, &d->set->ready) == CODE_OK &&
 	    mates_listen(d->mates) == CODE_OK)
@@ -412,6 +419,7 @@
 	roster_free(d->roster);
 	forward_free(d->forward);
 	pages_free(d->pages);
+	pages_free(d->metrics);
 	uv_loop_close(&d->loop);
 	counters_free(d->counters);
 	edge_settings_free(d->set);
--- a/cmd/chestnuthinged/keepd.c
+++ b/cmd/chestnuthinged/keepd.c
@@ -3,6 +3,7 @@
 #include <signal.h>
 #include "keepd.h"
 #include "keeper/fns.h"
+#include "forward/fns.h"
 #include "net/fns.h"
 
 enum {
@@ -26,6 +27,7 @@
 	counters_t *counters;
 	keeper_t *keeper;
 	peers_t *peers;
+	pages_t *metrics;
 	bool ended;
 } keepd_t;
 
@@ -97,6 +99,7 @@
 	uv_close((uv_handle_t *)&d->term, NULL);
 	uv_close((uv_handle_t *)&d->intr, NULL);
 	uv_close((uv_handle_t *)&d->hup, NULL);
+	pages_close(d->metrics);
 	peers_close(d->peers, NULL, NULL);
 }
 
@@ -107,6 +110,17 @@
 	uv_signal_start(s, on_signal, number);
 }
 
+static int on_page(void *ctx, str_t path, GString *out)
+{
+	keepd_t *d = ctx;
+
+	counters_print(d->counters, out);
+	g_string_append_printf(out, "keeper_granted %u\nkeeper_waiting %u\n",
+			       keeper_granted(d->keeper),
+			       keeper_waiting(d->keeper));
+	return 200;
+}
+
 static bool start(keepd_t *d, GError **err)
 {
 	static const peers_ops_t ops = { on_up, on_down, on_recv };
@@ -120,6 +134,11 @@
 			      .heartbeat = HEARTBEAT_MS,
 			      .silent = SILENT_MS };
 
+	d->metrics = pages_new(&d->loop, on_page, d);
+	if (d->set->metrics.port &&
+	    pages_listen(d->metrics, &d->set->metrics) != CODE_OK)
+		log_line(LOG_WARN, "metrics_off", "port=%u",
+			 d->set->metrics.port);
 	addr_print(&d->set->peers, d->name);
 	d->peers = peers_new(&d->loop, &conf, &ops, d, d->counters);
 	if (peers_listen(d->peers, &d->set->peers) == CODE_OK)
@@ -150,6 +169,7 @@
 		 d->name);
 	uv_run(&d->loop, UV_RUN_DEFAULT);
 	log_line(LOG_INFO, "stop", "name=%s", set->name);
+	pages_free(d->metrics);
 	uv_loop_close(&d->loop);
 	keeper_free(d->keeper);
 	counters_free(d->counters);
--- a/lib/base/dat.h
+++ b/lib/base/dat.h
@@ -112,6 +112,17 @@
 	GHashTable *index;
 } counters_t;
 
+enum {
+	HIST_BOUNDS = 14, /* buckets beside the one without a bound */
+};
+
+/* A histogram of times; each bucket counts all up to its bound. */
+typedef struct hist {
+	counter_t *buckets[HIST_BOUNDS + 1];
+	counter_t *sum;
+	counter_t *count;
+} hist_t;
+
 /* Exponential backoff with full jitter; spans in milliseconds. */
 typedef struct backoff {
 	ms_t base;
--- a/lib/base/fns.h
+++ b/lib/base/fns.h
@@ -33,6 +33,11 @@
 counter_t *gauge_get(counters_t *cs, const char *name, const char *labels);
 void counters_print(const counters_t *cs, GString *out);
 
+/* hist.c */
+hist_t *hist_new(counters_t *cs, const char *name, const char *labels);
+void hist_add(hist_t *h, ms_t ms);
+void hist_free(hist_t *h);
+
 /* backoff.c */
 void backoff_init(backoff_t *b, ms_t base, ms_t max);
 ms_t backoff_next(backoff_t *b, GRand *rand);
--- a/lib/conf/dat.h
+++ b/lib/conf/dat.h
@@ -66,7 +66,8 @@
 	log_level_t log_level;
 	addr_t callers;
 	addr_t ready;
-	addr_t peers; /* where other edge hosts connect */
+	addr_t metrics; /* port 0: on the ready address only */
+	addr_t peers;	/* where other edge hosts connect */
 	addr_t store;
 	uint8_t *key; /* the fleet's key */
 	size_t key_len;
--- a/lib/conf/edge.c
+++ b/lib/conf/edge.c
@@ -25,6 +25,7 @@
 static const field_t listen_fields[] = {
 	{ "callers", FIELD_ADDR, AT(callers), false, 0, 0, NULL },
 	{ "ready", FIELD_ADDR, AT(ready), false, 0, 0, NULL },
+	{ "metrics", FIELD_ADDR, AT(metrics), false, 0, 0, NULL },
 	{ "peers", FIELD_ADDR, AT(peers), true, 0, 0, NULL },
 };
 
--- a/lib/edge/edge.c
+++ b/lib/edge/edge.c
@@ -18,6 +18,8 @@
 {
 	pool_t *p = v;
 
+	hist_free(p->first_ms);
+	hist_free(p->wait_ms);
 	g_free(p->name);
 	g_free(p);
 }
@@ -133,8 +135,10 @@
 		r->tried[r->ntried++] = b->serial;
 	if (r->customer && !r->charged)
 		quota_sent(e, r->customer, r->cost);
-	if (!r->charged)
+	if (!r->charged) {
 		window_add(&r->pool->placed[MIN(r->rank, RANKS - 1)], 1, now);
+		hist_add(r->pool->wait_ms, now - r->arrived);
+	}
 	r->charged = true;
 	b->running++;
 	list_add_tail(&b->runs, &r->run);
@@ -243,6 +247,8 @@
 	r->last_event = now;
 	if (r->first_here)
 		return;
+	if (!r->started)
+		hist_add(b->pool->first_ms, now - r->arrived);
 	r->first_here = true;
 	r->first_at = now;
 	r->started = true;
--- a/lib/edge/fleet.c
+++ b/lib/edge/fleet.c
@@ -13,6 +13,7 @@
 pool_t *pool_get(edge_t *e, const char *service)
 {
 	pool_t *p = g_hash_table_lookup(e->pools, service);
+	char *labels;
 
 	if (p)
 		return p;
@@ -30,6 +31,10 @@
 	window_init(&p->repeats, e->conf.retry_window);
 	for (int i = 0; i < RANKS; i++)
 		window_init(&p->placed[i], PLACED_WINDOW_MS);
+	labels = g_strdup_printf("service=\"%s\"", service);
+	p->first_ms = hist_new(e->counters, "edge_first_event_ms", labels);
+	p->wait_ms = hist_new(e->counters, "edge_wait_ms", labels);
+	g_free(labels);
 	g_hash_table_insert(e->pools, p->name, p);
 	return p;
 }
--- a/lib/edge/priv.h
+++ b/lib/edge/priv.h
@@ -24,6 +24,8 @@
 	double first_mean; /* ms to the first event, over all servers */
 	double token_ms;   /* ms for an expected token of output, all servers */
 	double run_mean;   /* ms that a request holds its place */
+	hist_t *first_ms;  /* from arrival to the first event */
+	hist_t *wait_ms;   /* from arrival to the first send */
 	unsigned int unkept; /* servers without a keeper in touch */
 };
 
--- a/lib/forward/exchange.c
+++ b/lib/forward/exchange.c
@@ -75,6 +75,19 @@
 	g_free(x);
 }
 
+/* Counts how a request ended; outcomes are few, statuses those of servers. */
+static void count_end(exchange_t *x, const char *outcome, int status, ms_t now)
+{
+	char labels[128];
+
+	g_snprintf(labels, sizeof(labels), "outcome=\"%s\",status=\"%d\"",
+		   outcome, status);
+	counter_get(x->forward->counters, "edge_requests_ended_total", labels)
+		->value++;
+	if (status >= 200 && status < 300 && x->req.arrived)
+		hist_add(x->forward->answer_ms, now - x->req.arrived);
+}
+
 /*
  * The lines of a request that ended: its decisions and how it ended. Answers
  * below 400 are successes.
@@ -83,6 +96,7 @@
 {
 	const request_t *r = &x->req;
 
+	count_end(x, outcome, status, now);
 	if (!trail_wanted(x, status >= 400 || status == 0, now))
 		return;
 	trail_write(x);
--- a/lib/forward/forward.c
+++ b/lib/forward/forward.c
@@ -47,6 +47,7 @@
 	r->requests = counter_get(counters, "edge_requests_total", NULL);
 	r->connects = counter_get(counters, "edge_server_connects_total", NULL);
 	r->reused = counter_get(counters, "edge_server_reuses_total", NULL);
+	r->answer_ms = hist_new(counters, "edge_answer_ms", NULL);
 	r->left_out = counter_get(counters, "edge_request_lines_left_out_total",
 				  NULL);
 	r->strays = counter_get(counters, "edge_stray_answers_total", NULL);
@@ -170,5 +171,6 @@
 /* Frees the forward once the loop has run to its end. */
 void forward_free(forward_t *r)
 {
+	hist_free(r->answer_ms);
 	g_free(r);
 }
--- a/lib/forward/priv.h
+++ b/lib/forward/priv.h
@@ -103,6 +103,7 @@
 	counter_t *connects;
 	counter_t *reused;
 	counter_t *strays;
+	hist_t *answer_ms;   /* of whole answers of servers */
 	counter_t *left_out; /* failed requests without their lines */
 	int64_t trail_second;
 	unsigned int trails; /* failed requests written in it */
--- a/test/base.c
+++ b/test/base.c
@@ -89,6 +89,30 @@
 }
 END_TEST
 
+START_TEST(test_histogram)
+{
+	counters_t *cs = counters_new();
+	hist_t *h = hist_new(cs, "t_ms", "a=\"b\"");
+	GString *out = g_string_new(NULL);
+
+	hist_add(h, 0);
+	hist_add(h, 7);
+	hist_add(h, 99999);
+	counters_print(cs, out);
+	ck_assert_ptr_nonnull(
+		strstr(out->str, "t_ms_bucket{a=\"b\",le=\"1\"} 1\n"));
+	ck_assert_ptr_nonnull(
+		strstr(out->str, "t_ms_bucket{a=\"b\",le=\"10\"} 2\n"));
+	ck_assert_ptr_nonnull(
+		strstr(out->str, "t_ms_bucket{a=\"b\",le=\"+Inf\"} 3\n"));
+	ck_assert_ptr_nonnull(strstr(out->str, "t_ms_count{a=\"b\"} 3\n"));
+	ck_assert_ptr_nonnull(strstr(out->str, "t_ms_sum{a=\"b\"} 100006\n"));
+	g_string_free(out, TRUE);
+	hist_free(h);
+	counters_free(cs);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("base");
@@ -100,6 +124,7 @@
 	tcase_add_loop_test(t, code_meaning, 0, G_N_ELEMENTS(code_cases));
 	tcase_add_test(t, counters_print_each_once);
 	tcase_add_test(t, backoff_doubles_to_its_bound);
+	tcase_add_test(t, test_histogram);
 	suite_add_tcase(s, t);
 	srunner_run_all(r, CK_NORMAL);
 	failed = srunner_ntests_failed(r);
