Idle connections and the listener stay to the end of a planned stop

They stay open now; what comes is answered 503, not run, with a close. Ruled out: a request read and dropped (no line of it). test/stop.c fails without the change.

--- a/lib/forward/caller.c
+++ b/lib/forward/caller.c
@@ -328,7 +328,6 @@
 		return;
 	if (reading && age > lim->header_time)
 		refuse_read(c, 408, "request not complete in time");
-	else if (!reading &&
-		 (age > lim->idle_time || forward_stopped(c->forward, now)))
+	else if (!reading && age > lim->idle_time)
 		begin_close(c, now);
 }
--- a/lib/forward/dat.h
+++ b/lib/forward/dat.h
@@ -86,7 +86,8 @@
 	addr_t callers;	   /* where callers connect */
 	ms_t connect_time; /* a server that takes longer is given up */
 	size_t connections_max;
-	ms_t stop_wait; /* connections are still taken for so long after it */
+	ms_t stop_wait; /* requests are taken for so long after the order to
+			   stop */
 } forward_conf_t;
 
 #endif
--- a/lib/forward/forward.c
+++ b/lib/forward/forward.c
@@ -99,7 +99,11 @@
 	exchange_refuse(exchange_of(req), code, after);
 }
 
-/* Begins the end: answers are finished, connections then closed. */
+/*
+ * Begins the end: each connection is closed after its next answer. Idle ones
+ * and the listener stay to the end, as a request may be on its way: it is told
+ * that it was not run.
+ */
 void forward_drain(forward_t *r, ms_t now)
 {
 	r->draining = true;
@@ -140,10 +144,6 @@
 	{
 		caller_tick(list_entry(pos, caller_t, link), now);
 	}
-	if (r->listening && forward_stopped(r, now)) {
-		r->listening = false;
-		uv_close((uv_handle_t *)&r->listener, NULL);
-	}
 }
 
 /* Cuts what is left open. */
