Bytes handed to the loop count as sent

A request whose write failed after a part had gone out was taken for not sent, and could have been told as not run. Found by reading; conservative now.

--- a/lib/forward/fns.h
+++ b/lib/forward/fns.h
@@ -13,7 +13,7 @@
 	uv_write_t req;
 	bool busy;
 	bool failed;
-	bool wrote; /* a byte has been taken by the system */
+	bool wrote; /* a byte may have been taken by the system */
 	void (*drained)(void *ctx);
 	void *ctx;
 } writer_t;
--- a/lib/forward/writer.c
+++ b/lib/forward/writer.c
@@ -25,7 +25,6 @@
 		w->failed = true;
 		return;
 	}
-	w->wrote = true;
 	next(w);
 	if (!w->busy && w->drained)
 		w->drained(w->ctx);
@@ -44,6 +43,7 @@
 	buf = uv_buf_init((char *)w->writing->data, w->writing->len);
 	w->req.data = w;
 	w->busy = uv_write(&w->req, w->to, &buf, 1, on_written) == 0;
+	w->wrote = w->wrote || w->busy; /* a part may go out before it fails */
 	if (!w->busy)
 		w->failed = true;
 }
