--- a/cmd/chestnuthinged/edged.c
+++ b/cmd/chestnuthinged/edged.c
@@ -7,6 +7,7 @@
 #include "adapter.h"
 #include "edged.h"
 #include "mates.h"
+#include "moved.h"
 #include "net/fns.h"
 
 enum {
@@ -48,7 +49,8 @@
 	follow_t *orders;
 	follow_t *servers;
 	follow_t *hosts;
-	announce_t *announce;
+	append_t *append;
+	moved_t *moved;
 	mates_t *mates;
 	GString *config_text; /* of the configuration in force */
 	uint64_t inc;
@@ -145,12 +147,18 @@
 }
 
 /* What the operator wrote. */
-static void on_order(void *ctx, str_t key, str_t value)
+static void on_order(void *ctx, str_t key, str_t value, uint64_t number)
 {
 	edged_t *d = ctx;
+	const char *why;
 
-	if (adapter_is_config(key) && value.n > 0)
+	if (value.n == 0)
+		return;
+	if (adapter_is_config(key))
 		take_config(d, key, value, "store");
+	else if (adapter_is_move(key) &&
+		 !moved_order(d->moved, key, value, number, &why))
+		bad_record(d, key, why);
 }
 
 static str_t config_text(void *ctx)
@@ -165,10 +173,38 @@
 	take_config(ctx, str_of("config"), text, "host");
 }
 
-static const mates_ops_t mates_ops = { config_text, on_mate_config };
+static void on_counted(void *ctx, uint64_t host, const char *service,
+		       uint64_t order, const char *cell, uint64_t value)
+{
+	edged_t *d = ctx;
+
+	if (d->moved)
+		moved_told(d->moved, host, service, order, cell, value);
+}
+
+static void on_host_gone(void *ctx, uint64_t host)
+{
+	edged_t *d = ctx;
+
+	if (d->moved)
+		moved_host_gone(d->moved, host);
+}
+
+static const mates_ops_t mates_ops = { config_text, on_mate_config, on_counted,
+				       on_host_gone };
+
+static void on_written(void *ctx, const char *topic, const char *key,
+		       append_end_t end)
+{
+	edged_t *d = ctx;
+
+	moved_written(d->moved, topic, key, end);
+}
+
+static const append_ops_t append_ops = { on_written };
 
 /* Where another edge host is. */
-static void on_host(void *ctx, str_t key, str_t value)
+static void on_host(void *ctx, str_t key, str_t value, uint64_t number)
 {
 	edged_t *d = ctx;
 
@@ -193,7 +229,7 @@
 					ignore_reachable };
 
 /* What the backend servers wrote. */
-static void on_server(void *ctx, str_t key, str_t value)
+static void on_server(void *ctx, str_t key, str_t value, uint64_t number)
 {
 	edged_t *d = ctx;
 	entry_record_t rec;
@@ -282,7 +318,9 @@
 	follow_free(d->orders);
 	follow_free(d->servers);
 	follow_free(d->hosts);
-	announce_free(d->announce);
+	append_free(d->append);
+	moved_free(d->moved);
+	d->moved = NULL; /* hosts may still be heard until the loop ends */
 	mates_close(d->mates);
 	uv_stop(&d->loop);
 }
@@ -314,8 +352,9 @@
 	follow_tick(d->orders, now);
 	follow_tick(d->servers, now);
 	follow_tick(d->hosts, now);
-	announce_tick(d->announce, now);
+	append_tick(d->append, now);
 	mates_tick(d->mates, now);
+	moved_tick(d->moved, mates_judging(d->mates) && !d->stopping, now);
 	roster_tick(d->roster, now);
 	edge_tick(d->edge, now);
 	forward_tick(d->forward, now);
@@ -369,6 +408,10 @@
 	d->forward = forward_new(&d->loop, &rconf, d->edge, &adapter_codec,
 				 d->counters);
 	d->roster = roster_new(d->edge);
+	d->append =
+		append_new(&d->loop, &set->store, &append_ops, d, d->counters);
+	d->moved = moved_new(&d->loop, &set->store, d->edge, d->append,
+			     set->canary_share, d->counters);
 	d->mates = mates_new(&d->loop, d->edge, set, d->inc, &mates_ops, d,
 			     d->counters);
 }
@@ -389,8 +432,7 @@
 	conf.wait = HOSTS_WAIT_MS;
 	d->hosts = follow_new(&d->loop, &conf, &hosts_ops, d, d->counters);
 	addr_print(&d->set->peers, where);
-	d->announce =
-		announce_new(&d->loop, &d->set->store, d->set->name, where);
+	append_put(d->append, adapter_topic_hosts(), d->set->name, where, NULL);
 }
 
 static bool listen_all(edged_t *d, GError **err)
--- a/cmd/chestnuthinged/mates.c
+++ b/cmd/chestnuthinged/mates.c
@@ -17,12 +17,17 @@
 	SILENT_MS = 2500,
 	RETRY_BASE_MS = 100,
 	RETRY_MAX_MS = 3000,
-	KEYS_MAX = 512, /* customers told in one message */
+	KEYS_MAX = 512,	       /* customers, or cells, told in one message */
+	JUDGE_MS = 200,	       /* evidence is passed on: a bad version must be
+				  taken back within seconds */
+	JUDGE_FOR_EACH_MS = 3, /* more for each host, so that the judge has a
+				  few hundred messages a second at most */
 };
 
 /* Names of what a message tells. */
 static const char key_config[] = "config";
 static const char key_sent[] = "sent/";
+static const char key_move[] = "move/"; /* SERVICE/ORDER/CELL */
 
 static const char role_keeper[] = "sidecar";
 
@@ -38,8 +43,40 @@
 	GArray *kv;	 /* fact_kv_t, of the message being made */
 	GPtrArray *keys; /* its strings */
 	ms_t asked_at;	 /* for a configuration */
+	uint64_t inc;	 /* of this process */
+	uint64_t judge;	 /* incarnation of the host that judges moves */
+	ms_t judge_next;
 };
 
+/*
+ * The host that judges moves of versions: of those in touch, the one whose
+ * name comes first. Where hosts see unlike ones, two may judge; the store lets
+ * only one of their decisions through.
+ */
+static uint64_t find_judge(const mates_t *m)
+{
+	const char *first = m->set->name;
+	uint64_t found = m->inc;
+	GHashTableIter it;
+	gpointer inc;
+	gpointer name;
+
+	g_hash_table_iter_init(&it, m->names);
+	while (g_hash_table_iter_next(&it, &inc, &name)) {
+		if (strcmp(name, first) >= 0)
+			continue;
+		first = name;
+		found = *(uint64_t *)inc;
+	}
+	return found;
+}
+
+/* Whether this host is the judge. */
+bool mates_judging(const mates_t *m)
+{
+	return m->judge == m->inc;
+}
+
 static void on_up(void *ctx, const msg_hello_t *who)
 {
 	mates_t *m = ctx;
@@ -63,6 +100,10 @@
 
 	if (ip)
 		edge_keeper(m->edge, ip, 0);
+	else
+		m->ops->gone(m->ctx, inc);
+	if (inc == m->judge)
+		m->judge = 0;
 	g_hash_table_remove(m->keepers, &inc);
 	g_hash_table_remove(m->names, &inc);
 }
@@ -90,6 +131,28 @@
 	peers_send(m->peers, inc, &ask);
 }
 
+/* Takes a count, whose key is SERVICE/ORDER/CELL. */
+static void take_count(mates_t *m, uint64_t inc, str_t key, uint64_t value)
+{
+	char *text = str_dup(key);
+	char **part = g_strsplit(text, "/", 3);
+	guint64 order;
+
+	if (g_strv_length(part) == 3 &&
+	    g_ascii_string_to_unsigned(part[1], 10, 0, G_MAXUINT64, &order,
+				       NULL))
+		m->ops->counted(m->ctx, inc, part[0], order, part[2], value);
+	else
+		log_line(LOG_WARN, "move_count_bad", "key=%s", text);
+	g_strfreev(part);
+	g_free(text);
+}
+
+static bool starts(str_t key, const char *with)
+{
+	return key.n > strlen(with) && memcmp(key.p, with, strlen(with)) == 0;
+}
+
 static void take_facts(mates_t *m, uint64_t inc, const char *name,
 		       const msg_facts_t *f)
 {
@@ -103,7 +166,12 @@
 
 		if (str_eq(key, str_of(key_config))) {
 			ask_config(m, inc, f->kv[i].value, now);
-		} else if (key.n > skip && memcmp(key.p, key_sent, skip) == 0) {
+		} else if (starts(key, key_move)) {
+			take_count(m, inc,
+				   (str_t){ key.p + strlen(key_move),
+					    key.n - strlen(key_move) },
+				   f->kv[i].value);
+		} else if (starts(key, key_sent)) {
 			customer = g_strndup(key.p + skip, key.n - skip);
 			edge_host_sent(m->edge, name, customer,
 				       (double)f->kv[i].value);
@@ -162,6 +230,7 @@
 
 	m->edge = edge;
 	m->set = set;
+	m->inc = inc;
 	m->ops = ops;
 	m->ctx = ctx;
 	m->names = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
@@ -267,27 +336,75 @@
 	add(ctx, g_strconcat(key_sent, customer, NULL), (uint64_t)sent);
 }
 
+static void begin_facts(mates_t *m)
+{
+	g_array_set_size(m->kv, 0);
+	g_ptr_array_set_size(m->keys, 0);
+}
+
+static void send_facts(mates_t *m, uint64_t inc)
+{
+	msg_t msg = { .type = MSG_FACTS };
+
+	msg.u.facts.n = m->kv->len;
+	msg.u.facts.kv = (fact_kv_t *)m->kv->data;
+	peers_send(m->peers, inc, &msg);
+}
+
+static void add_count(void *ctx, const char *service, uint64_t order,
+		      const char *cell, uint64_t value)
+{
+	mates_t *m = ctx;
+
+	if (m->judge == m->inc) {
+		m->ops->counted(m->ctx, m->inc, service, order, cell, value);
+		return;
+	}
+	if (m->kv->len == KEYS_MAX) {
+		send_facts(m, m->judge);
+		begin_facts(m);
+	}
+	add(m,
+	    g_strdup_printf("%s%s/%" PRIu64 "/%s", key_move, service, order,
+			    cell),
+	    value);
+}
+
+/* Tells the judge what was counted; a new one everything. */
+static void tell_judge(mates_t *m, ms_t now)
+{
+	uint64_t judge = find_judge(m);
+	bool again = judge != m->judge;
+
+	if (now < m->judge_next && !again)
+		return;
+	m->judge_next = now + JUDGE_MS +
+			(ms_t)g_hash_table_size(m->names) * JUDGE_FOR_EACH_MS;
+	m->judge = judge;
+	begin_facts(m);
+	edge_shift_each(m->edge, add_count, again, m);
+	if (m->kv->len > 0)
+		send_facts(m, judge);
+}
+
 /* Tells the other hosts, when it is time to. */
 void mates_tick(mates_t *m, ms_t now)
 {
 	unsigned int up = g_hash_table_size(m->names);
 	desired_t *d = edge_desired(m->edge);
-	msg_t msg = { .type = MSG_FACTS };
 	GHashTableIter it;
 	gpointer inc;
 
+	tell_judge(m, now);
 	if (now < m->next || up == 0)
 		return;
 	m->next = now + TELL_MS + (ms_t)up * TELL_FOR_EACH_MS;
-	g_array_set_size(m->kv, 0);
-	g_ptr_array_set_size(m->keys, 0);
+	begin_facts(m);
 	add(m, g_strdup(key_config), d ? d->version : 0);
 	edge_each_use(m->edge, add_use, m);
-	msg.u.facts.n = m->kv->len;
-	msg.u.facts.kv = (fact_kv_t *)m->kv->data;
 	g_hash_table_iter_init(&it, m->names);
 	while (g_hash_table_iter_next(&it, &inc, NULL))
-		peers_send(m->peers, *(uint64_t *)inc, &msg);
+		send_facts(m, *(uint64_t *)inc);
 }
 
 /* Closes all connections; the loop must run before mates_free. */
--- /dev/null
+++ b/cmd/chestnuthinged/moved.c
@@ -0,0 +1,279 @@
+/*
+ * Joins the judge of moves to the store. A decision is written only where the
+ * topic ends as the judge has read it, so two judges can't both decide; it
+ * counts, on the judge's own host too, once it is read back. The status that
+ * the operator reads bears the decision's number as its epoch: a late write
+ * of an earlier decision is refused by the store.
+ */
+#include <string.h>
+#include "moved.h"
+#include "net/fns.h"
+
+enum {
+	MOVES_WAIT_MS = 10000, /* the store answers at once when there is a
+				  decision */
+};
+
+/* The newest decision on a service's move, and what was done about it. */
+typedef struct kept {
+	char *service;
+	char *target; /* NULL before its order is known */
+	shift_step_t step;
+	uint64_t number;	/* of its record */
+	bool known;		/* there is a decision */
+	bool status_written;	/* the operator has it */
+	bool status_flying;	/* a status is being written, */
+	uint64_t status_number; /* of this decision */
+	bool telling;		/* a record that it is told is being written */
+} kept_t;
+
+struct moved {
+	uv_loop_t *loop;
+	follow_conf_t conf;
+	edge_t *edge;
+	append_t *append;
+	judge_t *judge;
+	counters_t *counters;
+	follow_t *follow;  /* NULL before the first order */
+	GHashTable *kepts; /* kept_t by service */
+	bool judging;
+};
+
+static void kept_free(gpointer v)
+{
+	kept_t *k = v;
+
+	g_free(k->service);
+	g_free(k->target);
+	g_free(k);
+}
+
+static kept_t *kept_get(moved_t *m, const char *service)
+{
+	kept_t *k = g_hash_table_lookup(m->kepts, service);
+
+	if (k)
+		return k;
+	k = g_new0(kept_t, 1);
+	k->service = g_strdup(service);
+	g_hash_table_insert(m->kepts, k->service, k);
+	return k;
+}
+
+/* Only called while the topic is known (moved_tick). */
+static void put_step(moved_t *m, const char *service, const shift_step_t *s)
+{
+	append_if_t cond = { 0 };
+	char *text = shift_step_text(s);
+
+	follow_end(m->follow, &cond.at);
+	append_put(m->append, adapter_topic_moves(), service, text, &cond);
+	g_free(text);
+}
+
+static void on_decided(void *ctx, const char *service, const shift_step_t *s)
+{
+	put_step(ctx, service, s);
+}
+
+static const judge_ops_t judge_ops = { on_decided };
+
+static void apply(moved_t *m, const kept_t *k)
+{
+	ms_t now = clock_now();
+
+	edge_shift_step(m->edge, k->service, &k->step, now);
+	judge_step(m->judge, k->service, &k->step, now);
+}
+
+static void on_record(void *ctx, str_t key, str_t value, uint64_t number)
+{
+	moved_t *m = ctx;
+	shift_step_t step;
+	char *service;
+	kept_t *k;
+
+	if (value.n == 0)
+		return;
+	if (shift_step_parse(value, &step)) {
+		log_line(LOG_WARN, "record_bad", "topic=moves key=%.*s",
+			 (int)key.n, key.p);
+		return;
+	}
+	service = str_dup(key);
+	k = kept_get(m, service);
+	g_free(service);
+	k->step = step;
+	k->number = number;
+	k->known = true;
+	k->status_written = false;
+	k->telling = false;
+	apply(m, k);
+}
+
+static void ignore(void *ctx)
+{
+	(void)ctx;
+}
+
+static void ignore_reachable(void *ctx, bool yes)
+{
+	(void)ctx;
+	(void)yes;
+}
+
+static const follow_ops_t follow_ops = { on_record, ignore, ignore,
+					 ignore_reachable };
+
+/* Makes the table of moves. Nothing is read before the first order. */
+moved_t *moved_new(uv_loop_t *loop, const addr_t *store, edge_t *edge,
+		   append_t *append, double canary_share, counters_t *counters)
+{
+	moved_t *m = g_new0(moved_t, 1);
+
+	m->loop = loop;
+	m->conf = (follow_conf_t){ .store = *store,
+				   .topic = adapter_topic_moves(),
+				   .wait = MOVES_WAIT_MS };
+	m->edge = edge;
+	m->append = append;
+	m->counters = counters;
+	m->judge = judge_new(&judge_ops, m, canary_share);
+	m->kepts =
+		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, kept_free);
+	return m;
+}
+
+/* Takes an order. Returns false, and why, when it can't be read. */
+bool moved_order(moved_t *m, str_t key, str_t text, uint64_t number,
+		 const char **why)
+{
+	ms_t now = clock_now();
+	shift_order_t o;
+	kept_t *k;
+	void *doc;
+
+	if (adapter_move(key, text, number, &o, &doc, why))
+		return false;
+	edge_shift_order(m->edge, &o, now);
+	judge_order(m->judge, &o, now);
+	k = kept_get(m, o.service);
+	g_free(k->target);
+	k->target = g_strdup(o.target);
+	if (k->known)
+		apply(m, k);
+	if (!m->follow)
+		m->follow = follow_new(m->loop, &m->conf, &follow_ops, m,
+				       m->counters);
+	adapter_move_clear(doc);
+	return true;
+}
+
+/* What a host counted; hosts tell it to the judge only. */
+void moved_told(moved_t *m, uint64_t host, const char *service, uint64_t order,
+		const char *cell, uint64_t value)
+{
+	judge_told(m->judge, host, service, order, cell, value);
+}
+
+/* A host is gone. */
+void moved_host_gone(moved_t *m, uint64_t host)
+{
+	judge_host_gone(m->judge, host);
+}
+
+/* A status that was overtaken is written too, by a later judge. */
+static void status_done(kept_t *k)
+{
+	k->status_flying = false;
+	k->status_written = k->status_number == k->number;
+}
+
+/* The store has answered for a record that was written for a move. */
+void moved_written(moved_t *m, const char *topic, const char *key,
+		   append_end_t end)
+{
+	GHashTableIter it;
+	gpointer v;
+
+	g_hash_table_iter_init(&it, m->kepts);
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		kept_t *k = v;
+		char *status = adapter_status_key(k->service);
+
+		if (strcmp(topic, adapter_topic_status()) == 0 &&
+		    strcmp(key, status) == 0) {
+			status_done(k);
+		} else if (strcmp(topic, adapter_topic_moves()) == 0 &&
+			   strcmp(key, k->service) == 0 &&
+			   end != APPEND_WRITTEN) {
+			k->telling = false;
+			judge_refused(m->judge, k->service);
+		}
+		g_free(status);
+	}
+}
+
+static void put_status(moved_t *m, kept_t *k)
+{
+	char *producer = g_strconcat("move-", k->service, NULL);
+	append_if_t cond = { .producer = producer, .epoch = k->number + 1 };
+	char *key = adapter_status_key(k->service);
+	char *text = adapter_status(k->target, k->step.state);
+
+	log_line(LOG_INFO, "move_status", "service=%s target=%s state=%s",
+		 k->service, k->target, shift_state_name(k->step.state));
+	append_put(m->append, adapter_topic_status(), key, text, &cond);
+	k->status_flying = true;
+	k->status_number = k->number;
+	g_free(producer);
+	g_free(key);
+	g_free(text);
+}
+
+/* The operator is told of each decision, and that is kept of the last one. */
+static void tell(moved_t *m, kept_t *k)
+{
+	shift_step_t step = k->step;
+
+	if (!k->known || !k->target || step.told)
+		return;
+	if (!k->status_written && !k->status_flying)
+		put_status(m, k);
+	if (!k->status_written || step.state == SHIFT_RUNNING || k->telling)
+		return;
+	step.told = true;
+	k->telling = true;
+	put_step(m, k->service, &step);
+}
+
+/* Judges, if this host is the one to, and has what others decided told. */
+void moved_tick(moved_t *m, bool judging, ms_t now)
+{
+	GHashTableIter it;
+	gpointer v;
+	uint64_t end;
+
+	if (!m->follow)
+		return;
+	follow_tick(m->follow, now);
+	if (judging != m->judging)
+		log_line(LOG_INFO, "move_judge", "judging=%d", judging);
+	m->judging = judging;
+	if (!judging || !follow_end(m->follow, &end))
+		return;
+	judge_tick(m->judge, now);
+	g_hash_table_iter_init(&it, m->kepts);
+	while (g_hash_table_iter_next(&it, NULL, &v))
+		tell(m, v);
+}
+
+/* Frees the table. */
+void moved_free(moved_t *m)
+{
+	if (m->follow)
+		follow_free(m->follow);
+	judge_free(m->judge);
+	g_hash_table_destroy(m->kepts);
+	g_free(m);
+}
--- a/lib/conf/dat.h
+++ b/lib/conf/dat.h
@@ -81,6 +81,7 @@
 	double quota_tolerance; /* more than a quota, by it, that is let pass */
 	size_t quota_slack;
 	size_t quota_window_s;
+	double canary_share; /* most of the traffic for a version on trial */
 	size_t connections_max;
 } edge_settings_t;
 
--- a/lib/conf/edge.c
+++ b/lib/conf/edge.c
@@ -58,6 +58,7 @@
 	  NULL },
 	{ "quota_window_s", FIELD_SIZE, AT(quota_window_s), false, 1,
 	  SECONDS_MAX, NULL },
+	{ "canary_share", FIELD_RATIO, AT(canary_share), false, 0, 1, NULL },
 };
 
 static void *begin(scan_t *s, const char *arg)
@@ -90,6 +91,7 @@
 	s->retry_slack = 0;
 	s->retry_window_s = 10;
 	s->quota_window_s = 8;
+	s->canary_share = 0.1;
 	s->connections_max = 3000;
 }
 
--- a/lib/edge/ask.c
+++ b/lib/edge/ask.c
@@ -46,7 +46,8 @@
 		int again = place_tried(r, b);
 		double s;
 
-		if (!b->keeper || was_asked(r, b) || !health_usable(b, now))
+		if (!b->keeper || was_asked(r, b) || !health_usable(b, now) ||
+		    !shift_allows(r, b, now))
 			continue;
 		s = place_score(e, b, r, place_load(b, now) + b->asks, now);
 		if (!found[again] || s < least[again]) {
@@ -205,7 +206,7 @@
 
 	if (!b)
 		return false;
-	if (!health_usable(b, now)) {
+	if (!health_usable(b, now) || !shift_allows(r, b, now)) {
 		forget_one(r, b);
 		b->asks--;
 		return false;
--- a/lib/edge/dat.h
+++ b/lib/edge/dat.h
@@ -77,6 +77,36 @@
 	GPtrArray *services;  /* of edge_service_t */
 } desired_t;
 
+/* An operator's order to move a service's traffic to a version. */
+typedef struct shift_order {
+	const char *service;
+	const char *target; /* the version */
+	ms_t duration;	    /* the move has to be over by then */
+	uint64_t number;    /* grows with each order */
+} shift_order_t;
+
+typedef enum shift_state {
+	SHIFT_RUNNING,
+	SHIFT_DONE,	/* all traffic goes to the target */
+	SHIFT_REVERSED, /* the target was found bad */
+} shift_state_t;
+
+/* What the judge has decided on an order; the newest counts. */
+typedef struct shift_step {
+	uint64_t order;
+	shift_state_t state;
+	unsigned int share; /* of the target, in thousandths */
+	ms_t age;	    /* of the order, when it was decided */
+	bool told;	    /* the operator has the final state */
+} shift_step_t;
+
+/* Which versions a request may go to. */
+typedef enum shift_side {
+	SHIFT_OLD,
+	SHIFT_TARGET,
+	SHIFT_SIDES,
+} shift_side_t;
+
 /* A backend server as the platform lists it. */
 typedef struct backend_info {
 	const char *id;
@@ -169,6 +199,8 @@
 	unsigned int arrivals;
 	uint32_t tried[TRIED_MAX]; /* serials of servers */
 	unsigned int ntried;
+	shift_side_t side;   /* while versions move */
+	unsigned int events; /* from this server */
 	backend_t *asked[ASKS_MAX];
 	unsigned int nasked;
 	ms_t asked_at;	  /* when the last of them was asked */
--- a/lib/edge/edge.c
+++ b/lib/edge/edge.c
@@ -18,6 +18,7 @@
 {
 	pool_t *p = v;
 
+	shift_free(p->shift);
 	hist_free(p->first_ms);
 	hist_free(p->wait_ms);
 	g_free(p->name);
@@ -130,6 +131,7 @@
 	r->sent_at = now;
 	r->last_event = now;
 	r->first_here = false;
+	r->events = 0;
 	r->arrivals++;
 	if (r->ntried < TRIED_MAX)
 		r->tried[r->ntried++] = b->serial;
@@ -207,6 +209,7 @@
 	r->state = REQUEST_NEW;
 	r->rid.inc = e->conf.inc;
 	r->rid.seq = ++e->rids;
+	r->side = shift_pick(e, p, r);
 	budget_earn(p, now);
 	if (refuse_hopeless(p, r, now)) {
 		edge_note(e, r, now, "refused",
@@ -262,6 +265,7 @@
 	backend_t *b = r->server;
 
 	b->heard = now;
+	r->events++;
 	b->step += learn * ((double)(now - r->last_event) - b->step);
 	r->last_event = now;
 }
@@ -341,6 +345,7 @@
 	if (how == SENT_WHOLE)
 		cost_note(b, r, now);
 	health_note(e, b, how, now);
+	shift_note(r, how, now);
 	leave_server(e, r, how == SENT_NOT, now);
 	again = worth_again(e, r, how, resumable, now);
 	if (how != SENT_WHOLE)
@@ -351,10 +356,12 @@
 			  (long long)(r->deadline - now),
 			  window_sum(&p->repeats, now),
 			  window_sum(&p->asked, now));
-	if (again)
+	if (again) {
+		r->side = SHIFT_OLD;
 		queue_push(e, r, now);
-	else
+	} else {
 		r->state = REQUEST_ENDED;
+	}
 	dispatch(e, p, now);
 	if (r->state == REQUEST_WAITING)
 		ask_first(e, r, now);
--- a/lib/edge/fns.h
+++ b/lib/edge/fns.h
@@ -73,6 +73,38 @@
 bool edge_servers_short(const edge_t *e, ms_t now);
 GPtrArray *edge_server_ids(const edge_t *e); /* of char*, not owned */
 
+/* shift.c */
+void edge_shift_order(edge_t *e, const shift_order_t *o, ms_t now);
+void edge_shift_step(edge_t *e, const char *service, const shift_step_t *s,
+		     ms_t now);
+const char *shift_state_name(shift_state_t state);
+bool edge_shift_open(const edge_t *e);
+void edge_shift_each(edge_t *e,
+		     void (*fn)(void *ctx, const char *service, uint64_t order,
+				const char *cell, uint64_t value),
+		     bool again, void *ctx);
+
+/* record.c: how decisions are kept in the store. */
+char *shift_step_text(const shift_step_t *s);
+code_t shift_step_parse(str_t text, shift_step_t *out);
+
+/* judge.c */
+typedef struct judge judge_t;
+typedef struct judge_ops {
+	/* A decision that is to be kept. */
+	void (*decided)(void *ctx, const char *service, const shift_step_t *s);
+} judge_ops_t;
+judge_t *judge_new(const judge_ops_t *ops, void *ctx, double canary_share);
+void judge_free(judge_t *j);
+void judge_order(judge_t *j, const shift_order_t *o, ms_t now);
+void judge_step(judge_t *j, const char *service, const shift_step_t *s,
+		ms_t now);
+void judge_told(judge_t *j, uint64_t host, const char *service, uint64_t order,
+		const char *cell, uint64_t value);
+void judge_host_gone(judge_t *j, uint64_t host);
+void judge_tick(judge_t *j, ms_t now);
+void judge_refused(judge_t *j, const char *service);
+
 /* roster.c */
 typedef struct roster roster_t;
 roster_t *roster_new(edge_t *e);
--- a/lib/edge/place.c
+++ b/lib/edge/place.c
@@ -105,7 +105,8 @@
 		unsigned int load;
 		double s;
 
-		if (b->keeper || !health_usable(b, now))
+		if (b->keeper || !health_usable(b, now) ||
+		    !shift_allows(r, b, now))
 			continue;
 		untried = untried || !again;
 		load = place_load(b, now);
--- a/lib/edge/priv.h
+++ b/lib/edge/priv.h
@@ -11,6 +11,41 @@
 	double sent; /* by this process, since its start */
 } quota_t;
 
+/* Requests of one version on one route, at one server or all of them. */
+typedef enum shift_metric {
+	SHIFT_REQUESTS,
+	SHIFT_FAILURES,
+	SHIFT_FIRST_N,	/* times to the first event */
+	SHIFT_FIRST,	/* sum of their logarithms, in 1/SHIFT_LOG_UNIT of a
+			   doubling */
+	SHIFT_FIRST_SQ, /* and of the squares of these */
+	SHIFT_GAP_N,	/* the same of the mean time between events */
+	SHIFT_GAP,
+	SHIFT_GAP_SQ,
+	SHIFT_METRICS,
+} shift_metric_t;
+
+enum {
+	SHIFT_LOG_UNIT = 16,
+};
+
+/* How a cell is named between hosts: SIDE/METRIC/SERVER/ROUTE. The server is
+   empty on the old side, where only the sum is of use. */
+#define SHIFT_CELL	   "%d/%d/%s/%s"
+#define SHIFT_CELL_RUNNING "running" /* requests that run on the old side */
+
+/* A move of a service's traffic to another version, as this host knows it. */
+typedef struct shift {
+	uint64_t order;
+	char *target;
+	bool decided;	   /* a step of this order is known */
+	shift_step_t step; /* the newest */
+	double due;	   /* requests that the target should have had */
+	double given;	   /* requests that it had */
+	GHashTable *cells; /* shift_cell_t by route and server */
+	uint64_t running;  /* as told last */
+} shift_t;
+
 /* The servers of one service and what waits for them. */
 struct pool {
 	char *name;
@@ -27,6 +62,7 @@
 	hist_t *first_ms;  /* from arrival to the first event */
 	hist_t *wait_ms;   /* from arrival to the first send */
 	unsigned int unkept; /* servers without a keeper in touch */
+	shift_t *shift;	     /* the newest order to move; NULL none */
 };
 
 struct edge {
@@ -58,6 +94,12 @@
 void backend_release(edge_t *e, backend_t *b);
 void server_forget(edge_t *e, const char *id);
 
+/* shift.c */
+void shift_free(shift_t *s);
+shift_side_t shift_pick(edge_t *e, pool_t *p, const request_t *r);
+bool shift_allows(const request_t *r, const backend_t *b, ms_t now);
+void shift_note(const request_t *r, sent_t how, ms_t now);
+
 /* health.c */
 bool health_usable(const backend_t *b, ms_t now);
 void health_reset(backend_t *b);
--- /dev/null
+++ b/lib/edge/record.c
@@ -0,0 +1,72 @@
+/* How the judge's decisions are kept in the store: one line of pairs. */
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+#include "edge/fns.h"
+
+enum {
+	PAIRS = 5,
+	SHARE_MAX = 1000, /* thousandths */
+};
+
+/* The text of a decision; the caller frees it. */
+char *shift_step_text(const shift_step_t *s)
+{
+	return g_strdup_printf("order=%" PRIu64
+			       " state=%s share=%u age_ms=%lld told=%d",
+			       s->order, shift_state_name(s->state), s->share,
+			       (long long)s->age, (int)s->told);
+}
+
+static bool take_state(const char *name, shift_state_t *out)
+{
+	for (int i = SHIFT_RUNNING; i <= SHIFT_REVERSED; i++) {
+		if (strcmp(name, shift_state_name((shift_state_t)i)) == 0) {
+			*out = (shift_state_t)i;
+			return true;
+		}
+	}
+	return false;
+}
+
+static bool take_number(const char *text, uint64_t most, uint64_t *out)
+{
+	return g_ascii_string_to_unsigned(text, 10, 0, most, out, NULL);
+}
+
+/* The value of a pair, if it has that name. */
+static const char *value_of(const char *pair, const char *name)
+{
+	size_t n = strlen(name);
+
+	return strncmp(pair, name, n) == 0 && pair[n] == '=' ? pair + n + 1
+							     : "";
+}
+
+/* Reads a decision. CODE_BAD_RECORD: not one, out is then not set. */
+code_t shift_step_parse(str_t text, shift_step_t *out)
+{
+	char *copy = str_dup(text);
+	char **pair = g_strsplit(copy, " ", PAIRS);
+	shift_step_t s = { 0 };
+	uint64_t share = 0;
+	uint64_t age = 0;
+	uint64_t told = 0;
+	bool ok = g_strv_length(pair) == PAIRS &&
+		  take_number(value_of(pair[0], "order"), G_MAXUINT64,
+			      &s.order) &&
+		  take_state(value_of(pair[1], "state"), &s.state) &&
+		  take_number(value_of(pair[2], "share"), SHARE_MAX, &share) &&
+		  take_number(value_of(pair[3], "age_ms"), G_MAXINT64, &age) &&
+		  take_number(value_of(pair[4], "told"), 1, &told);
+
+	g_strfreev(pair);
+	g_free(copy);
+	if (!ok)
+		return CODE_BAD_RECORD;
+	s.share = (unsigned int)share;
+	s.age = (ms_t)age;
+	s.told = told != 0;
+	*out = s;
+	return CODE_OK;
+}
--- /dev/null
+++ b/lib/edge/shift.c
@@ -0,0 +1,287 @@
+/*
+ * Moving a service's traffic to another version: the part of every host. It
+ * follows what the judge has decided, gives the target its share, and counts
+ * what requests say of both versions. Without a decision the target gets
+ * nothing, so a host that has just started exposes no caller.
+ */
+#include <inttypes.h>
+#include <math.h>
+#include <string.h>
+#include "edge/priv.h"
+
+enum {
+	THOUSAND = 1000,
+	CELL_BYTES = 512, /* of a cell's name */
+};
+
+/* What was counted of one route at one server, and what of it was told. */
+typedef struct shift_cell {
+	shift_side_t side;
+	char *server;
+	char *route;
+	uint64_t v[SHIFT_METRICS];
+	uint64_t told[SHIFT_METRICS];
+} shift_cell_t;
+
+static void cell_free(gpointer v)
+{
+	shift_cell_t *c = v;
+
+	g_free(c->server);
+	g_free(c->route);
+	g_free(c);
+}
+
+/* How logs and records name a state. */
+const char *shift_state_name(shift_state_t state)
+{
+	static const char *const names[] = {
+		[SHIFT_RUNNING] = "running",
+		[SHIFT_DONE] = "done",
+		[SHIFT_REVERSED] = "reversed",
+	};
+
+	return names[state];
+}
+
+/* Frees a move; NULL is none. */
+void shift_free(shift_t *s)
+{
+	if (!s)
+		return;
+	g_hash_table_destroy(s->cells);
+	g_free(s->target);
+	g_free(s);
+}
+
+/* Takes an order. Orders that are no newer than the one known are ignored. */
+void edge_shift_order(edge_t *e, const shift_order_t *o, ms_t now)
+{
+	pool_t *p = pool_get(e, o->service);
+	shift_t *s = p->shift;
+
+	if (s && s->order >= o->number)
+		return;
+	shift_free(s);
+	s = g_new0(shift_t, 1);
+	s->order = o->number;
+	s->target = g_strdup(o->target);
+	s->cells = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					 cell_free);
+	p->shift = s;
+	log_line(LOG_INFO, "move_ordered",
+		 "service=%s target=%s order=%" PRIu64 " duration_ms=%lld",
+		 o->service, o->target, o->number, (long long)o->duration);
+}
+
+/* Takes what the judge decided. A final state of an order stays. */
+void edge_shift_step(edge_t *e, const char *service, const shift_step_t *step,
+		     ms_t now)
+{
+	pool_t *p = pool_get(e, service);
+	shift_t *s = p->shift;
+
+	if (!s || s->order != step->order ||
+	    (s->decided && s->step.state != SHIFT_RUNNING &&
+	     s->step.state != step->state))
+		return;
+	if (!s->decided || s->step.share != step->share ||
+	    s->step.state != step->state)
+		log_line(LOG_INFO, "move_step",
+			 "service=%s target=%s order=%" PRIu64
+			 " state=%s share=%u age_ms=%lld",
+			 service, s->target, s->order,
+			 shift_state_name(step->state), step->share,
+			 (long long)step->age);
+	if (!s->decided || s->step.share != step->share) {
+		s->due = 0;
+		s->given = 0;
+	}
+	s->decided = true;
+	s->step = *step;
+}
+
+/* Whether an order is known whose end the operator was not told yet. */
+bool edge_shift_open(const edge_t *e)
+{
+	GHashTableIter it;
+	gpointer v;
+
+	g_hash_table_iter_init(&it, e->pools);
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		const shift_t *s = ((const pool_t *)v)->shift;
+
+		if (s && !(s->decided && s->step.told))
+			return true;
+	}
+	return false;
+}
+
+static bool is_target(const backend_t *b)
+{
+	return strcmp(b->version, b->pool->shift->target) == 0;
+}
+
+/* Whether a side has a server; usable, if that is asked. */
+static bool has_server(const pool_t *p, shift_side_t side, bool usable,
+		       ms_t now)
+{
+	for (list_t *l = p->servers.next; l != &p->servers; l = l->next) {
+		const backend_t *b = list_entry(l, backend_t, link);
+
+		if (is_target(b) == (side == SHIFT_TARGET) &&
+		    (!usable || health_usable(b, now)))
+			return true;
+	}
+	return false;
+}
+
+/*
+ * Which side a new request goes to, by error diffusion: the target has had at
+ * most one request more than its share of all so far.
+ */
+shift_side_t shift_pick(edge_t *e, pool_t *p, const request_t *r)
+{
+	shift_t *s = p->shift;
+
+	if (!s || !s->decided || s->step.state != SHIFT_RUNNING)
+		return SHIFT_OLD;
+	s->due += (double)s->step.share / THOUSAND;
+	if (s->due < s->given + g_rand_double(e->rand))
+		return SHIFT_OLD;
+	s->given++;
+	return SHIFT_TARGET;
+}
+
+/*
+ * Whether a request may go to a server, by its version. The old versions stand
+ * in for a target without a usable server, never the other way round before
+ * the target was found good; only where no old server is left, a target that
+ * is being tried serves alone.
+ */
+bool shift_allows(const request_t *r, const backend_t *b, ms_t now)
+{
+	const pool_t *p = b->pool;
+	const shift_t *s = p->shift;
+
+	if (!s)
+		return true;
+	if (s->decided && s->step.state == SHIFT_REVERSED)
+		return !is_target(b);
+	if (s->decided && s->step.state == SHIFT_DONE)
+		return is_target(b) || !has_server(p, SHIFT_TARGET, true, now);
+	if (is_target(b))
+		return s->decided && (r->side == SHIFT_TARGET ||
+				      !has_server(p, SHIFT_OLD, false, now));
+	return r->side == SHIFT_OLD || !has_server(p, SHIFT_TARGET, true, now);
+}
+
+static shift_cell_t *cell_get(shift_t *s, const request_t *r)
+{
+	const backend_t *b = r->server;
+	bool target = is_target(b);
+	char *key =
+		g_strdup_printf("%s/%s", target ? b->id : "", r->route->name);
+	shift_cell_t *c = g_hash_table_lookup(s->cells, key);
+
+	if (c) {
+		g_free(key);
+		return c;
+	}
+	c = g_new0(shift_cell_t, 1);
+	c->side = target ? SHIFT_TARGET : SHIFT_OLD;
+	c->server = g_strdup(target ? b->id : "");
+	c->route = g_strdup(r->route->name);
+	g_hash_table_insert(s->cells, key, c);
+	return c;
+}
+
+/* Adds the logarithm of a time to three counters: number, sum, squares. */
+static void add_log(shift_cell_t *c, shift_metric_t k, double ms)
+{
+	double doublings = log2(MAX(ms, 1));
+
+	c->v[k]++;
+	c->v[k + 1] += (uint64_t)lround(doublings * SHIFT_LOG_UNIT);
+	c->v[k + 2] += (uint64_t)lround(doublings * doublings * SHIFT_LOG_UNIT);
+}
+
+/* Counts what a send that has ended says of the version that ran it. */
+void shift_note(const request_t *r, sent_t how, ms_t now)
+{
+	shift_t *s = r->pool->shift;
+	shift_cell_t *c;
+
+	if (!s || how == SENT_REJECTED || how == SENT_NOT || how == SENT_WRONG)
+		return;
+	c = cell_get(s, r);
+	c->v[SHIFT_REQUESTS]++;
+	if (how != SENT_WHOLE) {
+		c->v[SHIFT_FAILURES]++;
+		return;
+	}
+	if (r->first_here)
+		add_log(c, SHIFT_FIRST_N, (double)(r->first_at - r->sent_at));
+	if (r->events > 0)
+		add_log(c, SHIFT_GAP_N,
+			(double)(r->last_event - r->first_at) / r->events);
+}
+
+typedef void tell_fn_t(void *ctx, const char *service, uint64_t order,
+		       const char *cell, uint64_t value);
+
+static void tell_cell(const pool_t *p, shift_cell_t *c, bool again,
+		      tell_fn_t *fn, void *ctx)
+{
+	char name[CELL_BYTES];
+
+	for (int k = 0; k < SHIFT_METRICS; k++) {
+		if (c->v[k] == (again ? 0 : c->told[k]))
+			continue;
+		c->told[k] = c->v[k];
+		g_snprintf(name, sizeof(name), SHIFT_CELL, (int)c->side, k,
+			   c->server, c->route);
+		fn(ctx, p->name, p->shift->order, name, c->v[k]);
+	}
+}
+
+static void tell_running(const pool_t *p, bool again, tell_fn_t *fn, void *ctx)
+{
+	shift_t *s = p->shift;
+	uint64_t n = 0;
+
+	for (list_t *l = p->servers.next; l != &p->servers; l = l->next) {
+		const backend_t *b = list_entry(l, backend_t, link);
+
+		n += is_target(b) ? 0 : b->running;
+	}
+	if (n == s->running && !again)
+		return;
+	s->running = n;
+	fn(ctx, p->name, s->order, SHIFT_CELL_RUNNING, n);
+}
+
+/*
+ * Tells what was counted since the last call, and with again everything, as
+ * to a new judge. Moves that are over are not told.
+ */
+void edge_shift_each(edge_t *e, tell_fn_t *fn, bool again, void *ctx)
+{
+	GHashTableIter it;
+	GHashTableIter cells;
+	gpointer v;
+	gpointer c;
+
+	g_hash_table_iter_init(&it, e->pools);
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		const pool_t *p = v;
+		const shift_t *s = p->shift;
+
+		if (!s || (s->decided && s->step.state != SHIFT_RUNNING))
+			continue;
+		g_hash_table_iter_init(&cells, s->cells);
+		while (g_hash_table_iter_next(&cells, NULL, &c))
+			tell_cell(p, c, again, fn, ctx);
+		tell_running(p, again, fn, ctx);
+	}
+}
--- a/lib/move/fns.h
+++ b/lib/move/fns.h
@@ -24,6 +24,9 @@
 /* pick.c: the id of a move follows from what the intent says of it. */
 uint64_t move_id(const version_t *v);
 
+/* stat.c */
+double stat_poisson(double mean, double k, bool upper);
+
 /* move.c; inc is this entry's incarnation. */
 moves_t *moves_new(facts_t *facts, uint64_t inc, const moves_ops_t *ops,
 		   void *ctx);
--- a/lib/move/priv.h
+++ b/lib/move/priv.h
@@ -175,7 +175,6 @@
 ms_t gate_span(const move_t *v, int64_t left);
 
 /* stat.c */
-double stat_poisson(double mean, double k, bool upper);
 double stat_variance(const cell_t *cells, metric_t k);
 void stat_stratum(route_seen_t *r);
 double stat_failures(const score_t *x, int skip);
--- a/test/adapter.c
+++ b/test/adapter.c
@@ -229,6 +229,82 @@
 }
 END_TEST
 
+/* The operator's orders to move a service. */
+typedef struct move_case {
+	const char *name;
+	const char *key;
+	const char *text;
+	code_t code;
+	ms_t duration;
+} move_case_t;
+
+static const move_case_t moves[] = {
+	{ "an order", "rollout/s",
+	  "{\"service\":\"s\",\"target\":\"v2\",\"duration_s\":12}", CODE_OK,
+	  12000 },
+	{ "with a fraction", "rollout/s",
+	  "{\"service\":\"s\",\"target\":\"v2\",\"duration_s\":0.5,\"x\":[]}",
+	  CODE_OK, 500 },
+	{ "of another service", "rollout/t",
+	  "{\"service\":\"s\",\"target\":\"v2\",\"duration_s\":12}",
+	  CODE_BAD_RECORD, 0 },
+	{ "no target", "rollout/s", "{\"service\":\"s\",\"duration_s\":12}",
+	  CODE_BAD_RECORD, 0 },
+	{ "no time", "rollout/s",
+	  "{\"service\":\"s\",\"target\":\"v2\",\"duration_s\":0}",
+	  CODE_BAD_RECORD, 0 },
+	{ "time as text", "rollout/s",
+	  "{\"service\":\"s\",\"target\":\"v2\",\"duration_s\":\"12\"}",
+	  CODE_BAD_RECORD, 0 },
+	{ "not JSON", "rollout/s", "{", CODE_BAD_RECORD, 0 },
+};
+
+START_TEST(test_moves)
+{
+	const move_case_t *c = &moves[_i];
+	const char *why = NULL;
+	shift_order_t o;
+	void *doc;
+
+	ck_assert(adapter_is_move(str_of(c->key)));
+	ck_assert_msg(adapter_move(str_of(c->key), str_of(c->text), 7, &o, &doc,
+				   &why) == c->code,
+		      "%s: %s", c->name, why ? why : "");
+	if (c->code != CODE_OK) {
+		ck_assert_ptr_nonnull(why);
+		return;
+	}
+	ck_assert_int_eq(o.duration, c->duration);
+	ck_assert_uint_eq(o.number, 7);
+	ck_assert_str_eq(o.target, "v2");
+	adapter_move_clear(doc);
+}
+END_TEST
+
+typedef struct status_case {
+	shift_state_t state;
+	const char *text;
+} status_case_t;
+
+static const status_case_t statuses[] = {
+	{ SHIFT_RUNNING, "{\"state\":\"running\",\"target\":\"v2\"}" },
+	{ SHIFT_DONE, "{\"state\":\"succeeded\",\"target\":\"v2\"}" },
+	{ SHIFT_REVERSED, "{\"state\":\"rolled_back\",\"target\":\"v2\"}" },
+};
+
+START_TEST(test_status)
+{
+	char *key = adapter_status_key("s");
+	char *text = adapter_status("v2", statuses[_i].state);
+
+	ck_assert_str_eq(key, "rollout/s");
+	ck_assert_str_eq(text, statuses[_i].text);
+	ck_assert(!adapter_is_config(str_of(key)));
+	g_free(key);
+	g_free(text);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("adapter");
@@ -238,6 +314,8 @@
 
 	suite_add_tcase(s, t);
 	tcase_add_loop_test(t, test_entry, 0, G_N_ELEMENTS(entries));
+	tcase_add_loop_test(t, test_moves, 0, G_N_ELEMENTS(moves));
+	tcase_add_loop_test(t, test_status, 0, G_N_ELEMENTS(statuses));
 	tcase_add_loop_test(t, test_desired, 0, G_N_ELEMENTS(desireds));
 	tcase_add_loop_test(t, test_pass, 0, G_N_ELEMENTS(passes));
 	tcase_add_test(t, test_send_fields);
--- a/test/burst.c
+++ b/test/burst.c
@@ -97,9 +97,10 @@
 	keeper_release(keeper_of(b, keeper), r->rid, b->now);
 }
 
-static const edge_ops_t burst_ops = { burst_send, burst_refuse,	 on_note,
-				      burst_ask,  burst_release, on_listed,
-				      on_forget };
+static const edge_ops_t burst_ops = {
+	burst_send,    burst_refuse, on_note,	    burst_ask,
+	burst_release, on_listed,    ignore_forget,
+};
 
 static void pass_grants(burst_t *b)
 {
--- /dev/null
+++ b/test/shift.c
@@ -0,0 +1,479 @@
+/*
+ * Moves of versions, played: hosts with their edges, a judge, and servers of
+ * two versions, one of which may be bad in some way from some time on.
+ */
+#include <check.h>
+#include <stdlib.h>
+#include <string.h>
+#include "world.h"
+
+enum {
+	HOSTS = 3,
+	SERVERS = 6, /* of each version */
+	SLOTS = 30,
+	PER_S = 200,
+	STEP = 10,	  /* ms */
+	DURATION = 12000, /* ms, of the order */
+	ORDERED = 1000,	  /* ms */
+	STORE_MS = 20,	  /* from a decision to all hosts */
+	TELL_MS = 200,	  /* between tellings to the judge */
+	FIRST_MS = 80,	  /* of a request */
+	RUN_MS = 300,
+	GAPS = 5, /* between the events of an answer */
+	END = ORDERED + DURATION,
+	REQUESTS = PER_S * (END + 1500) / 1000,
+	CANARY_SLACK = 50,  /* requests more than the canary's share */
+	ROLLBACK_MS = 5000, /* from the 50th bad answer */
+	BAD_BEFORE = 50,
+};
+
+static const double canary_share = 0.1;
+
+/* What is wrong with the target. */
+typedef struct trouble {
+	const char *name;
+	double fails;	/* of its requests */
+	double times;	/* as long as usual */
+	ms_t from;	/* after the order */
+	bool one_route; /* only on the second */
+	bool one_server;
+	bool old_too;	 /* the old version has it as well */
+	ms_t judge_dies; /* after the order; 0 never */
+	shift_state_t end;
+} trouble_t;
+
+static const trouble_t troubles[] = {
+	{ "good", 0, 1, 0, false, false, false, 0, SHIFT_DONE },
+	{ "good, the judge dies", 0, 1, 0, false, false, false, 5000,
+	  SHIFT_DONE },
+	{ "fails", 0.3, 1, 0, false, false, false, 0, SHIFT_REVERSED },
+	{ "fails, the judge dies", 0.3, 1, 0, false, false, false, 200,
+	  SHIFT_REVERSED },
+	{ "fails late", 0.3, 1, 5000, false, false, false, 0, SHIFT_REVERSED },
+	{ "fails with more than a canary", 0.3, 1, 7500, false, false, false, 0,
+	  SHIFT_REVERSED },
+	{ "fails on one route", 0.5, 1, 0, true, false, false, 0,
+	  SHIFT_REVERSED },
+	{ "slow", 0, 4, 0, false, false, false, 0, SHIFT_REVERSED },
+	{ "slow late", 0, 4, 4000, false, false, false, 0, SHIFT_REVERSED },
+	{ "one server fails", 0.6, 1, 0, false, true, false, 0, SHIFT_DONE },
+	{ "both versions fail", 0.2, 1, 0, false, false, true, 0, SHIFT_DONE },
+};
+
+/* A request, and when its server answers. */
+typedef struct played {
+	request_t r;
+	ms_t first;
+	ms_t end;
+	unsigned int gaps;
+	bool fails;
+	bool target;
+	bool bad;
+} played_t;
+
+typedef struct host {
+	struct play *play;
+	edge_t *edge;
+} host_t;
+
+/* A decision on its way through the store. */
+typedef struct flying {
+	ms_t at;
+	shift_step_t step;
+} flying_t;
+
+typedef struct play {
+	const trouble_t *t;
+	host_t hosts[HOSTS];
+	judge_t *judge;
+	GArray *flying; /* flying_t */
+	shift_step_t kept;
+	bool kept_known;
+	played_t *all;
+	unsigned int n;
+	GRand *rand;
+	ms_t now;
+	unsigned int asked;	/* since the order, and before its end */
+	unsigned int at_target; /* of these */
+	unsigned int bad;
+	ms_t bad_at; /* of the 50th */
+	ms_t last_target;
+} play_t;
+
+static edge_route_t routes[] = {
+	{ .name = "main", .repeat = REPEAT_NEVER, .attempts = 1 },
+	{ .name = "side", .repeat = REPEAT_NEVER, .attempts = 1 },
+};
+
+static bool in_trouble(const play_t *p, const request_t *r, bool target)
+{
+	const trouble_t *t = p->t;
+
+	if (p->now < ORDERED + t->from || (!target && !t->old_too))
+		return false;
+	if (t->one_route && r->route != &routes[1])
+		return false;
+	return !t->one_server || strcmp(r->server->id, "new0") == 0;
+}
+
+static void play_send(void *ctx, request_t *r)
+{
+	const host_t *h = ctx;
+	play_t *p = h->play;
+	played_t *x = (played_t *)r;
+	double times = 0.8 + 0.4 * g_rand_double(p->rand);
+	bool trouble;
+
+	x->target = strcmp(r->server->version, "v2") == 0;
+	trouble = in_trouble(p, r, x->target);
+	x->fails = trouble && g_rand_double(p->rand) < p->t->fails;
+	times *= trouble ? p->t->times : 1;
+	x->bad = x->target && trouble && (x->fails || p->t->times > 1);
+	x->first = p->now + (ms_t)(FIRST_MS * times);
+	x->end = p->now + (ms_t)(RUN_MS * times);
+	x->gaps = 0;
+	if (p->now >= ORDERED && p->now < END) {
+		p->asked++;
+		p->at_target += x->target;
+	}
+	if (x->target)
+		p->last_target = p->now;
+}
+
+static void play_refuse(void *ctx, request_t *r, code_t code, ms_t after)
+{
+}
+
+static const edge_ops_t play_ops = {
+	play_send,	play_refuse, on_note,	    ignore_ask,
+	ignore_release, on_listed,   ignore_forget,
+};
+
+static void on_decided(void *ctx, const char *service, const shift_step_t *s)
+{
+	play_t *p = ctx;
+	flying_t f = { p->now + STORE_MS, *s };
+
+	g_array_append_val(p->flying, f);
+}
+
+static const judge_ops_t judge_ops = { on_decided };
+
+static void new_judge(play_t *p)
+{
+	shift_order_t o = { svc, "v2", DURATION, 7 };
+
+	if (p->judge)
+		judge_free(p->judge);
+	p->judge = judge_new(&judge_ops, p, canary_share);
+	judge_order(p->judge, &o, p->now);
+	if (p->kept_known)
+		judge_step(p->judge, svc, &p->kept, p->now);
+}
+
+static void order(play_t *p)
+{
+	shift_order_t o = { svc, "v2", DURATION, 7 };
+
+	for (int i = 0; i < HOSTS; i++)
+		edge_shift_order(p->hosts[i].edge, &o, p->now);
+	new_judge(p);
+}
+
+static void land(play_t *p)
+{
+	for (guint i = 0; i < p->flying->len; i++) {
+		flying_t f = g_array_index(p->flying, flying_t, i);
+
+		if (p->now < f.at)
+			continue;
+		p->kept = f.step;
+		p->kept_known = true;
+		for (int k = 0; k < HOSTS; k++)
+			edge_shift_step(p->hosts[k].edge, svc, &f.step, p->now);
+		judge_step(p->judge, svc, &f.step, p->now);
+		g_array_remove_index(p->flying, i--);
+	}
+}
+
+/* The host that tells, for the callback below. */
+typedef struct teller {
+	play_t *play;
+	uint64_t host;
+} teller_t;
+
+static void on_told(void *ctx, const char *service, uint64_t order,
+		    const char *cell, uint64_t value)
+{
+	const teller_t *t = ctx;
+
+	judge_told(t->play->judge, t->host, service, order, cell, value);
+}
+
+static void tell(play_t *p, bool again)
+{
+	for (unsigned int i = 0; i < HOSTS; i++) {
+		teller_t t = { p, i + 1 };
+
+		edge_shift_each(p->hosts[i].edge, on_told, again, &t);
+	}
+}
+
+static void come(play_t *p)
+{
+	while ((ms_t)p->n * MS < p->now * PER_S && p->n < REQUESTS) {
+		played_t *x = &p->all[p->n];
+		host_t *h = &p->hosts[p->n % HOSTS];
+		unsigned int route = g_rand_int_range(p->rand, 0, 10) < 2;
+
+		p->n++;
+		request_init(&x->r, &routes[route], p->now);
+		edge_submit(h->edge, &x->r, p->now);
+	}
+}
+
+static void end_one(play_t *p, host_t *h, played_t *x)
+{
+	edge_sent(h->edge, &x->r, x->fails ? SENT_FAILED : SENT_WHOLE, false,
+		  p->now);
+	p->bad += x->bad;
+	if (p->bad >= BAD_BEFORE && p->bad_at == 0)
+		p->bad_at = p->now;
+}
+
+static void run(play_t *p)
+{
+	for (unsigned int i = 0; i < p->n; i++) {
+		played_t *x = &p->all[i];
+		host_t *h = &p->hosts[i % HOSTS];
+		ms_t gap = (x->end - x->first) / GAPS;
+
+		if (x->r.state != REQUEST_RUNNING)
+			continue;
+		if (!x->fails && !x->r.first_here && p->now >= x->first)
+			edge_first(h->edge, &x->r, p->now);
+		while (x->r.first_here && x->gaps < GAPS &&
+		       p->now >= x->first + gap * (ms_t)(x->gaps + 1)) {
+			x->gaps++;
+			edge_event(h->edge, &x->r, p->now);
+		}
+		if (p->now >= x->end)
+			end_one(p, h, x);
+	}
+}
+
+static void open_host(play_t *p, unsigned int i, counters_t *counters)
+{
+	edge_conf_t conf = { .inc = i + 1, .data_center = "a", .seed = i };
+	world_t w = { 0 };
+
+	p->hosts[i].play = p;
+	p->hosts[i].edge = edge_new(&conf, &play_ops, &p->hosts[i], counters);
+	w.edge = p->hosts[i].edge;
+	for (int k = 0; k < SERVERS; k++) {
+		char ip[16];
+		char id[16];
+
+		g_snprintf(ip, sizeof(ip), "10.0.0.%d", k);
+		g_snprintf(id, sizeof(id), "old%d", k);
+		put_version(&w, id, ip, "v1", SLOTS, 0);
+		g_snprintf(ip, sizeof(ip), "10.0.1.%d", k);
+		g_snprintf(id, sizeof(id), "new%d", k);
+		put_version(&w, id, ip, "v2", SLOTS, 0);
+	}
+}
+
+static void play_all(play_t *p)
+{
+	const trouble_t *t = p->t;
+
+	for (p->now = 0; p->now < END + 3000; p->now += STEP) {
+		if (p->now == ORDERED)
+			order(p);
+		come(p);
+		run(p);
+		land(p);
+		if (t->judge_dies && p->now == ORDERED + t->judge_dies) {
+			new_judge(p);
+			tell(p, true);
+		}
+		if (p->now < ORDERED)
+			continue;
+		if (p->now % TELL_MS == 0)
+			tell(p, false);
+		judge_tick(p->judge, p->now);
+	}
+}
+
+START_TEST(test_move)
+{
+	const trouble_t *t = &troubles[_i];
+	counters_t *counters = counters_new();
+	play_t *p = g_new0(play_t, 1);
+
+	for (size_t i = 0; i < G_N_ELEMENTS(routes); i++) {
+		routes[i].timeout = 8 * MS;
+		routes[i].first_target = 500;
+		routes[i].nsplits = 1;
+		routes[i].splits = &split;
+		routes[i].stream = true;
+	}
+	p->t = t;
+	p->rand = g_rand_new_with_seed(3);
+	p->all = g_new0(played_t, REQUESTS);
+	p->flying = g_array_new(FALSE, FALSE, sizeof(flying_t));
+	for (unsigned int i = 0; i < HOSTS; i++)
+		open_host(p, i, counters);
+	play_all(p);
+	ck_assert_msg(p->kept_known && p->kept.state == t->end,
+		      "%s: %s, %u bad of %u of %u", t->name,
+		      shift_state_name(p->kept.state), p->bad, p->at_target,
+		      p->asked);
+	if (t->end == SHIFT_DONE)
+		ck_assert_msg(p->kept.age < DURATION, "%s: late", t->name);
+	else if (p->bad_at)
+		ck_assert_msg(p->last_target < p->bad_at + ROLLBACK_MS,
+			      "%s: used until %d", t->name,
+			      (int)p->last_target);
+	if (t->end == SHIFT_REVERSED && t->from == 0)
+		ck_assert_msg(p->at_target <=
+				      p->asked * canary_share + CANARY_SLACK,
+			      "%s: %u of %u", t->name, p->at_target, p->asked);
+	for (unsigned int i = 0; i < HOSTS; i++)
+		edge_free(p->hosts[i].edge);
+	judge_free(p->judge);
+	g_array_unref(p->flying);
+	g_rand_free(p->rand);
+	g_free(p->all);
+	g_free(p);
+	counters_free(counters);
+}
+END_TEST
+
+/* Records of decisions: what is read back, and what is refused. */
+typedef struct text_case {
+	const char *text;
+	bool ok;
+} text_case_t;
+
+static const text_case_t texts[] = {
+	{ "order=7 state=running share=80 age_ms=5 told=0", true },
+	{ "order=7 state=reversed share=0 age_ms=5 told=1", true },
+	{ "order=7 state=asleep share=80 age_ms=5 told=0", false },
+	{ "order=7 state=running share=1001 age_ms=5 told=0", false },
+	{ "order=-7 state=running share=80 age_ms=5 told=0", false },
+	{ "order=7 share=80 state=running age_ms=5 told=0", false },
+	{ "order=7 state=running share=80 age_ms=5 told=0 more=1", false },
+	{ "order=7 state=running share=80 age_ms=5", false },
+	{ "", false },
+};
+
+START_TEST(test_text)
+{
+	const text_case_t *c = &texts[_i];
+	shift_step_t s;
+	char *again;
+
+	ck_assert(!shift_step_parse(str_of(c->text), &s) == c->ok);
+	if (!c->ok)
+		return;
+	again = shift_step_text(&s);
+	ck_assert_str_eq(again, c->text);
+	g_free(again);
+}
+END_TEST
+
+/* What a host does with decisions, in the order in which they come. */
+typedef struct rule_case {
+	const char *name;
+	const char *steps[4];
+	bool old_left; /* a server of the old version is listed */
+	unsigned int target_of_ten;
+} rule_case_t;
+
+static const rule_case_t rules[] = {
+	{ "nothing decided yet", { NULL }, true, 0 },
+	{ "a share",
+	  { "order=7 state=running share=500 age_ms=0 told=0" },
+	  true,
+	  5 },
+	{ "another order's share",
+	  { "order=6 state=running share=500 age_ms=0 told=0" },
+	  true,
+	  0 },
+	{ "done",
+	  { "order=7 state=running share=500 age_ms=0 told=0",
+	    "order=7 state=done share=1000 age_ms=9 told=0" },
+	  true,
+	  10 },
+	{ "reversed",
+	  { "order=7 state=running share=1000 age_ms=0 told=0",
+	    "order=7 state=reversed share=0 age_ms=9 told=0" },
+	  true,
+	  0 },
+	{ "no way back from the end",
+	  { "order=7 state=reversed share=0 age_ms=9 told=0",
+	    "order=7 state=running share=500 age_ms=0 told=0" },
+	  true,
+	  0 },
+	{ "the target alone", /* a canary with nothing beside it */
+	  { "order=7 state=running share=80 age_ms=0 told=0" },
+	  false,
+	  10 },
+	{ "the target alone, reversed",
+	  { "order=7 state=reversed share=0 age_ms=0 told=0" },
+	  false,
+	  0 },
+};
+
+START_TEST(test_rule)
+{
+	const rule_case_t *c = &rules[_i];
+	shift_order_t o = { svc, "v2", DURATION, 7 };
+	unsigned int target = 0;
+	request_t r[10];
+	shift_step_t s;
+	world_t w;
+
+	world_init(&w, 1);
+	if (c->old_left)
+		put_version(&w, "old", "10.0.0.1", "v1", SLOTS, 0);
+	put_version(&w, "new", "10.0.0.2", "v2", SLOTS, 0);
+	edge_shift_order(w.edge, &o, 0);
+	for (size_t i = 0; c->steps[i]; i++) {
+		ck_assert(!shift_step_parse(str_of(c->steps[i]), &s));
+		edge_shift_step(w.edge, svc, &s, 0);
+	}
+	for (size_t i = 0; i < G_N_ELEMENTS(r); i++) {
+		request_init(&r[i], &route, 1);
+		edge_submit(w.edge, &r[i], 1);
+		target += r[i].server && strcmp(r[i].server->id, "new") == 0;
+	}
+	ck_assert_msg(target + 1 >= c->target_of_ten &&
+			      target <= c->target_of_ten + 1 &&
+			      (c->target_of_ten != 0 || target == 0),
+		      "%s: %u", c->name, target);
+	for (size_t i = 0; i < G_N_ELEMENTS(r); i++)
+		edge_drop(w.edge, &r[i], 2);
+	world_clear(&w);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *s = suite_create("shift");
+	TCase *t = tcase_create("all");
+	SRunner *r = srunner_create(s);
+	int failed;
+
+	log_open(2, LOG_ERROR, false);
+	suite_add_tcase(s, t);
+	tcase_set_timeout(t, 60);
+	tcase_add_loop_test(t, test_move, 0, G_N_ELEMENTS(troubles));
+	tcase_add_loop_test(t, test_text, 0, G_N_ELEMENTS(texts));
+	tcase_add_loop_test(t, test_rule, 0, G_N_ELEMENTS(rules));
+	srunner_run_all(r, CK_NORMAL);
+	failed = srunner_ntests_failed(r);
+	srunner_free(r);
+	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
--- a/test/soak/dat.h
+++ b/test/soak/dat.h
@@ -58,6 +58,7 @@
 typedef struct rec {
 	char *key;
 	char *value;
+	uint64_t number;
 } rec_t;
 
 typedef struct topic {
@@ -65,6 +66,7 @@
 	GPtrArray *recs;    /* of rec_t */
 	uint64_t first;	    /* offset of the oldest that is kept */
 	GHashTable *newest; /* rec_t by key */
+	GHashTable *epochs; /* the highest, by producer */
 } topic_t;
 
 typedef enum store_state {
@@ -86,6 +88,7 @@
 	listen_t at;
 	unsigned int index;
 	bool stream;
+	bool target; /* of the version that moves go to */
 	char id[NAME_MAX_BYTES];
 	unsigned int life; /* how often it was started */
 	uint64_t seq;
@@ -163,6 +166,14 @@
 	bool answered;
 } fate_t;
 
+/* The operator's move of the plain servers to another version. */
+typedef struct move_s {
+	unsigned int orders;
+	bool bad;	  /* the target fails most requests */
+	bool ended;	  /* its status is final */
+	ms_t reversed_at; /* 0 not */
+} move_s_t;
+
 struct soak {
 	uv_loop_t loop;
 	uv_timer_t tick;
@@ -180,6 +191,7 @@
 	unsigned int nservers;
 	caller_s_t callers[CALLERS_MAX];
 	unsigned int ncallers;
+	move_s_t move;
 	uint64_t version;  /* of the configuration */
 	GHashTable *fates; /* fate_t by request id */
 	uint64_t next_id;
--- a/test/soak/fault.c
+++ b/test/soak/fault.c
@@ -169,11 +169,11 @@
 }
 
 static void (*const faults[])(soak_t *s) = {
-	fault_kill,   fault_kill_all, fault_term,    fault_term,
-	fault_hup,    fault_stop,     fault_stop,    fault_store,
-	fault_store,  fault_compact,  fault_config,  fault_config,
-	fault_crash,  fault_leave,    fault_return,  fault_return,
-	fault_server, fault_server,   fault_silence,
+	move_order,   fault_kill,   fault_kill_all, fault_term,
+	fault_term,   fault_hup,    fault_stop,	    fault_stop,
+	fault_store,  fault_store,  fault_compact,  fault_config,
+	fault_config, fault_crash,  fault_leave,    fault_return,
+	fault_return, fault_server, fault_server,   fault_silence,
 };
 
 static void calm(soak_t *s, ms_t now)
--- a/test/soak/fns.h
+++ b/test/soak/fns.h
@@ -48,4 +48,11 @@
 	G_GNUC_PRINTF(3, 4);
 void soak_note(soak_t *s, const char *fmt, ...) G_GNUC_PRINTF(2, 3);
 
+/* move.c */
+void move_order(soak_t *s);
+void move_status(soak_t *s, const char *text);
+bool move_fails(const server_t *v);
+void move_ran(const server_t *v);
+void move_judge_end(soak_t *s);
+
 #endif
--- a/test/soak/main.c
+++ b/test/soak/main.c
@@ -194,6 +194,7 @@
 	uv_timer_start(&s.tick, on_tick, TICK_MS, TICK_MS);
 	uv_run(&s.loop, UV_RUN_DEFAULT);
 	judge_end(&s);
+	move_judge_end(&s);
 	report(&s);
 	return s.violations > 0;
 }
--- a/test/soak/server.c
+++ b/test/soak/server.c
@@ -56,7 +56,7 @@
 {
 	server_t *v = j->at;
 	sconn_t *c = j->c;
-	bool fails = chance(v, v->fails);
+	bool fails = chance(v, v->fails) || move_fails(v);
 	bool cut = chance(v, v->cut);
 	bool unframed = !fails && chance(v, v->unframed);
 	char *body = g_strdup_printf("answer %s of %s", j->id, v->id);
@@ -159,6 +159,7 @@
 	j->started = true;
 	v->running++;
 	f->runs++;
+	move_ran(v);
 	if (f->kind == KIND_ONCE && f->runs > 1)
 		violation(v->s, "twice", "%s ran %u times, now at %s", j->id,
 			  f->runs, v->id);
@@ -265,9 +266,10 @@
 		return;
 	text = g_strdup_printf(
 		"{\"service\":\"%s\",\"addr\":\"%s:%u\",\"zone\":\"dc-1\","
-		"\"version\":\"v1\",\"slots\":%d,\"state\":\"%s\","
+		"\"version\":\"%s\",\"slots\":%d,\"state\":\"%s\","
 		"\"cold_remaining_ms\":0,\"seq\":%" PRIu64 ",\"born\":%u}",
-		service_of(v), v->at.addr.ip, v->at.addr.port, PLACES,
+		service_of(v), v->at.addr.ip, v->at.addr.port,
+		v->target ? "v2" : "v1", PLACES,
 		v->leaving ? "draining" : "ready", ++v->seq, v->life);
 	store_put(&v->s->store, "keyed.servers", v->id, text);
 	g_free(text);
@@ -296,6 +298,7 @@
 	v->s = s;
 	v->index = index;
 	v->stream = stream;
+	v->target = !stream && index % 6 == 5;
 	list_init(&v->queued);
 	list_init(&v->jobs);
 	start(v);
--- a/test/soak/store.c
+++ b/test/soak/store.c
@@ -22,6 +22,7 @@
 	t->name = g_strdup(name);
 	t->recs = g_ptr_array_new();
 	t->newest = g_hash_table_new(g_str_hash, g_str_equal);
+	t->epochs = g_hash_table_new(g_str_hash, g_str_equal);
 	g_hash_table_insert(st->topics, t->name, t);
 	return t;
 }
@@ -119,8 +120,9 @@
 		char *b64 = g_base64_encode((const guchar *)r->value,
 					    strlen(r->value));
 
-		json_array_append_new(items, json_pack("{ssss}", "key", r->key,
-						       "value", b64));
+		json_array_append_new(
+			items, json_pack("{sssssI}", "key", r->key, "value",
+					 b64, "offset", (json_int_t)r->number));
 		g_free(b64);
 	}
 	json_object_set_new(root, "items", items);
@@ -156,6 +158,7 @@
 
 	r->key = g_strdup(key);
 	r->value = g_strdup(value);
+	r->number = t->recs->len;
 	g_ptr_array_add(t->recs, r);
 	if (value)
 		g_hash_table_replace(t->newest, r->key, r);
@@ -164,30 +167,72 @@
 	wake(st, t);
 }
 
-static void append(store_t *st, sconn_t *c, const char *topic)
+static bool param(const char *query, const char *name, uint64_t *out)
+{
+	const char *at = strstr(query, name);
+
+	if (at)
+		*out = g_ascii_strtoull(at + strlen(name), NULL, 10);
+	return at != NULL;
+}
+
+static uint64_t number(const char *query, const char *name)
+{
+	uint64_t n = 0;
+
+	param(query, name, &n);
+	return n;
+}
+
+/* Whether the call's conditions hold: 200, or the status that refuses it. */
+static int conditions(topic_t *t, const char *query)
+{
+	const char *name = strstr(query, "producer=");
+	uint64_t at;
+	uint64_t epoch;
+	uint64_t *highest;
+	char *producer;
+
+	if (param(query, "&at=", &at) && at != t->recs->len)
+		return 412;
+	if (!name || !param(query, "&epoch=", &epoch))
+		return 200;
+	producer = g_strndup(name + 9, strcspn(name + 9, "&"));
+	highest = g_hash_table_lookup(t->epochs, producer);
+	if (highest && epoch < *highest)
+		return 409;
+	g_hash_table_replace(t->epochs, producer,
+			     g_memdup2(&epoch, sizeof(epoch)));
+	return 200;
+}
+
+static void append(store_t *st, sconn_t *c, topic_t *t, const char *query)
 {
 	const guint8 *p = c->body->data;
+	int status = conditions(t, query);
+	char answer[64];
 	char *key;
 	char *value;
 	size_t nk;
 
+	snprintf(answer, sizeof(answer), "{\"offset\":%u,\"end\":%u}",
+		 t->recs->len, t->recs->len + (status == 200));
+	if (status != 200) {
+		sconn_reply(c, status, "", str_of(answer));
+		return;
+	}
 	if (c->body->len < 5 || (nk = p[4]) + 5 > c->body->len) {
 		sconn_reply(c, 400, "", str_of("bad record"));
 		return;
 	}
 	key = g_strndup((const char *)p + 5, nk);
 	value = g_strndup((const char *)p + 5 + nk, c->body->len - 5 - nk);
-	store_put(st, topic, key, value);
+	store_put(st, t->name, key, value);
+	if (strcmp(t->name, "keyed.status") == 0)
+		move_status(st->at.s, value);
 	g_free(key);
 	g_free(value);
-	sconn_reply(c, 200, "", str_of("{\"offset\":0,\"end\":1}"));
-}
-
-static uint64_t param(const char *query, const char *name)
-{
-	const char *at = strstr(query, name);
-
-	return at ? g_ascii_strtoull(at + strlen(name), NULL, 10) : 0;
+	sconn_reply(c, 200, "", str_of(answer));
 }
 
 static void on_request(sconn_t *c)
@@ -214,12 +259,12 @@
 	}
 	name = g_strndup(topic + 6, strcspn(topic + 6, "&"));
 	if (g_str_has_prefix(target, "/v1/log-append"))
-		append(st, c, name);
+		append(st, c, topic_get(st, name), target);
 	else if (g_str_has_prefix(target, "/v1/log-newest"))
 		list_topic(c, topic_get(st, name));
 	else
-		read_topic(st, c, topic_get(st, name), param(target, "from="),
-			   param(target, "wait_ms="));
+		read_topic(st, c, topic_get(st, name), number(target, "from="),
+			   number(target, "wait_ms="));
 	g_free(name);
 	g_free(target);
 }
--- a/test/world.h
+++ b/test/world.h
@@ -68,6 +68,21 @@
 	((world_t *)ctx)->forgotten++;
 }
 
+/* For tests that bring a context of their own. */
+static inline void ignore_forget(void *ctx, backend_t *b)
+{
+}
+
+static inline void ignore_ask(void *ctx, backend_t *b, const request_t *r,
+			      ms_t in_time, ms_t now)
+{
+}
+
+static inline void ignore_release(void *ctx, uint64_t keeper,
+				  const request_t *r, bool unreached)
+{
+}
+
 static const edge_ops_t ops = { on_send,    on_refuse, on_note,	 on_ask,
 				on_release, on_listed, on_forget };
 
@@ -91,21 +106,36 @@
 	counters_free(w->counters);
 }
 
+static inline void put_info(world_t *w, backend_info_t *info, const char *ip,
+			    ms_t now)
+{
+	info->service = svc;
+	info->data_center = "a";
+	g_strlcpy(info->addr.ip, ip, sizeof(info->addr.ip));
+	info->addr.port = 80;
+	edge_server_put(w->edge, info, now);
+}
+
 static inline void put_server(world_t *w, const char *id, const char *ip,
 			      unsigned int slots, bool leaving, int64_t born,
 			      ms_t now)
 {
 	backend_info_t info = { .id = id,
-				.service = svc,
 				.version = "v1",
-				.data_center = "a",
 				.born = born,
 				.slots = slots,
 				.leaving = leaving };
 
-	g_strlcpy(info.addr.ip, ip, sizeof(info.addr.ip));
-	info.addr.port = 80;
-	edge_server_put(w->edge, &info, now);
+	put_info(w, &info, ip, now);
+}
+
+static inline void put_version(world_t *w, const char *id, const char *ip,
+			       const char *version, unsigned int slots,
+			       ms_t now)
+{
+	backend_info_t info = { .id = id, .version = version, .slots = slots };
+
+	put_info(w, &info, ip, now);
 }
 
 static split_t split = { (char *)svc, 1 };
