Keepers hand out the places of plain services too

Edges placed by estimates: 358 connections over the server's cap were reset, 747 requests rejected; unsafe requests ended 502 and could not be tried again; 43 in 100 of what was answered was late, waiting in the server in order of arrival.

Ruled out: the capacity alone (the share in time could be 80 in 100); a cap on connections for each host (the queue in the server stays).

Change: - Edges choose for each plain server a keeper in touch, all alike (rendezvous hashing); a keeper hands out the places of several servers, asks name theirs. - In a rank, who runs out of time first goes first.

--- a/cmd/chestnuthinged/keepd.c
+++ b/cmd/chestnuthinged/keepd.c
@@ -14,8 +14,17 @@
 	QUEUE_MAX = 4 << 20,
 	HEARTBEAT_MS = 800,
 	SILENT_MS = 2500,
+	UNUSED_MS = 30000, /* a server of which nothing was asked for so long
+			      is kept by another host, or gone */
 };
 
+/* A server whose places are handed out here. */
+typedef struct kept {
+	char *server;
+	keeper_t *keeper;
+	ms_t asked; /* last */
+} kept_t;
+
 typedef struct keepd {
 	uv_loop_t loop;
 	uv_timer_t tick;
@@ -25,7 +34,7 @@
 	edge_settings_t *set;
 	char name[64];
 	counters_t *counters;
-	keeper_t *keeper;
+	GHashTable *kepts; /* kept_t by server */
 	peers_t *peers;
 	pages_t *metrics;
 	bool ended;
@@ -51,47 +60,136 @@
 static void on_down(void *ctx, uint64_t inc)
 {
 	keepd_t *d = ctx;
+	ms_t now = clock_now();
+	GHashTableIter it;
+	gpointer k;
 
-	keeper_host_gone(d->keeper, inc, clock_now());
+	g_hash_table_iter_init(&it, d->kepts);
+	while (g_hash_table_iter_next(&it, NULL, &k))
+		keeper_host_gone(((kept_t *)k)->keeper, inc, now);
 }
 
-static void on_recv(void *ctx, uint64_t inc, const msg_t *m)
+static void kept_free(gpointer v)
 {
-	keepd_t *d = ctx;
-	ask_t a;
+	kept_t *k = v;
 
-	if (m->type == MSG_WITHDRAW) {
-		keeper_release(d->keeper, m->u.withdraw.rid, clock_now());
-		return;
+	keeper_free(k->keeper);
+	g_free(k->server);
+	g_free(k);
+}
+
+static kept_t *kept_get(keepd_t *d, str_t server)
+{
+	char *name = str_dup(server);
+	kept_t *k = g_hash_table_lookup(d->kepts, name);
+
+	if (k) {
+		g_free(name);
+		return k;
 	}
-	if (m->type == MSG_NOT_RUN) {
-		keeper_unreached(d->keeper, m->u.not_run.rid, clock_now());
-		return;
+	k = g_new0(kept_t, 1);
+	k->server = name;
+	k->keeper = keeper_new(&keeper_ops, d, OVERLAP, d->counters);
+	g_hash_table_insert(d->kepts, k->server, k);
+	log_line(LOG_INFO, "server_kept", "server=%s", name);
+	return k;
+}
+
+static void take_ask(keepd_t *d, uint64_t inc, const msg_ask_t *m)
+{
+	kept_t *k = kept_get(d, m->server);
+	ask_t a = { .rid = m->rid,
+		    .rank = (unsigned int)MIN(m->rank, RANKS),
+		    .places = (unsigned int)m->places,
+		    .in_time = (ms_t)m->in_time,
+		    .of_use = (ms_t)m->of_use };
+
+	k->asked = clock_now();
+	keeper_ask(k->keeper, inc, &a, k->asked);
+}
+
+/*
+ * A place is given back, or was of no use. An edge asks for one place of a
+ * request here at a time, so its number says which server is meant.
+ */
+static void take_back(keepd_t *d, rid_t rid, bool unreached)
+{
+	ms_t now = clock_now();
+	GHashTableIter it;
+	gpointer v;
+
+	g_hash_table_iter_init(&it, d->kepts);
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		keeper_t *k = ((kept_t *)v)->keeper;
+
+		if (!keeper_knows(k, rid))
+			continue;
+		if (unreached)
+			keeper_unreached(k, rid, now);
+		else
+			keeper_release(k, rid, now);
 	}
-	if (m->type != MSG_ASK)
-		return;
-	a.rid = m->u.ask.rid;
-	a.rank = (unsigned int)MIN(m->u.ask.rank, RANKS);
-	a.places = (unsigned int)m->u.ask.places;
-	a.in_time = (ms_t)m->u.ask.in_time;
-	a.of_use = (ms_t)m->u.ask.of_use;
-	keeper_ask(d->keeper, inc, &a, clock_now());
+}
+
+static void on_recv(void *ctx, uint64_t inc, const msg_t *m)
+{
+	keepd_t *d = ctx;
+
+	if (m->type == MSG_WITHDRAW)
+		take_back(d, m->u.withdraw.rid, false);
+	else if (m->type == MSG_NOT_RUN)
+		take_back(d, m->u.not_run.rid, true);
+	else if (m->type == MSG_ASK)
+		take_ask(d, inc, &m->u.ask);
+}
+
+static bool is_unused(const kept_t *k, ms_t now)
+{
+	return now - k->asked > UNUSED_MS && keeper_granted(k->keeper) == 0 &&
+	       keeper_waiting(k->keeper) == 0;
 }
 
 static void on_tick(uv_timer_t *t)
 {
 	keepd_t *d = t->data;
+	ms_t now = clock_now();
+	GHashTableIter it;
+	gpointer v;
 
-	keeper_tick(d->keeper, clock_now());
+	g_hash_table_iter_init(&it, d->kepts);
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		keeper_tick(((kept_t *)v)->keeper, now);
+		if (is_unused(v, now))
+			g_hash_table_iter_remove(&it);
+	}
 	log_flush();
 }
 
+/* Places that are taken, and requests that wait, of all servers kept here. */
+static void count(const keepd_t *d, unsigned int *granted,
+		  unsigned int *waiting)
+{
+	GHashTableIter it;
+	gpointer v;
+
+	*granted = 0;
+	*waiting = 0;
+	g_hash_table_iter_init(&it, d->kepts);
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		*granted += keeper_granted(((kept_t *)v)->keeper);
+		*waiting += keeper_waiting(((kept_t *)v)->keeper);
+	}
+}
+
 static void on_signal(uv_signal_t *s, int number)
 {
 	keepd_t *d = s->data;
+	unsigned int granted;
+	unsigned int waiting;
 
+	count(d, &granted, &waiting);
 	log_line(LOG_INFO, "signal", "number=%d granted=%u waiting=%u", number,
-		 keeper_granted(d->keeper), keeper_waiting(d->keeper));
+		 granted, waiting);
 	if (d->ended || number == SIGHUP)
 		return;
 	d->ended = true;
@@ -113,11 +211,13 @@
 static int on_page(void *ctx, str_t path, GString *out)
 {
 	keepd_t *d = ctx;
+	unsigned int granted;
+	unsigned int waiting;
 
+	count(d, &granted, &waiting);
 	counters_print(d->counters, out);
 	g_string_append_printf(out, "keeper_granted %u\nkeeper_waiting %u\n",
-			       keeper_granted(d->keeper),
-			       keeper_waiting(d->keeper));
+			       granted, waiting);
 	return 200;
 }
 
@@ -154,7 +254,8 @@
 
 	d->set = set;
 	d->counters = counters_new();
-	d->keeper = keeper_new(&keeper_ops, d, OVERLAP, d->counters);
+	d->kepts =
+		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, kept_free);
 	signal(SIGPIPE, SIG_IGN);
 	uv_loop_init(&d->loop);
 	if (!start(d, err))
@@ -171,7 +272,7 @@
 	log_line(LOG_INFO, "stop", "name=%s", set->name);
 	pages_free(d->metrics);
 	uv_loop_close(&d->loop);
-	keeper_free(d->keeper);
+	g_hash_table_destroy(d->kepts);
 	counters_free(d->counters);
 	edge_settings_free(set);
 	g_free(d);
--- a/cmd/chestnuthinged/mates.c
+++ b/cmd/chestnuthinged/mates.c
@@ -299,6 +299,7 @@
 	msg_t ask = { .type = MSG_ASK };
 	ms_t until = MIN(r->deadline, r->leaves);
 
+	ask.u.ask.server = str_of(b->id);
 	ask.u.ask.rid = r->rid;
 	ask.u.ask.rank = r->rank;
 	ask.u.ask.places = b->slots;
--- a/lib/edge/ask.c
+++ b/lib/edge/ask.c
@@ -25,10 +25,11 @@
 		p->unkept += list_entry(l, backend_t, link)->keeper == 0;
 }
 
+/* Whether the server's keeper was asked; it may keep several servers. */
 static bool was_asked(const request_t *r, const backend_t *b)
 {
 	for (unsigned int i = 0; i < r->nasked; i++) {
-		if (r->asked[i] == b)
+		if (r->asked[i]->keeper == b->keeper)
 			return true;
 	}
 	return false;
@@ -152,38 +153,88 @@
 	}
 }
 
-/* Incarnation of the keeper at an address; 0 when none is in touch. */
-uint64_t ask_keeper(const edge_t *e, const char *ip)
+static bool is_plain(const edge_t *e, const backend_t *b)
 {
-	const uint64_t *inc = g_hash_table_lookup(e->keepers, ip);
+	const edge_service_t *s =
+		e->desired ? desired_service(e->desired, b->pool->name) : NULL;
 
-	return inc ? *inc : 0;
+	return s && !s->is_model;
 }
 
-/* The keeper at an address is in touch as inc, or with 0 no more. */
-void edge_keeper(edge_t *e, const char *ip, uint64_t inc)
+/*
+ * The keeper that all hosts choose for a server without one on its own host:
+ * the one in touch with the highest hash of both names, so that a keeper that
+ * comes or goes moves only its own servers.
+ */
+static uint64_t keeper_elsewhere(const edge_t *e, const backend_t *b)
+{
+	uint64_t seed = hash64(b->id, strlen(b->id), 0);
+	uint64_t most = 0;
+	uint64_t found = 0;
+	GHashTableIter it;
+	gpointer ip;
+	gpointer inc;
+
+	g_hash_table_iter_init(&it, e->keepers);
+	while (g_hash_table_iter_next(&it, &ip, &inc)) {
+		uint64_t weight = hash64(ip, strlen(ip), seed);
+
+		if (found && weight <= most)
+			continue;
+		most = weight;
+		found = *(uint64_t *)inc;
+	}
+	return found;
+}
+
+/*
+ * Incarnation of a server's keeper; 0 when none is in touch. A model server
+ * without the keeper of its own host is placed by estimates: its host is in
+ * trouble, and that should not reach others.
+ */
+static uint64_t keeper_of(const edge_t *e, const backend_t *b)
+{
+	const uint64_t *inc = g_hash_table_lookup(e->keepers, b->addr.ip);
+
+	if (inc)
+		return *inc;
+	return is_plain(e, b) ? keeper_elsewhere(e, b) : 0;
+}
+
+/* Gives the server the keeper that it should have now. */
+void ask_keeper(edge_t *e, backend_t *b)
+{
+	uint64_t inc = keeper_of(e, b);
+
+	if (b->keeper == inc)
+		return;
+	log_line(LOG_INFO, inc ? "keeper_up" : "keeper_down",
+		 "server=%s asks=%u running=%u", b->id, b->asks, b->running);
+	ask_forget(e, b);
+	b->keeper = inc;
+	ask_count(b->pool);
+}
+
+/* Gives all servers the keepers that they should have now. */
+void ask_keepers(edge_t *e)
 {
 	GHashTableIter it;
-	gpointer v;
+	gpointer b;
 
+	g_hash_table_iter_init(&it, e->by_id);
+	while (g_hash_table_iter_next(&it, NULL, &b))
+		ask_keeper(e, b);
+}
+
+/* The keeper at an address is in touch as inc, or with 0 no more. */
+void edge_keeper(edge_t *e, const char *ip, uint64_t inc)
+{
 	if (inc)
 		g_hash_table_replace(e->keepers, g_strdup(ip),
 				     g_memdup2(&inc, sizeof(inc)));
 	else
 		g_hash_table_remove(e->keepers, ip);
-	g_hash_table_iter_init(&it, e->by_id);
-	while (g_hash_table_iter_next(&it, NULL, &v)) {
-		backend_t *b = v;
-
-		if (strcmp(b->addr.ip, ip) != 0 || b->keeper == inc)
-			continue;
-		log_line(LOG_INFO, inc ? "keeper_up" : "keeper_down",
-			 "server=%s asks=%u running=%u", b->id, b->asks,
-			 b->running);
-		ask_forget(e, b);
-		b->keeper = inc;
-		ask_count(b->pool);
-	}
+	ask_keepers(e);
 }
 
 static backend_t *asked_of(const request_t *r, uint64_t keeper)
--- a/lib/edge/edge.c
+++ b/lib/edge/edge.c
@@ -79,6 +79,7 @@
 	}
 	desired_unref(e->desired);
 	e->desired = d;
+	ask_keepers(e);
 	for (guint i = 0; i < d->customers->len; i++) {
 		const edge_customer_t *c = d->customers->pdata[i];
 
--- a/lib/edge/fleet.c
+++ b/lib/edge/fleet.c
@@ -88,11 +88,11 @@
 	b->data_center = g_strdup(info->data_center);
 	b->addr = info->addr;
 	b->born = info->born;
-	b->keeper = ask_keeper(e, b->addr.ip);
 	list_init(&b->runs);
 	list_add_tail(&b->pool->servers, &b->link);
 	g_hash_table_insert(e->by_id, b->id, b);
 	ask_count(b->pool);
+	ask_keeper(e, b);
 	log_line(LOG_INFO, "server_new",
 		 "server=%s service=%s version=%s data_center=%s slots=%u "
 		 "leaving=%d",
--- a/lib/edge/priv.h
+++ b/lib/edge/priv.h
@@ -128,7 +128,8 @@
 void ask_forget(edge_t *e, const backend_t *b);
 void ask_tick(edge_t *e, pool_t *p, ms_t now);
 void ask_count(pool_t *p);
-uint64_t ask_keeper(const edge_t *e, const char *ip);
+void ask_keeper(edge_t *e, backend_t *b);
+void ask_keepers(edge_t *e);
 
 /* queue.c */
 void queue_push(edge_t *e, request_t *r, ms_t now);
--- a/lib/keeper/fns.h
+++ b/lib/keeper/fns.h
@@ -14,6 +14,7 @@
 void keeper_unreached(keeper_t *k, rid_t rid, ms_t now);
 void keeper_host_gone(keeper_t *k, uint64_t host, ms_t now);
 void keeper_tick(keeper_t *k, ms_t now);
+bool keeper_knows(const keeper_t *k, rid_t rid);
 unsigned int keeper_granted(const keeper_t *k);
 unsigned int keeper_waiting(const keeper_t *k);
 
--- a/lib/keeper/keeper.c
+++ b/lib/keeper/keeper.c
@@ -7,6 +7,9 @@
 #include "keeper/fns.h"
 
 enum {
+	ALIVE_MS = 150,	   /* a server where a request has ended within this is
+			      not down, whatever one host finds */
+	RETURNED_MS = 8,   /* a place given back sooner was not used */
 	SHUT_MS = 250,	   /* no grants after the server could not be reached: a
 			      restart takes longer, a lost packet less */
 	STARVED_EVERY = 8, /* one grant in so many goes to the rank that has
@@ -15,6 +18,20 @@
 			      at least, whatever the more urgent ask for */
 };
 
+/*
+ * Between the end of one request and the start of the next lie two messages
+ * and a send, some 5 ms. Where a place is held for less than SHORT_MS, the
+ * server would stand idle for more than 1 in 20 of the time; as many
+ * requests as there are places then wait in the server.
+ */
+enum {
+	SHORT_MS = 100,
+	SHORT_PART = 1,
+	SHORT_SAMPLES = 20, /* ended requests before the mean is believed */
+};
+
+static const double held_weight = 0.05; /* of one request in the mean */
+
 /* A request that waits or has a place. */
 typedef struct holder {
 	list_t link;
@@ -25,6 +42,7 @@
 	ms_t in_time; /* points in time */
 	ms_t of_use;
 	bool placed;
+	ms_t placed_at;
 } holder_t;
 
 struct keeper {
@@ -41,6 +59,9 @@
 	uint64_t last_turn[RANKS]; /* of each rank */
 	ms_t shut_until;	   /* the server could not be reached */
 	bool trying;		   /* since then no request has ended there */
+	double held; /* ms that a place is held, on the mean; 0 unknown */
+	unsigned int ended; /* requests that had a place */
+	ms_t ended_at;	    /* when a request last ended in the server */
 	counter_t *asks;
 	counter_t *grants;
 	counter_t *expired;
@@ -136,7 +157,7 @@
 		holder_t *h = list_entry(pos, holder_t, link);
 
 		if (now < h->in_time)
-			continue;
+			break;
 		list_del(&h->link);
 		list_add_tail(&k->waiting[rank][1], &h->link);
 	}
@@ -163,7 +184,11 @@
 {
 	if (now < k->shut_until)
 		return 0;
-	return k->trying ? 1 : k->places + k->overlap;
+	if (k->trying)
+		return 1;
+	if (k->ended >= SHORT_SAMPLES && k->held < SHORT_MS)
+		return k->places + MAX(k->overlap, k->places / SHORT_PART);
+	return k->places + k->overlap;
 }
 
 /* Grants places while there are any and somebody waits. */
@@ -177,11 +202,29 @@
 		list_add_tail(&k->granted, &h->link);
 		k->ngranted++;
 		h->placed = true;
+		h->placed_at = now;
 		k->grants->value++;
 		k->ops->grant(k->ctx, h->host, h->rid);
 	}
 }
 
+/*
+ * Puts a request in its queue: who runs out of time first goes first, so that
+ * of two kinds of one rank the one with less time is not always the one that
+ * is late.
+ */
+static void wait_for_place(keeper_t *k, holder_t *h, ms_t now)
+{
+	list_t *head = &k->waiting[h->rank][now >= h->in_time];
+	list_t *pos = head->prev;
+
+	while (pos != head &&
+	       list_entry(pos, holder_t, link)->in_time > h->in_time)
+		pos = pos->prev;
+	list_add(pos, &h->link);
+	k->nwaiting++;
+}
+
 /* Takes a request for a place. Asking again changes nothing. */
 void keeper_ask(keeper_t *k, uint64_t host, const ask_t *a, ms_t now)
 {
@@ -199,8 +242,7 @@
 	h->in_time = now + a->in_time;
 	h->of_use = now + a->of_use;
 	g_hash_table_insert(k->all, &h->rid, h);
-	list_add_tail(&k->waiting[h->rank][a->in_time <= 0], &h->link);
-	k->nwaiting++;
+	wait_for_place(k, h, now);
 	grant(k, now);
 }
 
@@ -211,8 +253,14 @@
 
 	if (!h)
 		return;
-	if (h->placed)
+	if (h->placed) {
 		k->trying = false;
+		if (now - h->placed_at > RETURNED_MS)
+			k->ended_at = now;
+		k->ended++;
+		k->held += (k->held > 0 ? held_weight : 1) *
+			   ((double)MAX(now - h->placed_at, 1) - k->held);
+	}
 	forget(k, h, h->placed ? &k->ngranted : &k->nwaiting);
 	grant(k, now);
 }
@@ -221,9 +269,14 @@
  * The request could not be handed to the server, which seems to be down. Its
  * places are shut for a while, and then tried one at a time: else a dead
  * server would always have a free place and draw all that waits elsewhere.
+ * While requests of others end there, only this host's path is broken.
  */
 void keeper_unreached(keeper_t *k, rid_t rid, ms_t now)
 {
+	if (k->ended_at > 0 && now - k->ended_at < ALIVE_MS) {
+		keeper_release(k, rid, now);
+		return;
+	}
 	if (!k->trying)
 		log_line(LOG_INFO, "server_unreached", "granted=%u waiting=%u",
 			 k->ngranted, k->nwaiting);
@@ -269,6 +322,12 @@
 	grant(k, now);
 }
 
+/* Whether the request waits or has a place here. */
+bool keeper_knows(const keeper_t *k, rid_t rid)
+{
+	return g_hash_table_contains(k->all, &rid);
+}
+
 /* Places that are taken. */
 unsigned int keeper_granted(const keeper_t *k)
 {
--- a/lib/wire/codec.c
+++ b/lib/wire/codec.c
@@ -86,7 +86,8 @@
 	[MSG_CANCEL] = { "cancel", { RID(cancel) } },
 	[MSG_ASK] = { "ask",
 		      { RID(ask), U64(ask, rank), U64(ask, places),
-			U64(ask, in_time), U64(ask, of_use) } },
+			U64(ask, in_time), U64(ask, of_use),
+			STR(ask, server) } },
 };
 
 /* Returns the type's name for logs and counters. */
--- a/lib/wire/dat.h
+++ b/lib/wire/dat.h
@@ -202,6 +202,7 @@
 	uint64_t places;  /* of the server, as the platform lists it */
 	uint64_t in_time; /* ms in which the place is of most use */
 	uint64_t of_use;  /* ms after which it is of none */
+	str_t server;	  /* whose place is asked for */
 } msg_ask_t;
 
 /*
--- a/test/burst.c
+++ b/test/burst.c
@@ -136,30 +136,37 @@
 	const char *name;
 	unsigned int urgent_per_s;
 	unsigned int other_per_s;
+	unsigned int other_rank;
+	ms_t other_target;
 	ms_t span;
 	double in_time_least; /* urgent ones, of what the places can serve in
 				 that time, or of all if these are fewer */
 } load_case_t;
 
 static const load_case_t loads[] = {
-	{ "below the places", 30, 0, 4000, 0.99 },
-	{ "half above the places", 60, 0, 4000, 0.9 },
-	{ "three times the places", 120, 0, 4000, 0.9 },
-	{ "with others, below the places", 15, 15, 4000, 0.99 },
-	{ "with others, twice the places", 40, 40, 4000, 0.8 },
-	{ "with others, four times the places", 80, 80, 4000, 0.7 },
+	{ "below the places", 30, 0, 2, 600, 4000, 0.99 },
+	{ "half above the places", 60, 0, 2, 600, 4000, 0.9 },
+	{ "three times the places", 120, 0, 2, 600, 4000, 0.9 },
+	{ "with others, below the places", 15, 15, 2, 600, 4000, 0.99 },
+	{ "with others, twice the places", 40, 40, 2, 600, 4000, 0.8 },
+	{ "with others, four times the places", 80, 80, 2, 600, 4000, 0.7 },
+	{ "as urgent with less time, a half above", 30, 30, 0, 500, 4000, 0.6 },
+	{ "as urgent with less time, three times", 60, 60, 0, 500, 4000, 0.4 },
 };
 
 /* Of what all requests get, the part that a kind gets at least. */
 static const double served_least = 0.25;
 
+/* The same of being in time, of what the urgent get, for a kind as urgent. */
+static const double alike_least = 0.5;
+
 static split_t both = { (char *)svc, 1 };
 static edge_route_t routes[] = {
 	{ .rank = 0 },
 	{ .rank = 2 },
 };
 
-static void make_routes(void)
+static void make_routes(const load_case_t *c)
 {
 	for (size_t i = 0; i < G_N_ELEMENTS(routes); i++) {
 		edge_route_t *r = &routes[i];
@@ -175,6 +182,8 @@
 		r->nsplits = 1;
 		r->splits = &both;
 	}
+	routes[1].rank = c->other_rank;
+	routes[1].first_target = c->other_target;
 }
 
 /* Requests of a route that have come until now. */
@@ -246,6 +255,12 @@
 			      c->in_time_least * MIN(places, urgent.asked),
 		      "%s: %.0f of %.0f in time", c->name, urgent.in_time,
 		      urgent.asked);
+	if (c->other_rank == 0 && c->other_per_s > 0)
+		ck_assert_msg(other.in_time / other.asked >=
+				      alike_least * urgent.in_time /
+					      urgent.asked,
+			      "%s: %.0f of %.0f in time", c->name,
+			      other.in_time, other.asked);
 	ck_assert_msg(other.served >= served_least * all * other.asked,
 		      "%s: %.0f of %.0f served", c->name, other.served,
 		      other.asked);
@@ -265,7 +280,7 @@
 	seat_t seats[SERVERS];
 	world_t w = { 0 };
 
-	make_routes();
+	make_routes(&loads[_i]);
 	b->edge = edge_new(&conf, &burst_ops, b, counters);
 	w.edge = b->edge;
 	for (unsigned int i = 0; i < SERVERS; i++) {
--- a/test/edge.c
+++ b/test/edge.c
@@ -324,6 +324,61 @@
 }
 END_TEST
 
+/* Which keeper a server without one on its own host is given. */
+typedef struct keeper_case {
+	const char *name;
+	bool is_model;
+	uint64_t own;	/* incarnation of the one on its host; 0 none */
+	bool elsewhere; /* two keepers are in touch on other hosts */
+	bool asked;
+} keeper_case_t;
+
+static const keeper_case_t keeper_cases[] = {
+	{ "a model server with its own", true, 42, true, true },
+	{ "a model server without", true, 0, true, false },
+	{ "a plain server", false, 0, true, true },
+	{ "a plain server, no keeper in touch", false, 0, false, false },
+};
+
+static void give_config(world_t *w, bool is_model)
+{
+	desired_t *d = desired_new(1);
+	edge_service_t *s = g_new0(edge_service_t, 1);
+
+	s->name = g_strdup(svc);
+	s->is_model = is_model;
+	g_ptr_array_add(d->services, s);
+	ck_assert(edge_configure(w->edge, d));
+}
+
+START_TEST(test_keeper)
+{
+	const keeper_case_t *c = &keeper_cases[_i];
+	request_t r;
+	world_t w;
+
+	world_init(&w, 1);
+	put_server(&w, "s", "10.0.0.1", 9, false, 1, 0);
+	give_config(&w, c->is_model);
+	if (c->own)
+		edge_keeper(w.edge, "10.0.0.1", c->own);
+	if (c->elsewhere) {
+		edge_keeper(w.edge, "10.0.0.2", 2);
+		edge_keeper(w.edge, "10.0.0.3", 3);
+	}
+	request_init(&r, &route, 0);
+	edge_submit(w.edge, &r, 0);
+	ck_assert_msg(w.asked == c->asked && w.sent == !c->asked, "%s",
+		      c->name);
+	edge_keeper(w.edge, "10.0.0.2", 0);
+	edge_keeper(w.edge, "10.0.0.3", 0);
+	edge_tick(w.edge, 5);
+	ck_assert_msg(w.sent == (c->own == 0), "%s: alone", c->name);
+	edge_drop(w.edge, &r, 6);
+	world_clear(&w);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("edge");
@@ -342,6 +397,7 @@
 	tcase_add_test(t, test_set_aside);
 	tcase_add_test(t, test_long_runs);
 	tcase_add_test(t, test_asking);
+	tcase_add_loop_test(t, test_keeper, 0, G_N_ELEMENTS(keeper_cases));
 	srunner_run_all(r, CK_NORMAL);
 	failed = srunner_ntests_failed(r);
 	srunner_free(r);
