Fewer calls to the store: hurried reads end, refusals are asked again later

Ruled out: the long polls for configurations (one in 3.5 s a host).

Change: a young host hurries only while new servers appear; pauses after failed calls grow to 1 s, to 4 s for the list of hosts; entries are read after half of the time in which a leaving server must be known (a third before).

--- a/cmd/chestnuthinged/edged.c
+++ b/cmd/chestnuthinged/edged.c
@@ -21,17 +21,21 @@
 				  after this; other hosts tell of a newer
 				  configuration meanwhile */
 	SERVERS_WAIT_MS = 1200,
-	HURRY_MS = 120,	       /* between reads while servers are missing */
-	YOUNG_MS = 4000,       /* servers register within two heartbeats */
+	HURRY_MS = 120,	      /* between reads while servers are missing */
+	YOUNG_MS = 4000,      /* servers register within two heartbeats */
+	GROWING_MS = 600,     /* without a new server: all seem to be there */
+	RETRY_MOST_MS = 1000, /* while the store refuses: each call is priced,
+				 and other hosts tell of configurations */
+	HOSTS_RETRY_MS = 4000,
 	HOSTS_WAIT_MS = 10000, /* hosts come seldom, and are told of late
 				  without harm */
 };
 
 static const double retry_use = 0.85; /* of the ratio: windows overlap */
-static const double drain_use = 0.35; /* of the time in which a leaving server
-					 must be known: entries are rewritten
-					 by heartbeats, so they are read in
-					 groups */
+static const double drain_use = 0.5;  /* of the time in which a leaving server
+					  must be known: entries are rewritten
+					  by heartbeats, so they are read in
+					  groups */
 
 typedef struct edged {
 	uv_loop_t loop;
@@ -56,6 +60,8 @@
 	uint64_t inc;
 	ms_t started;
 	bool servers_known;
+	unsigned int nservers; /* listed, when that last grew */
+	ms_t grew_at;
 	bool stopping;
 	ms_t stop_at;
 	counter_t *bad_records;
@@ -334,11 +340,22 @@
 		end(d);
 }
 
-/* Servers that come back, or came before we did, are looked for often. */
+/*
+ * Servers that come back, or register as we start, are looked for often. Each
+ * read is priced, so a young host stops when no more of them appear.
+ */
 static void hurry(edged_t *d, ms_t now)
 {
+	unsigned int n = edge_nservers(d->edge);
 	bool young = now - d->started < YOUNG_MS;
-	bool wanted = young || edge_servers_short(d->edge, now);
+	bool wanted;
+
+	if (n > d->nservers) {
+		d->nservers = n;
+		d->grew_at = now;
+	}
+	wanted = (young && now - d->grew_at < GROWING_MS) ||
+		 edge_servers_short(d->edge, now);
 
 	follow_hurry(d->servers, wanted ? HURRY_MS : 0);
 }
@@ -420,7 +437,8 @@
 {
 	follow_conf_t conf = { .store = d->set->store,
 			       .topic = adapter_topic_orders(),
-			       .wait = ORDERS_WAIT_MS };
+			       .wait = ORDERS_WAIT_MS,
+			       .retry_most = RETRY_MOST_MS };
 	char where[64];
 
 	d->orders = follow_new(&d->loop, &conf, &orders_ops, d, d->counters);
@@ -430,6 +448,7 @@
 	d->servers = follow_new(&d->loop, &conf, &servers_ops, d, d->counters);
 	conf.topic = adapter_topic_hosts();
 	conf.wait = HOSTS_WAIT_MS;
+	conf.retry_most = HOSTS_RETRY_MS;
 	d->hosts = follow_new(&d->loop, &conf, &hosts_ops, d, d->counters);
 	addr_print(&d->set->peers, where);
 	append_put(d->append, adapter_topic_hosts(), d->set->name, where, NULL);
--- a/cmd/chestnuthinged/moved.c
+++ b/cmd/chestnuthinged/moved.c
@@ -10,6 +10,7 @@
 #include "net/fns.h"
 
 enum {
+	RETRY_MOST_MS = 500,   /* a bad version is taken back within seconds */
 	MOVES_WAIT_MS = 10000, /* the store answers at once when there is a
 				  decision */
 };
@@ -134,7 +135,8 @@
 	m->loop = loop;
 	m->conf = (follow_conf_t){ .store = *store,
 				   .topic = adapter_topic_moves(),
-				   .wait = MOVES_WAIT_MS };
+				   .wait = MOVES_WAIT_MS,
+				   .retry_most = RETRY_MOST_MS };
 	m->edge = edge;
 	m->append = append;
 	m->counters = counters;
--- a/lib/edge/fleet.c
+++ b/lib/edge/fleet.c
@@ -158,6 +158,12 @@
 	return ids;
 }
 
+/* Servers that are listed. */
+unsigned int edge_nservers(const edge_t *e)
+{
+	return g_hash_table_size(e->by_id);
+}
+
 /*
  * Whether servers are expected that are not listed yet: there are none, or
  * some were displaced at their address by others.
--- a/lib/edge/fns.h
+++ b/lib/edge/fns.h
@@ -70,6 +70,7 @@
 /* fleet.c */
 void edge_server_put(edge_t *e, const backend_info_t *info, ms_t now);
 void edge_server_gone(edge_t *e, const char *id, ms_t now);
+unsigned int edge_nservers(const edge_t *e);
 bool edge_servers_short(const edge_t *e, ms_t now);
 GPtrArray *edge_server_ids(const edge_t *e); /* of char*, not owned */
 
