--- a/cmd/chestnuthinged/edged.c
+++ b/cmd/chestnuthinged/edged.c
@@ -9,6 +9,7 @@
 #include "mates.h"
 #include "moved.h"
 #include "net/fns.h"
+#include "reread.h"
 
 enum {
 	TICK_MS = 10,	       /* the finest that any bound here needs */
@@ -44,6 +45,8 @@
 	uv_signal_t intr;
 	uv_signal_t hup;
 	edge_settings_t *set;
+	reread_t *reread;
+	bool hupped; /* the settings are to be read again */
 	counters_t *counters;
 	edge_t *edge;
 	forward_t *forward;
@@ -360,11 +363,53 @@
 	follow_hurry(d->servers, wanted ? HURRY_MS : 0);
 }
 
+static edge_conf_t edge_conf(const edged_t *d)
+{
+	const edge_settings_t *set = d->set;
+	edge_conf_t conf = {
+		.inc = d->inc,
+		.data_center = set->data_center,
+		.seed = random_u64(),
+		.retry_ratio = set->retry_ratio * retry_use,
+		.retry_window = (ms_t)set->retry_window_s * MS_PER_S,
+		.retry_slack = (double)set->retry_slack,
+		.quota_tolerance = set->quota_tolerance,
+		.quota_slack = (double)set->quota_slack,
+		.quota_window = (ms_t)set->quota_window_s * MS_PER_S,
+	};
+
+	return conf;
+}
+
+/* The pause between reads of the servers' entries. */
+static ms_t servers_pause(const edged_t *d)
+{
+	return (ms_t)((double)d->set->drain * drain_use);
+}
+
+/* Puts settings that have changed in force. */
+static void look_at_settings(edged_t *d, ms_t now)
+{
+	edge_conf_t conf;
+
+	if (!reread_look(d->reread, d->set, d->hupped, now)) {
+		d->hupped = false;
+		return;
+	}
+	d->hupped = false;
+	conf = edge_conf(d);
+	edge_reconf(d->edge, &conf);
+	forward_most(d->forward, d->set->connections_max);
+	follow_pause(d->servers, servers_pause(d));
+	moved_canary(d->moved, d->set->canary_share);
+}
+
 static void on_tick(uv_timer_t *t)
 {
 	edged_t *d = t->data;
 	ms_t now = clock_now();
 
+	look_at_settings(d, now);
 	hurry(d, now);
 	follow_tick(d->orders, now);
 	follow_tick(d->servers, now);
@@ -386,6 +431,8 @@
 
 	log_line(LOG_INFO, "signal", "number=%d stopping=%d", number,
 		 d->stopping);
+	if (number == SIGHUP)
+		d->hupped = true;
 	if (number == SIGHUP || d->stopping)
 		return;
 	d->stopping = true;
@@ -403,17 +450,7 @@
 static void make_edge(edged_t *d)
 {
 	const edge_settings_t *set = d->set;
-	edge_conf_t conf = {
-		.inc = d->inc,
-		.data_center = set->data_center,
-		.seed = random_u64(),
-		.retry_ratio = set->retry_ratio * retry_use,
-		.retry_window = (ms_t)set->retry_window_s * MS_PER_S,
-		.retry_slack = (double)set->retry_slack,
-		.quota_tolerance = set->quota_tolerance,
-		.quota_slack = (double)set->quota_slack,
-		.quota_window = (ms_t)set->quota_window_s * MS_PER_S,
-	};
+	edge_conf_t conf = edge_conf(d);
 	forward_conf_t rconf = {
 		.callers = set->callers,
 		.connect_time = CONNECT_MS,
@@ -444,7 +481,7 @@
 	d->orders = follow_new(&d->loop, &conf, &orders_ops, d, d->counters);
 	conf.topic = adapter_topic_servers();
 	conf.wait = SERVERS_WAIT_MS;
-	conf.pause = (ms_t)((double)d->set->drain * drain_use);
+	conf.pause = servers_pause(d);
 	d->servers = follow_new(&d->loop, &conf, &servers_ops, d, d->counters);
 	conf.topic = adapter_topic_hosts();
 	conf.wait = HOSTS_WAIT_MS;
@@ -484,6 +521,7 @@
 	pages_free(d->metrics);
 	uv_loop_close(&d->loop);
 	counters_free(d->counters);
+	reread_free(d->reread);
 	edge_settings_free(d->set);
 	g_string_free(d->config_text, TRUE);
 	g_free(d);
@@ -494,6 +532,7 @@
 	edged_t *d = g_new0(edged_t, 1);
 
 	d->set = set;
+	d->reread = reread_new(path);
 	d->inc = random_u64();
 	d->started = clock_now();
 	d->config_text = g_string_new(NULL);
--- a/cmd/chestnuthinged/keepd.c
+++ b/cmd/chestnuthinged/keepd.c
@@ -5,6 +5,7 @@
 #include "keeper/fns.h"
 #include "forward/fns.h"
 #include "net/fns.h"
+#include "reread.h"
 
 enum {
 	TICK_MS = 20, /* requests that turn late are found this late */
@@ -32,6 +33,8 @@
 	uv_signal_t intr;
 	uv_signal_t hup;
 	edge_settings_t *set;
+	reread_t *reread;
+	bool hupped; /* the settings are to be read again */
 	char name[64];
 	counters_t *counters;
 	GHashTable *kepts; /* kept_t by server */
@@ -162,6 +165,8 @@
 		if (is_unused(v, now))
 			g_hash_table_iter_remove(&it);
 	}
+	reread_look(d->reread, d->set, d->hupped, now);
+	d->hupped = false;
 	log_flush();
 }
 
@@ -190,6 +195,8 @@
 	count(d, &granted, &waiting);
 	log_line(LOG_INFO, "signal", "number=%d granted=%u waiting=%u", number,
 		 granted, waiting);
+	if (number == SIGHUP)
+		d->hupped = true;
 	if (d->ended || number == SIGHUP)
 		return;
 	d->ended = true;
@@ -248,11 +255,12 @@
 	return false;
 }
 
-bool keepd_run(edge_settings_t *set, GError **err)
+bool keepd_run(edge_settings_t *set, const char *path, GError **err)
 {
 	keepd_t *d = g_new0(keepd_t, 1);
 
 	d->set = set;
+	d->reread = reread_new(path);
 	d->counters = counters_new();
 	d->kepts =
 		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, kept_free);
@@ -274,6 +282,7 @@
 	uv_loop_close(&d->loop);
 	g_hash_table_destroy(d->kepts);
 	counters_free(d->counters);
+	reread_free(d->reread);
 	edge_settings_free(set);
 	g_free(d);
 	log_flush();
--- a/cmd/chestnuthinged/keepd.h
+++ b/cmd/chestnuthinged/keepd.h
@@ -4,7 +4,10 @@
 
 #include "conf/dat.h"
 
-/* Runs until a signal; takes over the settings. False: cannot start. */
-bool keepd_run(edge_settings_t *set, GError **err);
+/*
+ * Runs until a signal; takes over the settings. path is their file, read again
+ * when it changes. False: cannot start.
+ */
+bool keepd_run(edge_settings_t *set, const char *path, GError **err);
 
 #endif
--- a/cmd/chestnuthinged/main.c
+++ b/cmd/chestnuthinged/main.c
@@ -89,7 +89,8 @@
 		return 0;
 	}
 	log_open(STDOUT_FILENO, set->log_level, true);
-	if (o->keeper ? keepd_run(set, &err) : edged_run(set, o->conf, &err))
+	if (o->keeper ? keepd_run(set, o->conf, &err)
+		      : edged_run(set, o->conf, &err))
 		return 0;
 	return fail(err);
 }
--- a/cmd/chestnuthinged/moved.c
+++ b/cmd/chestnuthinged/moved.c
@@ -270,6 +270,12 @@
 		tell(m, v);
 }
 
+/* Takes a new most for a version on trial. */
+void moved_canary(moved_t *m, double share)
+{
+	judge_canary(m->judge, share);
+}
+
 /* Frees the table. */
 void moved_free(moved_t *m)
 {
--- a/cmd/chestnuthinged/moved.h
+++ b/cmd/chestnuthinged/moved.h
@@ -16,6 +16,7 @@
 void moved_written(moved_t *m, const char *topic, const char *key,
 		   append_end_t end);
 void moved_tick(moved_t *m, bool judging, ms_t now);
+void moved_canary(moved_t *m, double share);
 void moved_free(moved_t *m);
 
 #endif
--- a/lib/edge/edge.c
+++ b/lib/edge/edge.c
@@ -67,6 +67,28 @@
 	g_free(e);
 }
 
+/* Takes the numbers of new settings; what names this host stays. */
+void edge_reconf(edge_t *e, const edge_conf_t *conf)
+{
+	GHashTableIter it;
+	gpointer v;
+	bool window = conf->retry_window != e->conf.retry_window;
+
+	e->conf.retry_ratio = conf->retry_ratio;
+	e->conf.retry_window = conf->retry_window;
+	e->conf.retry_slack = conf->retry_slack;
+	e->conf.quota_tolerance = conf->quota_tolerance;
+	e->conf.quota_slack = conf->quota_slack;
+	e->conf.quota_window = conf->quota_window;
+	g_hash_table_iter_init(&it, e->pools);
+	while (window && g_hash_table_iter_next(&it, NULL, &v)) {
+		pool_t *p = v;
+
+		window_init(&p->asked, conf->retry_window);
+		window_init(&p->repeats, conf->retry_window);
+	}
+}
+
 /*
  * Puts a configuration in force and takes over the reference. Returns false,
  * and drops it, when it is no newer than the one in force.
--- a/lib/edge/fns.h
+++ b/lib/edge/fns.h
@@ -45,6 +45,7 @@
 edge_t *edge_new(const edge_conf_t *conf, const edge_ops_t *ops, void *ctx,
 		 counters_t *counters);
 void edge_free(edge_t *e);
+void edge_reconf(edge_t *e, const edge_conf_t *conf);
 bool edge_configure(edge_t *e, desired_t *d);
 desired_t *edge_desired(const edge_t *e);
 const char *sent_name(sent_t how);
@@ -98,6 +99,7 @@
 } judge_ops_t;
 judge_t *judge_new(const judge_ops_t *ops, void *ctx, double canary_share);
 void judge_free(judge_t *j);
+void judge_canary(judge_t *j, double share);
 void judge_order(judge_t *j, const shift_order_t *o, ms_t now);
 void judge_step(judge_t *j, const char *service, const shift_step_t *s,
 		ms_t now);
--- a/lib/edge/judge.c
+++ b/lib/edge/judge.c
@@ -127,6 +127,12 @@
 	g_free(j);
 }
 
+/* Takes a new most for a version on trial, for moves that go on too. */
+void judge_canary(judge_t *j, double share)
+{
+	j->canary_share = share;
+}
+
 /* Takes an order; a newer one of a service replaces the older. */
 void judge_order(judge_t *j, const shift_order_t *o, ms_t now)
 {
--- a/lib/forward/fns.h
+++ b/lib/forward/fns.h
@@ -46,6 +46,7 @@
 void forward_note(forward_t *r, const request_t *req, ms_t now,
 		  const char *step, const char *text);
 void forward_forget(forward_t *r, backend_t *b);
+void forward_most(forward_t *r, size_t connections);
 void forward_drain(forward_t *r, ms_t now);
 bool forward_idle(const forward_t *r);
 void forward_tick(forward_t *r, ms_t now);
--- a/lib/forward/forward.c
+++ b/lib/forward/forward.c
@@ -99,6 +99,12 @@
 	exchange_refuse(exchange_of(req), code, after);
 }
 
+/* Sets how many connections callers may have open. */
+void forward_most(forward_t *r, size_t connections)
+{
+	r->conf.connections_max = connections;
+}
+
 /*
  * Begins the end: each connection is closed after its next answer. Idle ones
  * and the listener stay to the end, as a request may be on its way: it is told
