chestnuthinge top: what a live host does, from its metrics

Two looks, counters that changed with totals and rates, then the status page; test/fault/settings.sh runs it against a live edge.

--- a/cmd/chestnuthinge/fns.h
+++ b/cmd/chestnuthinge/fns.h
@@ -13,6 +13,7 @@
 int run_drain(int argc, char **argv);
 int run_explain(int argc, char **argv);
 int run_burn(int argc, char **argv);
+int run_top(int argc, char **argv);
 
 /* opts.c */
 bool options_parse(const command_t *c, const GOptionEntry *more, options_t *o,
--- a/cmd/chestnuthinge/main.c
+++ b/cmd/chestnuthinge/main.c
@@ -13,6 +13,7 @@
 	{ "drain", run_drain, "HOST", "let a host finish and stop" },
 	{ "explain", run_explain, "ID [LOG...]",
 	  "tell what became of a request, from logs" },
+	{ "top", run_top, "ADDRESS", "show what a live host does" },
 	{ "burn", run_burn, "", "report the service-level burn" },
 };
 
--- a/test/fault/settings.sh
+++ b/test/fault/settings.sh
@@ -1,5 +1,5 @@
 #!/bin/bash
-# An edge host's settings change while it runs: with a signal, without one, to
+# A live edge host is shown by top; its settings change while it runs: with a signal, without one, to
 # a file that can't be read, and in a line that needs a start.
 set -u
 bin=${1:-build/rel}
@@ -48,6 +48,10 @@
 "$bin/chestnuthinged" --edge -c "$t/edge.ini" >"$t/log" 2>&1 &
 pid=$!
 wait_for event=start
+"$bin/chestnuthinge" top --for 1 "127.0.0.1:${ports[1]}" >"$t/top" ||
+	fail "top ended with $?"
+grep -q 'edge_store_failures_total.*per_s=' "$t/top" ||
+	fail "top shows no failed calls to the store: $(cat "$t/top")"
 settings info 2000 dc-1
 kill -HUP $pid
 wait_for 'event=settings_read asked=1'
