The time of a token is learned from events, so long runs leave slow servers

What callers expect of the output is good (nine in ten runs are below 1.9 times it), but edges took slow servers for fast ones: the time of a token came from whole runs, and long runs there never were whole.

Change: gaps between events of every run give the time; a server that an edge hardly knows is taken for as slow as the slowest; a run is taken for 1.8 times what is expected (three times before). test/edge: a slow server whose long runs are all cut gets no more of them; without the change it gets them all.

--- a/lib/edge/cost.c
+++ b/lib/edge/cost.c
@@ -6,7 +6,12 @@
 
 static const double fade = 0.97;	 /* a sample counts for about 30 more */
 static const double token_weight = 0.05; /* of one run in the mean */
-static const double far_off = 3; /* times what a caller expects of its output */
+static const double step_weight = 0.05;	 /* of one gap between events */
+static const double sum_fade = 0.99; /* a stream counts for about 100 more */
+static const double slowest_fade = 0.9995; /* an event: one that left counts
+					      for some seconds more */
+static const double far_off = 1.8; /* times what a caller expects of its output:
+				      nine in ten runs are no longer */
 static const double least_samples = 4; /* before the slope is believed */
 
 /* Adds one measured time to the first event. */
@@ -44,6 +49,36 @@
 	return fit_guess(&b->fit, prompt, p->first_mean);
 }
 
+/*
+ * Learns from a gap between two events. Gaps come from every run, whole runs
+ * only from those that were short enough: a slow server would seem fast.
+ */
+void cost_event(backend_t *b, double ms)
+{
+	double weight = MAX(step_weight, 1.0 / ++b->steps);
+
+	b->step += weight * (ms - b->step);
+	if (b->steps >= least_samples)
+		b->pool->slowest_ms =
+			MAX(b->pool->slowest_ms * slowest_fade, cost_token(b));
+}
+
+/*
+ * Expected ms for a token of output there; 0 when nothing is known. A server
+ * that this host hardly knows is taken for as slow as the slowest, so that
+ * long runs go to those that are known to be fast.
+ */
+double cost_token(const backend_t *b)
+{
+	const pool_t *p = b->pool;
+
+	if (b->steps >= least_samples && p->tokens > 0 && p->events > 0)
+		return b->step * p->events / p->tokens;
+	if (p->slowest_ms > 0)
+		return p->slowest_ms;
+	return b->token_ms > 0 ? b->token_ms : p->token_ms;
+}
+
 /* Learns from a whole stream how long a token of output takes there. */
 void cost_note(backend_t *b, const request_t *r, ms_t now)
 {
@@ -52,6 +87,8 @@
 
 	if (!r->route->stream || r->output <= 0 || !r->first_here)
 		return;
+	p->tokens = p->tokens * sum_fade + r->output;
+	p->events = p->events * sum_fade + r->events;
 	ms = (double)(now - r->first_at) / r->output;
 	p->token_ms += token_weight * (ms - p->token_ms);
 	if (b->token_ms <= 0)
@@ -61,13 +98,12 @@
 
 /*
  * By how much the request would outlast its time there, in ms; 0 when it fits.
- * What callers expect of the output is right at the median and often far off,
- * so a run is taken to be several times as long.
+ * What callers expect of the output is right at the median and often off, so a
+ * run is taken to be longer.
  */
 double cost_late(const backend_t *b, const request_t *r, double first, ms_t now)
 {
-	double token_ms = b->token_ms > 0 ? b->token_ms : b->pool->token_ms;
-	double run = first + token_ms * r->output * far_off;
+	double run = first + cost_token(b) * r->output * far_off;
 
 	return MAX(run - (double)(r->deadline - now), 0);
 }
--- a/lib/edge/dat.h
+++ b/lib/edge/dat.h
@@ -144,13 +144,14 @@
 	unsigned int running; /* requests of this host there */
 	unsigned int others;  /* of other hosts, at the last answer */
 	ms_t others_at;
-	list_t runs;	 /* request_t, by run */
-	ms_t heard;	 /* last byte of an answer */
-	fit_t fit;	 /* first event, by prompt tokens */
-	double step;	 /* ms between events */
-	double token_ms; /* ms for each token of output that was expected */
-	double failures; /* fading share, 0 to 1 */
-	double samples;	 /* fading number of ended requests */
+	list_t runs;	    /* request_t, by run */
+	ms_t heard;	    /* last byte of an answer */
+	fit_t fit;	    /* first event, by prompt tokens */
+	double step;	    /* ms between events */
+	unsigned int steps; /* events that step was learned from */
+	double token_ms;    /* ms for each token of output that was expected */
+	double failures;    /* fading share, 0 to 1 */
+	double samples;	    /* fading number of ended requests */
 	unsigned int lost_in_row;
 	ms_t aside_until;
 	ms_t aside_span;
--- a/lib/edge/edge.c
+++ b/lib/edge/edge.c
@@ -170,11 +170,11 @@
 	edge_note(
 		e, r, now, "sent",
 		"server=%s by=%s running=%u load=%u slots=%u load_age_ms=%lld "
-		"first_ms=%.0f waited_ms=%lld waiting=%u",
+		"first_ms=%.0f token_ms=%.1f waited_ms=%lld waiting=%u",
 		b->id, r->granted ? "keeper" : "estimate", b->running,
 		place_load(b, now), b->slots,
 		b->others_at ? (long long)(now - b->others_at) : -1,
-		cost_first(b->pool, b, r->prompt),
+		cost_first(b->pool, b, r->prompt), cost_token(b),
 		(long long)(now - r->arrived), r->pool->nwaiting);
 	e->ops->send(e->ctx, r);
 }
@@ -289,7 +289,7 @@
 
 	b->heard = now;
 	r->events++;
-	b->step += learn * ((double)(now - r->last_event) - b->step);
+	cost_event(b, (double)(now - r->last_event));
 	r->last_event = now;
 }
 
--- a/lib/edge/priv.h
+++ b/lib/edge/priv.h
@@ -58,6 +58,9 @@
 	double mean_tokens;
 	double first_mean; /* ms to the first event, over all servers */
 	double token_ms;   /* ms for an expected token of output, all servers */
+	double slowest_ms; /* of its servers, for such a token; fades */
+	double tokens;	   /* expected of whole streams, fading sum */
+	double events;	   /* that these streams had, the same */
 	double run_mean;   /* ms that a request holds its place */
 	hist_t *first_ms;  /* from arrival to the first event */
 	hist_t *wait_ms;   /* from arrival to the first send */
@@ -111,6 +114,8 @@
 double fit_guess(const fit_t *f, double tokens, double otherwise);
 double cost_late(const backend_t *b, const request_t *r, double first,
 		 ms_t now);
+void cost_event(backend_t *b, double ms);
+double cost_token(const backend_t *b);
 void cost_note(backend_t *b, const request_t *r, ms_t now);
 double cost_first(const pool_t *p, const backend_t *b, double prompt);
 
--- a/lib/forward/exchange.c
+++ b/lib/forward/exchange.c
@@ -210,12 +210,13 @@
 	r->tokens = x->call.prompt + x->call.output_max;
 	trail_add(x, now, "taken",
 		  "route=%s rank=%u customer=%s config=%llu prompt=%.0f "
-		  "tokens=%.0f time_ms=%lld patience_ms=%lld body=%u",
+		  "output=%.0f tokens=%.0f time_ms=%lld patience_ms=%lld "
+		  "body=%u",
 		  r->route->name, r->rank,
 		  r->customer ? r->customer->name : "-",
-		  (unsigned long long)d->version, r->prompt, r->tokens,
-		  (long long)(r->deadline - now), (long long)(r->leaves - now),
-		  x->body->len);
+		  (unsigned long long)d->version, r->prompt, r->output,
+		  r->tokens, (long long)(r->deadline - now),
+		  (long long)(r->leaves - now), x->body->len);
 	edge_submit(x->forward->edge, r, now);
 }
 
--- a/test/edge.c
+++ b/test/edge.c
@@ -292,6 +292,52 @@
 }
 END_TEST
 
+/*
+ * A slow server whose long runs are all cut at their deadline, so that none of
+ * them ever shows how long it takes: its events do.
+ */
+START_TEST(test_cut_runs)
+{
+	static const ms_t gap[] = { 90, 18 }; /* slow, fast; six tokens */
+	edge_route_t rt = route;
+	unsigned int to_slow = 0;
+	world_t w;
+
+	world_init(&w, 1);
+	rt.stream = true;
+	rt.repeat = REPEAT_NEVER;
+	rt.timeout = 8 * MS;
+	put_server(&w, "slow", "10.0.0.1", 9, false, 1, 0);
+	put_server(&w, "fast", "10.0.0.2", 9, false, 1, 0);
+	for (int i = 0; i < REQUESTS; i++) {
+		ms_t now = 1 + (ms_t)i * 10 * MS;
+		bool is_long = i % 2;
+		request_t r;
+		bool fast;
+
+		request_init(&r, &rt, now);
+		r.output = is_long ? 900 : 60;
+		edge_submit(w.edge, &r, now);
+		fast = strcmp(r.server->id, "fast") == 0;
+		to_slow += i >= REQUESTS / 2 && is_long && !fast;
+		edge_first(w.edge, &r, now + 50);
+		for (int k = 1; k < r.output / 6; k++) {
+			ms_t at = now + 50 + k * gap[fast];
+
+			if (at < r.deadline)
+				edge_event(w.edge, &r, at);
+		}
+		if (is_long && !fast)
+			edge_drop(w.edge, &r, r.deadline);
+		else
+			edge_sent(w.edge, &r, SENT_WHOLE, false,
+				  now + 50 + (ms_t)r.output / 6 * gap[fast]);
+	}
+	ck_assert_uint_eq(to_slow, 0);
+	world_clear(&w);
+}
+END_TEST
+
 /* With a keeper in touch nothing is sent before a place is granted. */
 START_TEST(test_asking)
 {
@@ -396,6 +442,7 @@
 	tcase_add_test(t, test_give_up);
 	tcase_add_test(t, test_set_aside);
 	tcase_add_test(t, test_long_runs);
+	tcase_add_test(t, test_cut_runs);
 	tcase_add_test(t, test_asking);
 	tcase_add_loop_test(t, test_keeper, 0, G_N_ELEMENTS(keeper_cases));
 	srunner_run_all(r, CK_NORMAL);
