--- a/lib/edge/cost.c
+++ b/lib/edge/cost.c
@@ -55,8 +55,10 @@
  */
 void cost_event(backend_t *b, double ms)
 {
-	double weight = MAX(step_weight, 1.0 / ++b->steps);
+	double weight;
 
+	b->steps++;
+	weight = MAX(step_weight, 1.0 / b->steps);
 	b->step += weight * (ms - b->step);
 	if (b->steps >= least_samples)
 		b->pool->slowest_ms =
