--- /dev/null
+++ b/bench/edges/dat.h
@@ -0,0 +1,85 @@
+/*
+ * Edges, keepers and model engines in virtual time: how many callers are
+ * served, by kind, under loads and ways of placing.
+ */
+#ifndef EDGES_DAT_H
+#define EDGES_DAT_H
+
+#include "edge/fns.h"
+#include "keeper/fns.h"
+#include "rig/rig.h"
+
+enum {
+	HOSTS = 8,
+	ENGINES = 24,
+	KINDS = 3,
+	WAY_MS = 1, /* of a message between two hosts, one way */
+};
+
+/* A kind of request, as the sheet of kockarna-hinge has it. */
+typedef struct kind {
+	const char *name;
+	double part;   /* of all requests */
+	double prompt; /* tokens, mean */
+	double output; /* tokens, mean */
+	ms_t target;   /* to the first event */
+	ms_t deadline;
+} kind_t;
+
+extern const kind_t kinds[KINDS];
+
+typedef enum way {
+	WAY_KEEPERS,	 /* places granted beside each engine */
+	WAY_ESTIMATES,	 /* edges alone, by the loads that answers tell */
+	WAY_LEAST_LOAD,	 /* at once, to the least load reported */
+	WAY_ROUND_ROBIN, /* at once, in turn */
+	WAYS,
+} way_t;
+
+/* What callers of a kind got. */
+typedef struct got {
+	unsigned int asked;
+	unsigned int in_time; /* first event within the target, and whole */
+	unsigned int whole;
+} got_t;
+
+typedef struct result {
+	got_t kinds[KINDS];
+} result_t;
+
+/* A request and its caller's view. */
+typedef struct item {
+	request_t r;
+	unsigned int kind;
+	unsigned int host;
+	unsigned int engine; /* where it runs */
+	double output;	     /* tokens, really */
+	ms_t first_at;	     /* 0 none */
+	bool whole;
+	bool over;
+} item_t;
+
+/* A message on its way, or a report of loads. */
+typedef struct note {
+	enum { NOTE_SEND, NOTE_ASK, NOTE_GRANT, NOTE_RELEASE } what;
+	ms_t at;
+	item_t *item;
+	unsigned int engine;
+	ask_t ask;
+} note_t;
+
+typedef struct world {
+	way_t way;
+	ms_t now;
+	GRand *rand;
+	edge_t *edges[HOSTS];
+	engine_t *engines[ENGINES];
+	keeper_t *keepers[ENGINES];
+	unsigned int reported[ENGINES];
+	unsigned int turn[HOSTS];
+	GQueue notes; /* note_t, in order of time */
+	GPtrArray *items;
+	counters_t *counters;
+} world_t;
+
+#endif
