Requests that come before a host's first configuration wait for it

Hosts have their configuration 10 ms after their start, but callers reach them before that, and have one more try.

Ruled out: the time of the start itself (10 ms), the store.

Change: such a request waits for the first configuration, 150 ms at most, then gets 503 as before. test/stop plays both; the first fails without the change.

--- a/lib/forward/exchange.c
+++ b/lib/forward/exchange.c
@@ -9,6 +9,10 @@
 	SILENCE_FIRST = 4, /* or for so many times the first event's target */
 	SILENCE_GAP = 8,   /* or for so many times the gap's target */
 	STOPPED_RETRY_MS = 50, /* another host answers the next connection */
+	EARLY_MS = 150,	       /* many times what a start takes to the first
+				  configuration */
+	EARLY_RETRY_MS = 200,  /* a host that still has none has lost the store;
+				  the next connection may go to another one */
 };
 
 static char *copy_of(str_t s)
@@ -179,23 +183,20 @@
 	return 0;
 }
 
-/* Takes a request that has been read whole. */
-void exchange_start(exchange_t *x, ms_t now)
+static void begin(exchange_t *x, desired_t *d, ms_t now)
 {
-	desired_t *d = edge_desired(x->forward->edge);
 	request_t *r = &x->req;
 	const char *text = NULL;
 	int status;
 
-	x->read_at = now;
-	if (!d) {
-		answer_own(x, 503, MS_PER_S, "no configuration yet");
-		return;
-	}
 	if (forward_stopped(x->forward, now)) {
 		answer_own(x, 503, STOPPED_RETRY_MS, "stopping");
 		return;
 	}
+	if (!d) {
+		answer_own(x, 503, EARLY_RETRY_MS, "no configuration yet");
+		return;
+	}
 	r->desired = desired_ref(d);
 	status = admit(x, d, &text);
 	if (status) {
@@ -220,6 +221,32 @@
 	edge_submit(x->forward->edge, r, now);
 }
 
+/*
+ * Takes a request that has been read whole. A host that has just started gets
+ * its configuration within some ms; a caller that comes before that is better
+ * served by so short a wait than by having to come back.
+ */
+void exchange_start(exchange_t *x, ms_t now)
+{
+	desired_t *d = edge_desired(x->forward->edge);
+
+	x->read_at = now;
+	x->early = !d && !forward_stopped(x->forward, now);
+	if (!x->early)
+		begin(x, d, now);
+}
+
+/* Goes on with a request that came before the first configuration. */
+static void look_early(exchange_t *x, ms_t now)
+{
+	desired_t *d = edge_desired(x->forward->edge);
+
+	if (!d && now - x->read_at < EARLY_MS)
+		return;
+	x->early = false;
+	begin(x, d, now);
+}
+
 /* The edge gave the request up; it has not run, unless it was sent before. */
 void exchange_refuse(exchange_t *x, code_t code, ms_t after)
 {
@@ -482,6 +509,10 @@
 	lane_t *l = x->lane;
 	request_t *q = &x->req;
 
+	if (x->early) {
+		look_early(x, now);
+		return;
+	}
 	if (q->state != REQUEST_RUNNING || !l)
 		return;
 	if (now >= q->deadline) {
--- a/lib/forward/priv.h
+++ b/lib/forward/priv.h
@@ -80,6 +80,7 @@
 	GByteArray *chunk; /* whole events of this read */
 	ms_t first_at;
 	ms_t read_at;	/* when the request had been read */
+	bool early;	/* it waits for this host's first configuration */
 	GString *trail; /* decisions on it, a line each; NULL none */
 };
 
--- a/test/stop.c
+++ b/test/stop.c
@@ -1,6 +1,8 @@
 /*
- * A planned stop: a connection that is idle when requests are no longer taken
- * stays open, and a request that was on its way is told that it was not run.
+ * The ends of a host's life. A planned stop: a connection that is idle when
+ * requests are no longer taken stays open, and a request that was on its way
+ * is told that it was not run. A start: a request that comes before the first
+ * configuration waits a little for it.
  */
 #include <check.h>
 #include <string.h>
@@ -10,7 +12,8 @@
 
 enum {
 	STOP_WAIT_MS = 100,
-	TURNS = 2000, /* of the loop, at most */
+	TURNS = 2000,	       /* of the loop, at most */
+	EARLY_LONG_MS = 60000, /* nobody waits that long for a start */
 };
 
 /* What the caller got. */
@@ -50,52 +53,114 @@
 
 static const hconn_ops_t caller_ops = { on_head, on_body, on_end, on_gone };
 
-START_TEST(test_idle_at_stop)
+/* A host in this process and a caller's connection to it. */
+typedef struct host {
+	world_t w;
+	uv_loop_t loop;
+	forward_t *f;
+	hconn_t *l;
+	got_t got;
+} host_t;
+
+static void host_open(host_t *h)
 {
-	GByteArray *out = g_byte_array_new();
-	struct sockaddr_in sa;
 	forward_conf_t conf = { .connections_max = 10,
 				.stop_wait = STOP_WAIT_MS };
+	struct sockaddr_in sa;
 	int n = sizeof(sa);
-	got_t g = { 0 };
-	uv_loop_t loop;
-	forward_t *f;
-	hconn_t *l;
-	world_t w;
 	uv_tcp_t probe;
-	ms_t now;
 
-	world_init(&w, 0.2);
-	uv_loop_init(&loop);
+	memset(h, 0, sizeof(*h));
+	world_init(&h->w, 0.2);
+	uv_loop_init(&h->loop);
 	g_strlcpy(conf.callers.ip, "127.0.0.1", sizeof(conf.callers.ip));
-	uv_tcp_init(&loop, &probe);
+	uv_tcp_init(&h->loop, &probe);
 	ck_assert_int_eq(uv_ip4_addr("127.0.0.1", 0, &sa), 0);
 	ck_assert_int_eq(uv_tcp_bind(&probe, (struct sockaddr *)&sa, 0), 0);
 	uv_tcp_getsockname(&probe, (struct sockaddr *)&sa, &n);
 	conf.callers.port = ntohs(sa.sin_port);
 	uv_close((uv_handle_t *)&probe, NULL);
-	uv_run(&loop, UV_RUN_NOWAIT);
-	f = forward_new(&loop, &conf, w.edge, &adapter_codec, w.counters);
-	ck_assert_int_eq(forward_listen(f), CODE_OK);
-	l = hconn_open(&loop, &conf.callers, &caller_ops, &g);
-	while (hconn_connecting(l) || forward_idle(f))
-		uv_run(&loop, UV_RUN_ONCE);
-	now = clock_now();
-	forward_drain(f, now - 2 * (ms_t)STOP_WAIT_MS);
-	forward_tick(f, now);
-	http_put(out, "GET / HTTP/1.1\r\nHost: x\r\n\r\n");
-	hconn_send(l, out, NULL);
-	for (int i = 0; i < TURNS && !g.ended && !g.gone; i++)
-		uv_run(&loop, UV_RUN_ONCE);
-	ck_assert(g.ended);
-	ck_assert_int_eq(g.status, 503);
-	forward_close(f);
-	uv_run(&loop, UV_RUN_DEFAULT);
-	forward_free(f);
-	uv_loop_close(&loop);
-	world_clear(&w);
+	uv_run(&h->loop, UV_RUN_NOWAIT);
+	h->f = forward_new(&h->loop, &conf, h->w.edge, &adapter_codec,
+			   h->w.counters);
+	ck_assert_int_eq(forward_listen(h->f), CODE_OK);
+	h->l = hconn_open(&h->loop, &conf.callers, &caller_ops, &h->got);
+	while (hconn_connecting(h->l) || forward_idle(h->f))
+		uv_run(&h->loop, UV_RUN_ONCE);
+}
+
+static void host_ask(host_t *h)
+{
+	GByteArray *out = g_byte_array_new();
+
+	http_put(out, "GET / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+	hconn_send(h->l, out, NULL);
 	g_byte_array_free(out, TRUE);
 }
+
+static void host_close(host_t *h)
+{
+	forward_close(h->f);
+	uv_run(&h->loop, UV_RUN_DEFAULT);
+	forward_free(h->f);
+	uv_loop_close(&h->loop);
+	world_clear(&h->w);
+}
+
+START_TEST(test_idle_at_stop)
+{
+	host_t h;
+	ms_t now;
+
+	host_open(&h);
+	now = clock_now();
+	forward_drain(h.f, now - 2 * (ms_t)STOP_WAIT_MS);
+	forward_tick(h.f, now);
+	host_ask(&h);
+	for (int i = 0; i < TURNS && !h.got.ended && !h.got.gone; i++)
+		uv_run(&h.loop, UV_RUN_ONCE);
+	ck_assert(h.got.ended);
+	ck_assert_int_eq(h.got.status, 503);
+	host_close(&h);
+}
+END_TEST
+
+/* Whether a configuration comes after the request, and what the caller gets. */
+typedef struct early_case {
+	bool comes;
+	int status;
+} early_case_t;
+
+static const early_case_t earlies[] = {
+	{ true, 404 }, /* it has no routes */
+	{ false, 503 },
+};
+
+START_TEST(test_early)
+{
+	const early_case_t *c = &earlies[_i];
+	ms_t now = clock_now();
+	host_t h;
+
+	host_open(&h);
+	host_ask(&h);
+	while (counter_get(h.w.counters, "edge_requests_total", NULL)->value ==
+	       0)
+		uv_run(&h.loop, UV_RUN_ONCE);
+	forward_tick(h.f, now);
+	ck_assert(!h.got.ended);
+	if (c->comes)
+		edge_configure(h.w.edge, desired_new(1));
+	else
+		now += EARLY_LONG_MS;
+	for (int i = 0; i < TURNS && !h.got.ended && !h.got.gone; i++) {
+		forward_tick(h.f, now);
+		uv_run(&h.loop, UV_RUN_NOWAIT);
+	}
+	ck_assert(h.got.ended);
+	ck_assert_int_eq(h.got.status, c->status);
+	host_close(&h);
+}
 END_TEST
 
 int main(void)
@@ -108,6 +173,7 @@
 	log_open(2, LOG_ERROR, false);
 	suite_add_tcase(s, t);
 	tcase_add_test(t, test_idle_at_stop);
+	tcase_add_loop_test(t, test_early, 0, G_N_ELEMENTS(earlies));
 	srunner_run_all(r, CK_NORMAL);
 	failed = srunner_ntests_failed(r);
 	srunner_free(r);
