Of two servers listed at one address, the one that started later has it

Cause: after a loss of power engines have new ids at their old addresses, and their old entries lapse only some heartbeats later.

Change: a new entry displaces an older one with the same address at once, by the start that each tells; test/roster has the four cases.

--- a/lib/edge/fleet.c
+++ b/lib/edge/fleet.c
@@ -101,6 +101,28 @@
 	return b;
 }
 
+/*
+ * Of two servers listed at one address, the one that started later has it. The
+ * other's entry lapses only some heartbeats after its end; until then every
+ * request sent to it would be turned away.
+ */
+static void displace_older(const edge_t *e, backend_t *b)
+{
+	GHashTableIter it;
+	gpointer v;
+
+	g_hash_table_iter_init(&it, e->by_id);
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		backend_t *o = v;
+
+		if (o == b || o->born == 0 || b->born == 0 ||
+		    o->addr.port != b->addr.port ||
+		    strcmp(o->addr.ip, b->addr.ip) != 0)
+			continue;
+		health_displace(o->born < b->born ? o : b);
+	}
+}
+
 /*
  * Takes what the platform says of a server. One that started anew under its
  * id, or moved, is another one: what was learned of it is dropped.
@@ -108,11 +130,13 @@
 void edge_server_put(edge_t *e, const backend_info_t *info, ms_t now)
 {
 	backend_t *b = g_hash_table_lookup(e->by_id, info->id);
+	bool known;
 
 	if (b && !same_incarnation(b, info)) {
 		take_off(e, b, "reborn");
 		b = NULL;
 	}
+	known = b != NULL;
 	if (!b)
 		b = backend_new(e, info);
 	if (info->leaving && !b->leaving)
@@ -123,6 +147,8 @@
 	b->seq = MAX(b->seq, info->seq);
 	b->slots = info->slots;
 	b->leaving = info->leaving;
+	if (!known)
+		displace_older(e, b);
 	e->ops->listed(e->ctx, b);
 	ask_count(b->pool);
 }
--- a/lib/edge/health.c
+++ b/lib/edge/health.c
@@ -102,7 +102,7 @@
  * Another server answered at the address: this one is gone, whatever its entry
  * still says. Only a newer entry of its own shows that it lives.
  */
-static void displace(backend_t *b)
+void health_displace(backend_t *b)
 {
 	if (b->displaced)
 		return;
@@ -118,7 +118,7 @@
 	bool failed = lost || how == SENT_FAILED || how == SENT_BAD;
 
 	if (how == SENT_WRONG) {
-		displace(b);
+		health_displace(b);
 		return;
 	}
 	if (how == SENT_REJECTED)
--- a/lib/edge/priv.h
+++ b/lib/edge/priv.h
@@ -106,6 +106,7 @@
 /* health.c */
 bool health_usable(const backend_t *b, ms_t now);
 void health_reset(backend_t *b);
+void health_displace(backend_t *b);
 bool health_silent(const backend_t *b, ms_t now);
 void health_note(edge_t *e, backend_t *b, sent_t how, ms_t now);
 
--- a/test/roster.c
+++ b/test/roster.c
@@ -194,6 +194,56 @@
 }
 END_TEST
 
+/* Two entries at one address: which server gets the request. */
+typedef struct taken_case {
+	const char *name;
+	int64_t born[2]; /* of the first and the second listed */
+	uint16_t port[2];
+	const char *to; /* NULL: either */
+} taken_case_t;
+
+static const taken_case_t taken_cases[] = {
+	{ "the later one is listed last", { 5, 9 }, { 80, 80 }, "second" },
+	{ "the later one is listed first", { 9, 5 }, { 80, 80 }, "first" },
+	{ "starts unknown", { 0, 0 }, { 80, 80 }, NULL },
+	{ "other ports", { 5, 9 }, { 80, 81 }, NULL },
+};
+
+START_TEST(test_taken)
+{
+	static const char *const ids[] = { "first", "second" };
+	const taken_case_t *c = &taken_cases[_i];
+	unsigned int to_first = 0;
+	backend_info_t info;
+	request_t r[20];
+	world_t w;
+
+	world_init(&w, 1);
+	for (int i = 0; i < 2; i++) {
+		info_of(&info);
+		info.id = ids[i];
+		info.born = c->born[i];
+		info.addr.port = c->port[i];
+		info.slots = 100;
+		edge_server_put(w.edge, &info, 0);
+	}
+	for (size_t i = 0; i < G_N_ELEMENTS(r); i++) {
+		request_init(&r[i], &route, 1);
+		edge_submit(w.edge, &r[i], 1);
+		to_first += strcmp(r[i].server->id, "first") == 0;
+	}
+	if (c->to)
+		ck_assert_msg(to_first ==
+				      (strcmp(c->to, "first") == 0 ? 20 : 0),
+			      "%s: %u", c->name, to_first);
+	else
+		ck_assert_msg(to_first > 0 && to_first < 20, "%s", c->name);
+	for (size_t i = 0; i < G_N_ELEMENTS(r); i++)
+		edge_drop(w.edge, &r[i], 2);
+	world_clear(&w);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("roster");
@@ -208,6 +258,7 @@
 	tcase_add_loop_test(t, test_roster, 0, G_N_ELEMENTS(roster_cases));
 	tcase_add_loop_test(t, test_servers, 0, G_N_ELEMENTS(server_cases));
 	tcase_add_test(t, test_displaced);
+	tcase_add_loop_test(t, test_taken, 0, G_N_ELEMENTS(taken_cases));
 	srunner_run_all(r, CK_NORMAL);
 	failed = srunner_ntests_failed(r);
 	srunner_free(r);
