Read as a newcomer: decisions, marks and counts named for what they hold

- moved.c: decision_t (kept_t was also the name of a keeper's table); judge.c: at_mark and before_mark; arguments and a function that nobody used are gone.

--- a/cmd/chestnuthinged/moved.c
+++ b/cmd/chestnuthinged/moved.c
@@ -16,7 +16,7 @@
 };
 
 /* The newest decision on a service's move, and what was done about it. */
-typedef struct kept {
+typedef struct decision {
 	char *service;
 	char *target; /* NULL before its order is known */
 	shift_step_t step;
@@ -26,7 +26,7 @@
 	bool status_flying;	/* a status is being written, */
 	uint64_t status_number; /* of this decision */
 	bool telling;		/* a record that it is told is being written */
-} kept_t;
+} decision_t;
 
 struct moved {
 	uv_loop_t *loop;
@@ -35,30 +35,30 @@
 	append_t *append;
 	judge_t *judge;
 	counters_t *counters;
-	follow_t *follow;  /* NULL before the first order */
-	GHashTable *kepts; /* kept_t by service */
+	follow_t *follow;      /* NULL before the first order */
+	GHashTable *decisions; /* decision_t by service */
 	bool judging;
 };
 
-static void kept_free(gpointer v)
+static void decision_free(gpointer v)
 {
-	kept_t *k = v;
+	decision_t *d = v;
 
-	g_free(k->service);
-	g_free(k->target);
-	g_free(k);
+	g_free(d->service);
+	g_free(d->target);
+	g_free(d);
 }
 
-static kept_t *kept_get(moved_t *m, const char *service)
+static decision_t *decision_get(moved_t *m, const char *service)
 {
-	kept_t *k = g_hash_table_lookup(m->kepts, service);
-
-	if (k)
-		return k;
-	k = g_new0(kept_t, 1);
-	k->service = g_strdup(service);
-	g_hash_table_insert(m->kepts, k->service, k);
-	return k;
+	decision_t *d = g_hash_table_lookup(m->decisions, service);
+
+	if (d)
+		return d;
+	d = g_new0(decision_t, 1);
+	d->service = g_strdup(service);
+	g_hash_table_insert(m->decisions, d->service, d);
+	return d;
 }
 
 /* Only called while the topic is known (moved_tick). */
@@ -79,12 +79,12 @@
 
 static const judge_ops_t judge_ops = { on_decided };
 
-static void apply(moved_t *m, const kept_t *k)
+static void apply(moved_t *m, const decision_t *d)
 {
 	ms_t now = clock_now();
 
-	edge_shift_step(m->edge, k->service, &k->step, now);
-	judge_step(m->judge, k->service, &k->step, now);
+	edge_shift_step(m->edge, d->service, &d->step);
+	judge_step(m->judge, d->service, &d->step, now);
 }
 
 static void on_record(void *ctx, str_t key, str_t value, uint64_t number)
@@ -92,7 +92,7 @@
 	moved_t *m = ctx;
 	shift_step_t step;
 	char *service;
-	kept_t *k;
+	decision_t *d;
 
 	if (value.n == 0)
 		return;
@@ -102,14 +102,14 @@
 		return;
 	}
 	service = str_dup(key);
-	k = kept_get(m, service);
+	d = decision_get(m, service);
 	g_free(service);
-	k->step = step;
-	k->number = number;
-	k->known = true;
-	k->status_written = false;
-	k->telling = false;
-	apply(m, k);
+	d->step = step;
+	d->number = number;
+	d->known = true;
+	d->status_written = false;
+	d->telling = false;
+	apply(m, d);
 }
 
 static void ignore(void *ctx)
@@ -141,8 +141,8 @@
 	m->append = append;
 	m->counters = counters;
 	m->judge = judge_new(&judge_ops, m, canary_share);
-	m->kepts =
-		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, kept_free);
+	m->decisions = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+					     decision_free);
 	return m;
 }
 
@@ -152,18 +152,18 @@
 {
 	ms_t now = clock_now();
 	shift_order_t o;
-	kept_t *k;
+	decision_t *d;
 	void *doc;
 
 	if (adapter_move(key, text, number, &o, &doc, why))
 		return false;
-	edge_shift_order(m->edge, &o, now);
+	edge_shift_order(m->edge, &o);
 	judge_order(m->judge, &o, now);
-	k = kept_get(m, o.service);
-	g_free(k->target);
-	k->target = g_strdup(o.target);
-	if (k->known)
-		apply(m, k);
+	d = decision_get(m, o.service);
+	g_free(d->target);
+	d->target = g_strdup(o.target);
+	if (d->known)
+		apply(m, d);
 	if (!m->follow)
 		m->follow = follow_new(m->loop, &m->conf, &follow_ops, m,
 				       m->counters);
@@ -185,10 +185,10 @@
 }
 
 /* A status that was overtaken is written too, by a later judge. */
-static void status_done(kept_t *k)
+static void status_done(decision_t *d)
 {
-	k->status_flying = false;
-	k->status_written = k->status_number == k->number;
+	d->status_flying = false;
+	d->status_written = d->status_number == d->number;
 }
 
 /* The store has answered for a record that was written for a move. */
@@ -198,55 +198,55 @@
 	GHashTableIter it;
 	gpointer v;
 
-	g_hash_table_iter_init(&it, m->kepts);
+	g_hash_table_iter_init(&it, m->decisions);
 	while (g_hash_table_iter_next(&it, NULL, &v)) {
-		kept_t *k = v;
-		char *status = adapter_status_key(k->service);
+		decision_t *d = v;
+		char *status = adapter_status_key(d->service);
 
 		if (strcmp(topic, adapter_topic_status()) == 0 &&
 		    strcmp(key, status) == 0) {
-			status_done(k);
+			status_done(d);
 		} else if (strcmp(topic, adapter_topic_moves()) == 0 &&
-			   strcmp(key, k->service) == 0 &&
+			   strcmp(key, d->service) == 0 &&
 			   end != APPEND_WRITTEN) {
-			k->telling = false;
-			judge_refused(m->judge, k->service);
+			d->telling = false;
+			judge_refused(m->judge, d->service);
 		}
 		g_free(status);
 	}
 }
 
-static void put_status(moved_t *m, kept_t *k)
+static void put_status(moved_t *m, decision_t *d)
 {
-	char *producer = g_strconcat("move-", k->service, NULL);
-	append_if_t cond = { .producer = producer, .epoch = k->number + 1 };
-	char *key = adapter_status_key(k->service);
-	char *text = adapter_status(k->target, k->step.state);
+	char *producer = g_strconcat("move-", d->service, NULL);
+	append_if_t cond = { .producer = producer, .epoch = d->number + 1 };
+	char *key = adapter_status_key(d->service);
+	char *text = adapter_status(d->target, d->step.state);
 
 	log_line(LOG_INFO, "move_status", "service=%s target=%s state=%s",
-		 k->service, k->target, shift_state_name(k->step.state));
+		 d->service, d->target, shift_state_name(d->step.state));
 	append_put(m->append, adapter_topic_status(), key, text, &cond);
-	k->status_flying = true;
-	k->status_number = k->number;
+	d->status_flying = true;
+	d->status_number = d->number;
 	g_free(producer);
 	g_free(key);
 	g_free(text);
 }
 
 /* The operator is told of each decision, and that is kept of the last one. */
-static void tell(moved_t *m, kept_t *k)
+static void tell(moved_t *m, decision_t *d)
 {
-	shift_step_t step = k->step;
+	shift_step_t step = d->step;
 
-	if (!k->known || !k->target || step.told)
+	if (!d->known || !d->target || step.told)
 		return;
-	if (!k->status_written && !k->status_flying)
-		put_status(m, k);
-	if (!k->status_written || step.state == SHIFT_RUNNING || k->telling)
+	if (!d->status_written && !d->status_flying)
+		put_status(m, d);
+	if (!d->status_written || step.state == SHIFT_RUNNING || d->telling)
 		return;
 	step.told = true;
-	k->telling = true;
-	put_step(m, k->service, &step);
+	d->telling = true;
+	put_step(m, d->service, &step);
 }
 
 /* Judges, if this host is the one to, and has what others decided told. */
@@ -265,7 +265,7 @@
 	if (!judging || !follow_end(m->follow, &end))
 		return;
 	judge_tick(m->judge, now);
-	g_hash_table_iter_init(&it, m->kepts);
+	g_hash_table_iter_init(&it, m->decisions);
 	while (g_hash_table_iter_next(&it, NULL, &v))
 		tell(m, v);
 }
@@ -282,6 +282,6 @@
 	if (m->follow)
 		follow_free(m->follow);
 	judge_free(m->judge);
-	g_hash_table_destroy(m->kepts);
+	g_hash_table_destroy(m->decisions);
 	g_free(m);
 }
--- a/lib/edge/edge.c
+++ b/lib/edge/edge.c
@@ -368,7 +368,7 @@
 	if (how == SENT_WHOLE)
 		cost_note(b, r, now);
 	health_note(e, b, how, now);
-	shift_note(r, how, now);
+	shift_note(r, how);
 	leave_server(e, r, how == SENT_NOT, now);
 	again = worth_again(e, r, how, resumable, now);
 	if (how != SENT_WHOLE)
--- a/lib/edge/fns.h
+++ b/lib/edge/fns.h
@@ -77,11 +77,9 @@
 GPtrArray *edge_server_ids(const edge_t *e); /* of char*, not owned */
 
 /* shift.c */
-void edge_shift_order(edge_t *e, const shift_order_t *o, ms_t now);
-void edge_shift_step(edge_t *e, const char *service, const shift_step_t *s,
-		     ms_t now);
+void edge_shift_order(edge_t *e, const shift_order_t *o);
+void edge_shift_step(edge_t *e, const char *service, const shift_step_t *s);
 const char *shift_state_name(shift_state_t state);
-bool edge_shift_open(const edge_t *e);
 void edge_shift_each(edge_t *e,
 		     void (*fn)(void *ctx, const char *service, uint64_t order,
 				const char *cell, uint64_t value),
--- a/lib/edge/judge.c
+++ b/lib/edge/judge.c
@@ -56,8 +56,8 @@
 	char *server; /* of the target */
 	char *route;
 	uint64_t value;
-	uint64_t before; /* at the last mark */
-	uint64_t mark;	 /* and at the one before that */
+	uint64_t at_mark;     /* at the last mark of all values */
+	uint64_t before_mark; /* and at the one before that */
 } told_t;
 
 /* What one route says, or one server on it. */
@@ -275,7 +275,7 @@
 		if (x->metric < 0 || (server && strcmp(x->server, server) != 0))
 			continue;
 		sum_get(sums, x->route)->v[x->side][x->metric] +=
-			(double)(x->value - (recent ? x->mark : 0));
+			(double)(x->value - (recent ? x->before_mark : 0));
 	}
 	return sums;
 }
@@ -423,8 +423,8 @@
 	while (g_hash_table_iter_next(&it, NULL, &v)) {
 		told_t *x = v;
 
-		x->mark = x->before;
-		x->before = x->value;
+		x->before_mark = x->at_mark;
+		x->at_mark = x->value;
 	}
 }
 
--- a/lib/edge/priv.h
+++ b/lib/edge/priv.h
@@ -101,7 +101,7 @@
 void shift_free(shift_t *s);
 shift_side_t shift_pick(edge_t *e, pool_t *p, const request_t *r);
 bool shift_allows(const request_t *r, const backend_t *b, ms_t now);
-void shift_note(const request_t *r, sent_t how, ms_t now);
+void shift_note(const request_t *r, sent_t how);
 
 /* health.c */
 bool health_usable(const backend_t *b, ms_t now);
--- a/lib/edge/shift.c
+++ b/lib/edge/shift.c
@@ -55,7 +55,7 @@
 }
 
 /* Takes an order. Orders that are no newer than the one known are ignored. */
-void edge_shift_order(edge_t *e, const shift_order_t *o, ms_t now)
+void edge_shift_order(edge_t *e, const shift_order_t *o)
 {
 	pool_t *p = pool_get(e, o->service);
 	shift_t *s = p->shift;
@@ -75,8 +75,7 @@
 }
 
 /* Takes what the judge decided. A final state of an order stays. */
-void edge_shift_step(edge_t *e, const char *service, const shift_step_t *step,
-		     ms_t now)
+void edge_shift_step(edge_t *e, const char *service, const shift_step_t *step)
 {
 	pool_t *p = pool_get(e, service);
 	shift_t *s = p->shift;
@@ -101,22 +100,6 @@
 	s->step = *step;
 }
 
-/* Whether an order is known whose end the operator was not told yet. */
-bool edge_shift_open(const edge_t *e)
-{
-	GHashTableIter it;
-	gpointer v;
-
-	g_hash_table_iter_init(&it, e->pools);
-	while (g_hash_table_iter_next(&it, NULL, &v)) {
-		const shift_t *s = ((const pool_t *)v)->shift;
-
-		if (s && !(s->decided && s->step.told))
-			return true;
-	}
-	return false;
-}
-
 static bool is_target(const backend_t *b)
 {
 	return strcmp(b->version, b->pool->shift->target) == 0;
@@ -207,7 +190,7 @@
 }
 
 /* Counts what a send that has ended says of the version that ran it. */
-void shift_note(const request_t *r, sent_t how, ms_t now)
+void shift_note(const request_t *r, sent_t how)
 {
 	shift_t *s = r->pool->shift;
 	shift_cell_t *c;
--- a/test/shift.c
+++ b/test/shift.c
@@ -176,7 +176,7 @@
 	shift_order_t o = { svc, "v2", DURATION, 7 };
 
 	for (int i = 0; i < HOSTS; i++)
-		edge_shift_order(p->hosts[i].edge, &o, p->now);
+		edge_shift_order(p->hosts[i].edge, &o);
 	new_judge(p);
 }
 
@@ -190,7 +190,7 @@
 		p->kept = f.step;
 		p->kept_known = true;
 		for (int k = 0; k < HOSTS; k++)
-			edge_shift_step(p->hosts[k].edge, svc, &f.step, p->now);
+			edge_shift_step(p->hosts[k].edge, svc, &f.step);
 		judge_step(p->judge, svc, &f.step, p->now);
 		g_array_remove_index(p->flying, i--);
 	}
@@ -439,10 +439,10 @@
 	if (c->old_left)
 		put_version(&w, "old", "10.0.0.1", "v1", SLOTS, 0);
 	put_version(&w, "new", "10.0.0.2", "v2", SLOTS, 0);
-	edge_shift_order(w.edge, &o, 0);
+	edge_shift_order(w.edge, &o);
 	for (size_t i = 0; c->steps[i]; i++) {
 		ck_assert(!shift_step_parse(str_of(c->steps[i]), &s));
-		edge_shift_step(w.edge, svc, &s, 0);
+		edge_shift_step(w.edge, svc, &s);
 	}
 	for (size_t i = 0; i < G_N_ELEMENTS(r); i++) {
 		request_init(&r[i], &route, 1);
--- a/test/soak/store.c
+++ b/test/soak/store.c
@@ -22,7 +22,8 @@
 	t->name = g_strdup(name);
 	t->recs = g_ptr_array_new();
 	t->newest = g_hash_table_new(g_str_hash, g_str_equal);
-	t->epochs = g_hash_table_new(g_str_hash, g_str_equal);
+	t->epochs =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	g_hash_table_insert(st->topics, t->name, t);
 	return t;
 }
@@ -199,8 +200,10 @@
 		return 200;
 	producer = g_strndup(name + 9, strcspn(name + 9, "&"));
 	highest = g_hash_table_lookup(t->epochs, producer);
-	if (highest && epoch < *highest)
+	if (highest && epoch < *highest) {
+		g_free(producer);
 		return 409;
+	}
 	g_hash_table_replace(t->epochs, producer,
 			     g_memdup2(&epoch, sizeof(epoch)));
 	return 200;
