A new process keeps to the plain quota for one window

All 21 hosts were killed at 12.9 s. What they had let in beyond the quota, before they heard of each other, is paid back by a level below zero; new processes began at a tenth of the burst and with all of the tolerance.

--- a/lib/edge/edge.c
+++ b/lib/edge/edge.c
@@ -436,6 +436,9 @@
 	GHashTableIter it;
 	gpointer p;
 
+	if (!e->ticked)
+		e->started = now;
+	e->ticked = true;
 	hosts_tick(e, now);
 	g_hash_table_iter_init(&it, e->pools);
 	while (g_hash_table_iter_next(&it, NULL, &p)) {
--- a/lib/edge/priv.h
+++ b/lib/edge/priv.h
@@ -84,6 +84,8 @@
 	GHashTable *others;	   /* other hosts, by name */
 	unsigned int hosts;	   /* listed, with this one */
 	unsigned int hosts_silent; /* of those, not heard */
+	ms_t started;		   /* the first tick */
+	bool ticked;
 	counters_t *counters;
 };
 
--- a/lib/edge/quota.c
+++ b/lib/edge/quota.c
@@ -14,8 +14,6 @@
 	WAY_MS = 80, /* of a message between hosts, with its wait for a turn */
 };
 
-static const double first_level = 0.1;	 /* of the burst, in a new process: what
-					    an earlier one used is not known */
 static const double tolerance_use = 0.8; /* of what is tolerated: the rest is
 					    for what hosts learn late */
 static const double slack_use = 0.25;	 /* of the slack, at least */
@@ -63,17 +61,29 @@
 		   rest + e->conf.quota_slack - c->rate * burst_times * late);
 }
 
+/*
+ * Whether what earlier processes sent may still count in a window. Nothing is
+ * known of that, nor of what they let in too much: when all hosts are killed
+ * at once all of it is forgotten. So a process begins with an empty bucket and
+ * keeps to the plain quota until a window has passed.
+ */
+static bool is_young(const edge_t *e, ms_t now)
+{
+	return e->ticked && now - e->started < e->conf.quota_window;
+}
+
 static void refill(const edge_t *e, quota_t *q, const edge_customer_t *c,
 		   ms_t now)
 {
-	double more = 1 + e->conf.quota_tolerance * tolerance_use;
-	double slack = extra(e, c) * MS_PER_S / (double)e->conf.quota_window;
+	bool young = is_young(e, now);
+	double more = young ? 1 : 1 + e->conf.quota_tolerance * tolerance_use;
+	double slack =
+		young ? 0
+		      : extra(e, c) * MS_PER_S / (double)e->conf.quota_window;
 	double rate = (c->rate * more + slack) * (1 - unheard(e));
 	double full = c->burst * more * (1 - unheard(e));
 
-	if (q->filled_at == 0)
-		q->level = full * first_level;
-	else
+	if (q->filled_at > 0)
 		q->level += rate * (double)(now - q->filled_at) / MS_PER_S;
 	q->level = MIN(q->level, full);
 	q->filled_at = now;
--- a/test/quota.c
+++ b/test/quota.c
@@ -145,6 +145,100 @@
 }
 END_TEST
 
+/*
+ * All hosts are killed and start again, at any point of time in a window in
+ * which the customer had all it could get.
+ */
+typedef struct killed_case {
+	ms_t down;
+	double rate;
+	double slack;
+} killed_case_t;
+
+static const killed_case_t killed_cases[] = {
+	{ 100, 1000, 900 }, { 300, 1000, 800 }, { 300, 300, 900 },
+	{ 900, 1000, 600 }, { 300, 500, 500 },
+};
+
+enum {
+	KILLED_END = 34 * 1000, /* ms */
+	KILLED_TELL = 200,	/* ms between words of hosts */
+};
+
+static void open_hosts(hosts_t *h, const killed_case_t *c)
+{
+	for (unsigned int i = 0; i < h->n; i++) {
+		world_open(&h->w[i], 0.2, 0.1, c->slack);
+		put_server(&h->w[i], "s", "10.0.0.1", 10000, false, 1, 0);
+		for (unsigned int k = 0; k < h->n; k++) {
+			char name[16];
+
+			snprintf(name, sizeof(name), "h%u", k);
+			if (k != i)
+				edge_host_listed(h->w[i].edge, name);
+		}
+	}
+}
+
+static void close_hosts(hosts_t *h)
+{
+	for (unsigned int i = 0; i < h->n; i++)
+		world_clear(&h->w[i]);
+}
+
+/* The most that is let in within a window around a kill at that time. */
+static double play_kill(const killed_case_t *c, ms_t at)
+{
+	hosts_t h = {
+		.n = 4,
+		.customer = { .name = "c", .rate = c->rate, .burst = c->rate }
+	};
+	static double by_ms[KILLED_END];
+	double due[4] = { 0 };
+	double window = 0;
+	double most = 0;
+
+	memset(by_ms, 0, sizeof(by_ms));
+	open_hosts(&h, c);
+	for (ms_t now = 0; now < KILLED_END; now += 10) {
+		if (now == at) {
+			close_hosts(&h);
+			open_hosts(&h, c);
+		}
+		if (now >= at && now < at + c->down)
+			continue;
+		if (now % KILLED_TELL == 0)
+			tell_all(&h, now);
+		h.served = 0;
+		for (unsigned int i = 0; i < h.n; i++) {
+			edge_tick(h.w[i].edge, now);
+			for (due[i] += c->rate / 100; due[i] >= 1; due[i]--)
+				ask_once(&h, i, now, true);
+		}
+		by_ms[now] = h.served;
+	}
+	close_hosts(&h);
+	for (ms_t now = 0; now < KILLED_END; now++) {
+		window +=
+			by_ms[now] - (now >= 8 * MS ? by_ms[now - 8 * MS] : 0);
+		most = MAX(most, window);
+	}
+	return most;
+}
+
+START_TEST(test_killed)
+{
+	const killed_case_t *c = &killed_cases[_i];
+	double allowed = c->rate * 9 * 1.1 + c->slack;
+	double most = 0;
+
+	for (ms_t at = 18 * MS; at < 18 * MS + 1000; at += 100)
+		most = MAX(most, play_kill(c, at));
+	ck_assert_msg(most <= allowed, "%.0f in a window, allowed %.0f", most,
+		      allowed);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("quota");
@@ -155,6 +249,8 @@
 	log_open(2, LOG_ERROR, false);
 	suite_add_tcase(s, t);
 	tcase_add_loop_test(t, test_quota, 0, G_N_ELEMENTS(quota_cases));
+	tcase_set_timeout(t, 120);
+	tcase_add_loop_test(t, test_killed, 0, G_N_ELEMENTS(killed_cases));
 	srunner_run_all(r, CK_NORMAL);
 	failed = srunner_ntests_failed(r);
 	srunner_free(r);
