--- a/lib/edge/quota.c
+++ b/lib/edge/quota.c
@@ -83,8 +83,10 @@
 	double rate = (c->rate * more + slack) * (1 - unheard(e));
 	double full = c->burst * more * (1 - unheard(e));
 
-	if (q->filled_at > 0)
-		q->level += rate * (double)(now - q->filled_at) / MS_PER_S;
+	/* A bucket fills from the process's start, not from its first use. */
+	if (q->filled_at == 0)
+		q->filled_at = e->ticked ? e->started : now;
+	q->level += rate * (double)(now - q->filled_at) / MS_PER_S;
 	q->level = MIN(q->level, full);
 	q->filled_at = now;
 }
--- a/test/quota.c
+++ b/test/quota.c
@@ -239,6 +239,23 @@
 }
 END_TEST
 
+/* A customer that comes late finds its bucket full. */
+START_TEST(test_late)
+{
+	hosts_t h = { .n = 1,
+		      .customer = { .name = "c", .rate = 100, .burst = 100 } };
+
+	world_init(&h.w[0], 0.2);
+	put_server(&h.w[0], "s", "10.0.0.1", 1000, false, 1, 0);
+	for (ms_t now = 1; now < 12 * MS; now += 10)
+		edge_tick(h.w[0].edge, now);
+	for (int i = 0; i < 150; i++)
+		ask_once(&h, 0, 12 * MS, true);
+	ck_assert_msg(h.served >= 100, "%.0f of 100", h.served);
+	world_clear(&h.w[0]);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("quota");
@@ -250,6 +267,7 @@
 	suite_add_tcase(s, t);
 	tcase_add_loop_test(t, test_quota, 0, G_N_ELEMENTS(quota_cases));
 	tcase_set_timeout(t, 120);
+	tcase_add_test(t, test_late);
 	tcase_add_loop_test(t, test_killed, 0, G_N_ELEMENTS(killed_cases));
 	srunner_run_all(r, CK_NORMAL);
 	failed = srunner_ntests_failed(r);
