--- a/cmd/chestnuthinged/edged.c
+++ b/cmd/chestnuthinged/edged.c
@@ -242,6 +242,9 @@
 	edged_t *d = t->data;
 	ms_t now = clock_now();
 
+	if (d->last_tick)
+		hist_add(d->tick_gap_ms, now - d->last_tick);
+	d->last_tick = now;
 	reload_settings(d, now);
 	topics_tick(d, now);
 	append_tick(d->append, now);
@@ -332,6 +335,7 @@
 	pages_free(d->pages);
 	pages_free(d->metrics);
 	uv_loop_close(&d->loop);
+	hist_free(d->tick_gap_ms);
 	counters_free(d->counters);
 	reload_free(d->reload);
 	edge_settings_free(d->set);
@@ -354,6 +358,7 @@
 	d->counters = counters_new();
 	d->bad_records =
 		counter_get(d->counters, "edge_bad_records_total", NULL);
+	d->tick_gap_ms = hist_new(d->counters, "edge_tick_gap_ms", NULL);
 	signal(SIGPIPE, SIG_IGN);
 	uv_loop_init(&d->loop);
 	make_edge(d);
--- a/cmd/chestnuthinged/edged_priv.h
+++ b/cmd/chestnuthinged/edged_priv.h
@@ -38,6 +38,9 @@
 	bool stopping;
 	ms_t stop_at;
 	counter_t *bad_records;
+	ms_t last_tick;
+	hist_t *tick_gap_ms; /* between two ticks: the longest turns of the
+				loop */
 } edged_t;
 
 /* topics.c */
--- a/cmd/chestnuthinged/topics.c
+++ b/cmd/chestnuthinged/topics.c
@@ -47,21 +47,24 @@
 
 static void apply_config(edged_t *d, str_t key, str_t text, const char *from)
 {
+	ms_t begun = clock_now();
 	desired_t *desired = NULL;
 	const char *why;
-	uint64_t version;
 
 	if (adapter_parse_config(text, &desired, &why)) {
 		reject_record(d, key, why);
 		return;
 	}
-	version = desired->version;
 	if (!edge_configure(d->edge, desired))
 		return;
 	g_string_truncate(d->config_text, 0);
 	g_string_append_len(d->config_text, text.p, (gssize)text.n);
-	log_line(LOG_INFO, "config_in_force", "version=%" PRIu64 " from=%s",
-		 version, from);
+	log_line(LOG_INFO, "config_in_force",
+		 "version=%" PRIu64 " from=%s routes=%u idle_timeout_ms=%lld "
+		 "took_ms=%lld",
+		 desired->version, from, desired->routes->len,
+		 (long long)desired->limits.idle_timeout,
+		 (long long)(clock_now() - begun));
 }
 
 /* Takes the operator's record: a configuration, or an order of a rollout. */
--- a/lib/forward/caller.c
+++ b/lib/forward/caller.c
@@ -245,8 +245,15 @@
 		hang_up(c);
 		return;
 	}
-	if (n == 0 || c->closing || c->closed)
+	if (n == 0 || c->closed)
 		return;
+	if (c->closing) {
+		c->forward->unread_at_close->value++;
+		log_line(LOG_INFO, "read_after_close",
+			 "bytes=%zd closed_for_ms=%lld", n,
+			 (long long)(clock_now() - c->since));
+		return;
+	}
 	if (!c->answering && c->pending->len == 0) {
 		feed(c, buf->base, (size_t)n);
 		return;
--- a/lib/forward/priv.h
+++ b/lib/forward/priv.h
@@ -105,7 +105,8 @@
 	counter_t *connects;
 	counter_t *reused;
 	counter_t *stray_answers;
-	hist_t *answer_ms;    /* of whole answers of servers */
+	counter_t *unread_at_close; /* reads from callers after the shutdown */
+	hist_t *answer_ms;	    /* of whole answers of servers */
 	counter_t *omitted;   /* failed requests whose trace was not logged */
 	int64_t trace_second; /* of the two counts that follow */
 	unsigned int traces;  /* of failed requests, logged or not */
