Callers: a test of a request that comes while its connection's idle timeout passes (fails)

An edge that was busy, say with a large configuration, runs its timers before it reads its sockets: it shuts the connection down and drops the request.

--- a/test/stop.c
+++ b/test/stop.c
@@ -1,5 +1,6 @@
 /*
- * Requests around the stop and the start of a host. Planned stop: a connection
+ * Requests around the stop and the start of a host, and around the idle timeout
+ * of a connection. Planned stop: a connection
  * that is idle when requests are no longer accepted stays open, so that a
  * request that was on its way is answered 503, not run. Start: a request that
  * comes before the first configuration waits a little for it.
@@ -14,6 +15,7 @@
 	ACCEPT_MS = 100,  /* requests are accepted so long while draining */
 	TURNS_MAX = 2000, /* of the event loop */
 	CONFIG_LATE_MS = 60000, /* no request waits so long for one */
+	IDLE_MS = 60000,	/* longer than the idle timeout */
 };
 
 /* What the caller received. */
@@ -164,6 +166,23 @@
 }
 END_TEST
 
+/* The host was busy while the idle timeout passed and the request came. */
+START_TEST(test_request_unread_at_idle_timeout)
+{
+	host_t h;
+
+	host_open(&h);
+	edge_configure(h.w.edge, desired_new(1));
+	host_request(&h);
+	forward_tick(h.f, clock_now() + IDLE_MS);
+	for (int i = 0; i < TURNS_MAX && !h.got.ended && !h.got.gone; i++)
+		uv_run(&h.loop, UV_RUN_ONCE);
+	ck_assert(h.got.ended);
+	ck_assert_int_eq(h.got.status, 404);
+	host_close(&h);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("stop");
@@ -174,6 +193,7 @@
 	log_open(2, LOG_ERROR, false);
 	suite_add_tcase(s, t);
 	tcase_add_test(t, test_idle_at_stop);
+	tcase_add_test(t, test_request_unread_at_idle_timeout);
 	tcase_add_loop_test(t, test_before_config, 0,
 			    G_N_ELEMENTS(early_cases));
 	srunner_run_all(r, CK_NORMAL);
