Callers: the end of an idle connection goes out with the decision to close it

What callers saw: an idle connection closed, and the request that they sent on it up to 0.4 s after the decision without an answer. Cause: uv_shutdown acts in a later turn of the loop; a turn that takes a large configuration in force lies between. Change: where nothing is left to write, shutdown(2) at once. test/stop "idle_timeout_seen_at_once" failed before, passes now.

--- a/lib/forward/caller.c
+++ b/lib/forward/caller.c
@@ -74,6 +74,10 @@
 	if (c->shutdown_sent || c->closed)
 		return;
 	c->shutdown_sent = true;
+	if (writer_queued(&c->out) == 0) {
+		tcp_end(&c->tcp);
+		return;
+	}
 	req = g_new0(uv_shutdown_t, 1);
 	if (uv_shutdown(req, (uv_stream_t *)&c->tcp, on_shutdown))
 		g_free(req);
--- a/lib/net/fns.h
+++ b/lib/net/fns.h
@@ -29,6 +29,7 @@
 int tcp_listen(uv_tcp_t *listener, const addr_t *at, int backlog,
 	       uv_connection_cb on_connection);
 tcp_unread_t tcp_unread(const uv_tcp_t *conn);
+void tcp_end(const uv_tcp_t *conn);
 
 /* clock.c */
 ms_t clock_now(void);	  /* monotonic, milliseconds */
--- a/lib/net/tcp.c
+++ b/lib/net/tcp.c
@@ -1,4 +1,5 @@
 /* Addresses and listeners of TCP. */
+#include <errno.h>
 #include <string.h>
 #include <sys/socket.h>
 #include "base/fns.h"
@@ -51,3 +52,17 @@
 		return TCP_UNREAD_BYTES;
 	return n == 0 ? TCP_UNREAD_END : TCP_UNREAD_NONE;
 }
+
+/*
+ * Ends our direction of a connection that has nothing left to write, at once:
+ * uv_shutdown waits for a later turn of the event loop.
+ */
+void tcp_end(const uv_tcp_t *conn)
+{
+	uv_os_fd_t fd;
+
+	if (uv_fileno((const uv_handle_t *)conn, &fd) == 0 &&
+	    shutdown(fd, SHUT_WR) && errno != ENOTCONN)
+		log_line(LOG_WARN, "shutdown_failed", "why=%s",
+			 g_strerror(errno));
+}
