Edge: configurations are decoded in a thread; the loop goes on with the one in force

What callers saw beside a configuration of 1,400 routes more: connections closed and streams broken off, answers late by up to half a second. Time limits were judged after it on old input.

--- a/cmd/chestnuthinged/edged.c
+++ b/cmd/chestnuthinged/edged.c
@@ -118,10 +118,23 @@
 		rolloutd_host_gone(d->rollouts, host);
 }
 
-static const peering_ops_t peering_ops = {
-	topics_config_text, topics_peer_config,	 on_rollout_count,
-	on_host_gone,	    topics_newer_config, topics_news
-};
+static str_t on_config_text(void *ctx)
+{
+	edged_t *d = ctx;
+
+	return configs_text(d->configs);
+}
+
+static void on_peer_config(void *ctx, str_t text)
+{
+	edged_t *d = ctx;
+
+	configs_put(d->configs, str_of("config"), text, "host");
+}
+
+static const peering_ops_t peering_ops = { on_config_text,	on_peer_config,
+					   on_rollout_count,	on_host_gone,
+					   topics_newer_config, topics_news };
 
 static void on_written(void *ctx, const char *topic, const char *key,
 		       append_result_t end)
@@ -175,6 +188,7 @@
 	rolloutd_free(d->rollouts);
 	d->rollouts = NULL; /* messages of hosts may come until the loop ends */
 	peering_close(d->peering);
+	configs_close(d->configs);
 }
 
 static void end(edged_t *d)
@@ -296,6 +310,7 @@
 	d->forward = forward_new(&d->loop, &forward_conf, d->edge,
 				 &adapter_codec, d->counters);
 	d->roster = roster_new(d->edge);
+	d->configs = configs_new(&d->loop, d);
 	d->append =
 		append_new(&d->loop, &set->store, &append_ops, d, d->counters);
 	d->rollouts = rolloutd_new(&d->loop, &set->store, d->edge, d->append,
@@ -332,6 +347,7 @@
 	peering_free(d->peering);
 	roster_free(d->roster);
 	forward_free(d->forward);
+	configs_free(d->configs);
 	pages_free(d->pages);
 	pages_free(d->metrics);
 	uv_loop_close(&d->loop);
@@ -339,7 +355,6 @@
 	counters_free(d->counters);
 	reload_free(d->reload);
 	edge_settings_free(d->set);
-	g_string_free(d->config_text, TRUE);
 	g_byte_array_free(d->server_news, TRUE);
 	g_free(d);
 	log_flush();
@@ -353,11 +368,12 @@
 	d->reload = reload_new(path);
 	d->inc = random_u64();
 	d->started = clock_now();
-	d->config_text = g_string_new(NULL);
 	d->server_news = g_byte_array_new();
 	d->counters = counters_new();
 	d->bad_records =
 		counter_get(d->counters, "edge_bad_records_total", NULL);
+	/* Configurations are decoded one at a time. */
+	g_setenv("UV_THREADPOOL_SIZE", "1", FALSE);
 	d->tick_gap_ms = hist_new(d->counters, "edge_tick_gap_ms", NULL);
 	signal(SIGPIPE, SIG_IGN);
 	uv_loop_init(&d->loop);
--- a/cmd/chestnuthinged/edged_priv.h
+++ b/cmd/chestnuthinged/edged_priv.h
@@ -7,6 +7,8 @@
 #include "reload.h"
 #include "rolloutd.h"
 
+typedef struct configs configs_t;
+
 typedef struct edged {
 	uv_loop_t loop;
 	uv_timer_t tick;
@@ -29,7 +31,7 @@
 	rolloutd_t *rollouts;
 	peering_t *peering;
 	GByteArray *server_news; /* records that others have to know */
-	GString *config_text;	 /* of the configuration in force */
+	configs_t *configs;
 	uint64_t inc;
 	ms_t started;
 	bool servers_known;
@@ -47,9 +49,15 @@
 void topics_follow(edged_t *d);
 void topics_reconf(edged_t *d);
 void topics_tick(edged_t *d, ms_t now);
-str_t topics_config_text(void *ctx);
-void topics_peer_config(void *ctx, str_t text);
+void topics_reject(edged_t *d, str_t key, const char *why);
 void topics_newer_config(void *ctx);
 void topics_news(void *ctx, str_t topic, const follow_news_t *n);
 
+/* configs.c */
+configs_t *configs_new(uv_loop_t *loop, edged_t *d);
+void configs_put(configs_t *cs, str_t key, str_t text, const char *from);
+str_t configs_text(const configs_t *cs);
+void configs_close(configs_t *cs);
+void configs_free(configs_t *cs);
+
 #endif
--- a/cmd/chestnuthinged/topics.c
+++ b/cmd/chestnuthinged/topics.c
@@ -38,35 +38,14 @@
  */
 static const double drain_time_share = 0.5;
 
-static void reject_record(edged_t *d, str_t key, const char *why)
+/* Counts and logs a record of the store that is not used. */
+void topics_reject(edged_t *d, str_t key, const char *why)
 {
 	d->bad_records->value++;
 	log_line(LOG_WARN, "record_bad", "key=%.*s why=\"%s\"", (int)key.n,
 		 key.p, why);
 }
 
-static void apply_config(edged_t *d, str_t key, str_t text, const char *from)
-{
-	ms_t begun = clock_now();
-	desired_t *desired = NULL;
-	const char *why;
-
-	if (adapter_parse_config(text, &desired, &why)) {
-		reject_record(d, key, why);
-		return;
-	}
-	if (!edge_configure(d->edge, desired))
-		return;
-	g_string_truncate(d->config_text, 0);
-	g_string_append_len(d->config_text, text.p, (gssize)text.n);
-	log_line(LOG_INFO, "config_in_force",
-		 "version=%" PRIu64 " from=%s routes=%u idle_timeout_ms=%lld "
-		 "took_ms=%lld",
-		 desired->version, from, desired->routes->len,
-		 (long long)desired->limits.idle_timeout,
-		 (long long)(clock_now() - begun));
-}
-
 /* Takes the operator's record: a configuration, or an order of a rollout. */
 static void on_operator_record(void *ctx, str_t key, str_t value,
 			       uint64_t number)
@@ -77,22 +56,10 @@
 	if (value.n == 0)
 		return;
 	if (adapter_is_config(key))
-		apply_config(d, key, value, "store");
+		configs_put(d->configs, key, value, "store");
 	else if (adapter_is_rollout(key) &&
 		 !rolloutd_order(d->rollouts, key, value, number, &why))
-		reject_record(d, key, why);
-}
-
-str_t topics_config_text(void *ctx)
-{
-	edged_t *d = ctx;
-
-	return (str_t){ d->config_text->str, d->config_text->len };
-}
-
-void topics_peer_config(void *ctx, str_t text)
-{
-	apply_config(ctx, str_of("config"), text, "host");
+		topics_reject(d, key, why);
 }
 
 void topics_newer_config(void *ctx)
@@ -199,7 +166,7 @@
 		return;
 	}
 	if (adapter_parse_server(key, value, &rec, &why)) {
-		reject_record(d, key, why);
+		topics_reject(d, key, why);
 		return;
 	}
 	if (roster_put(d->roster, &rec.info, clock_now()))
--- a/lib/net/dat.h
+++ b/lib/net/dat.h
@@ -25,6 +25,7 @@
 
 typedef struct peers peers_t;
 typedef struct httpc httpc_t;
+typedef struct worker worker_t;
 typedef struct httpc_req httpc_req_t;
 
 /*
@@ -42,6 +43,16 @@
 	void (*recv)(void *ctx, uint64_t inc, const msg_t *m);
 } peers_ops_t;
 
+/* A kind of computation that a thread does. */
+typedef struct worker_ops {
+	/* In the thread: makes the result. May use nothing but its input. */
+	void *(*run)(void *input);
+	/* In the loop: takes the result over; the input is freed after it. */
+	void (*done)(void *ctx, const void *input, void *output);
+	void (*input_free)(void *input);
+	void (*output_free)(void *output); /* of a result that is dropped */
+} worker_ops_t;
+
 typedef struct peers_conf {
 	role_t role;
 	const char *name;
--- a/lib/net/fns.h
+++ b/lib/net/fns.h
@@ -31,6 +31,11 @@
 tcp_unread_t tcp_unread(const uv_tcp_t *conn);
 void tcp_end(const uv_tcp_t *conn);
 
+/* worker.c */
+worker_t *worker_new(uv_loop_t *loop, const worker_ops_t *ops, void *ctx);
+void worker_put(worker_t *w, void *input);
+void worker_close(worker_t *w);
+
 /* clock.c */
 ms_t clock_now(void);	  /* monotonic, milliseconds */
 int64_t clock_unix(void); /* seconds since 1970 */
