--- a/lib/forward/caller.c
+++ b/lib/forward/caller.c
@@ -168,6 +168,7 @@
 		return false;
 	}
 	c->x = exchange_new(c, h);
+	c->nrequests++;
 	if (expect.n > 0 && http_name_is(expect, "100-continue"))
 		writer_put(&c->out, "HTTP/1.1 100 Continue\r\n\r\n", 25);
 	return false;
@@ -253,9 +254,11 @@
 		return;
 	if (c->closing) {
 		c->forward->unread_at_close->value++;
-		log_line(LOG_INFO, "read_after_close",
-			 "bytes=%zd closed_for_ms=%lld", n,
-			 (long long)(clock_now() - c->since));
+		log_line(
+			LOG_INFO, "read_after_close",
+			"bytes=%zd closed_for_ms=%lld idle_ms=%lld requests=%u",
+			n, (long long)(clock_now() - c->since),
+			(long long)c->idle_for, c->nrequests);
 		return;
 	}
 	if (!c->answering && c->pending->len == 0) {
@@ -354,6 +357,8 @@
 	if (reading && age > lim->header_timeout)
 		reject_request(c, 408, "request not complete in time");
 	else if (!reading && age > lim->idle_timeout &&
-		 tcp_unread(&c->tcp) != TCP_UNREAD_BYTES)
+		 tcp_unread(&c->tcp) != TCP_UNREAD_BYTES) {
+		c->idle_for = age;
 		begin_close(c, now);
+	}
 }
--- a/lib/forward/priv.h
+++ b/lib/forward/priv.h
@@ -27,6 +27,8 @@
 	bool closed;
 	bool broken; /* to be closed, its request cancelled */
 	bool shutdown_sent;
+	unsigned int nrequests; /* read on it */
+	ms_t idle_for; /* before it was closed as idle; 0: it was not */
 };
 
 /* A connection to a backend server. */
