--- a/test/stop.c
+++ b/test/stop.c
@@ -1,14 +1,11 @@
 /*
- * Requests around the stop and the start of a host, and around the idle timeout
- * of a connection. Planned stop: a connection
+ * Requests around the stop and the start of a host. Planned stop: a connection
  * that is idle when requests are no longer accepted stays open, so that a
  * request that was on its way is answered 503, not run. Start: a request that
  * comes before the first configuration waits a little for it.
  */
 #include <check.h>
 #include <string.h>
-#include <sys/socket.h>
-#include <unistd.h>
 #include "adapter.h"
 #include "net/fns.h"
 #include "world.h"
@@ -17,8 +14,6 @@
 	ACCEPT_MS = 100,  /* requests are accepted so long while draining */
 	TURNS_MAX = 2000, /* of the event loop */
 	CONFIG_LATE_MS = 60000, /* no request waits so long for one */
-	IDLE_MS = 60000,	/* longer than the idle timeout */
-	HEADER_MAX = 1024,	/* bytes */
 };
 
 /* What the caller received. */
@@ -63,7 +58,6 @@
 	world_t w;
 	uv_loop_t loop;
 	forward_t *f;
-	addr_t at; /* where callers connect */
 	hconn_t *conn;
 	got_t got;
 } host_t;
@@ -86,7 +80,6 @@
 	ck_assert_int_eq(uv_tcp_bind(&probe, (struct sockaddr *)&sa, 0), 0);
 	uv_tcp_getsockname(&probe, (struct sockaddr *)&sa, &n);
 	conf.listen_addr.port = ntohs(sa.sin_port);
-	h->at = conf.listen_addr;
 	uv_close((uv_handle_t *)&probe, NULL);
 	uv_run(&h->loop, UV_RUN_NOWAIT);
 	h->f = forward_new(&h->loop, &conf, h->w.edge, &adapter_codec,
@@ -171,49 +164,6 @@
 }
 END_TEST
 
-/* The host was busy while the idle timeout passed and the request came. */
-START_TEST(test_request_unread_at_idle_timeout)
-{
-	desired_t *d = desired_new(1);
-	host_t h;
-
-	d->limits.header_max = HEADER_MAX;
-	host_open(&h);
-	edge_configure(h.w.edge, d);
-	host_request(&h);
-	forward_tick(h.f, clock_now() + IDLE_MS);
-	for (int i = 0; i < TURNS_MAX && !h.got.ended && !h.got.gone; i++)
-		uv_run(&h.loop, UV_RUN_ONCE);
-	ck_assert(h.got.ended);
-	ck_assert_int_eq(h.got.status, 404);
-	host_close(&h);
-}
-END_TEST
-
-/* A caller that sees the end late sends a request that nobody answers. */
-START_TEST(test_idle_timeout_seen_at_once)
-{
-	struct sockaddr_storage sa;
-	int fd = socket(AF_INET, SOCK_STREAM, 0);
-	char byte;
-	host_t h;
-
-	host_open(&h);
-	ck_assert_int_eq(tcp_sockaddr(&h.at, &sa), 0);
-	ck_assert_int_eq(
-		connect(fd, (struct sockaddr *)&sa, sizeof(struct sockaddr_in)),
-		0);
-	for (int i = 0; i < TURNS_MAX; i++)
-		uv_run(&h.loop, UV_RUN_NOWAIT);
-	ck_assert_int_lt(recv(fd, &byte, 1, MSG_DONTWAIT), 0);
-	forward_tick(h.f, clock_now() + IDLE_MS);
-	ck_assert_int_eq(recv(fd, &byte, 1, MSG_DONTWAIT), 0);
-	close(fd);
-	hconn_close(h.conn);
-	host_close(&h);
-}
-END_TEST
-
 int main(void)
 {
 	Suite *s = suite_create("stop");
@@ -224,8 +174,6 @@
 	log_open(2, LOG_ERROR, false);
 	suite_add_tcase(s, t);
 	tcase_add_test(t, test_idle_at_stop);
-	tcase_add_test(t, test_request_unread_at_idle_timeout);
-	tcase_add_test(t, test_idle_timeout_seen_at_once);
 	tcase_add_loop_test(t, test_before_config, 0,
 			    G_N_ELEMENTS(early_cases));
 	srunner_run_all(r, CK_NORMAL);
