Callers: they are told how long a connection may be idle

What callers saw: a request sent on an idle connection that had been shut down up to 0.8 s before, without an answer. Cause: the end of the connection waits behind other bytes on a full link (10 Mbit/s, a configuration being read), and nothing else tells a caller when to stop using it. Change: answers that keep the connection open carry Keep-Alive with four fifths of the idle timeout; the host closes after the whole timeout that was in force at that answer, so a shorter one later does not break what was told. test/idle: four cases failed before, all eight pass now.

--- a/lib/forward/caller.c
+++ b/lib/forward/caller.c
@@ -14,6 +14,9 @@
 	DEFAULT_IDLE_MS = 15000,
 };
 
+/* Of the idle timeout, that a caller may leave the connection idle. */
+static const double idle_share = 0.8;
+
 static char read_buffer[READ_SIZE];
 
 static void on_closed(uv_handle_t *h)
@@ -110,6 +113,28 @@
 		caller_wake(c);
 }
 
+static const edge_limits_t *limits(const caller_t *c)
+{
+	static const edge_limits_t defaults = { DEFAULT_HEADER_MAX,
+						DEFAULT_BODY_MAX,
+						DEFAULT_HEADER_MS,
+						DEFAULT_IDLE_MS };
+	desired_t *d = edge_desired(c->forward->edge);
+
+	return d ? &d->limits : &defaults;
+}
+
+/*
+ * Returns how long the caller may leave the connection idle after the answer
+ * that is being made, for it to be told. The connection is kept for longer, by
+ * what the answer and the next request may take on their way.
+ */
+ms_t caller_keep_for(caller_t *c)
+{
+	c->idle_timeout = limits(c)->idle_timeout;
+	return (ms_t)((double)c->idle_timeout * idle_share);
+}
+
 /*
  * Answers without a server. The request in progress must be over; its exchange
  * is freed by the code that calls this.
@@ -123,24 +148,14 @@
 		!c->answering || c->forward->draining || (x && x->close_after);
 	str_t id = x && x->id ? str_of(x->id) : (str_t){ "", 0 };
 
-	c->forward->codec->write_local_reply(status, retry_after, id, text,
-					     close, out);
+	c->forward->codec->write_local_reply(
+		status, retry_after, id, text,
+		close ? 0 : MAX(caller_keep_for(c), 1), out);
 	caller_write(c, out);
 	g_byte_array_free(out, TRUE);
 	caller_done(c, !close);
 }
 
-static const edge_limits_t *limits(const caller_t *c)
-{
-	static const edge_limits_t defaults = { DEFAULT_HEADER_MAX,
-						DEFAULT_BODY_MAX,
-						DEFAULT_HEADER_MS,
-						DEFAULT_IDLE_MS };
-	desired_t *d = edge_desired(c->forward->edge);
-
-	return d ? &d->limits : &defaults;
-}
-
 /* Rejects a request that is malformed, too large or too slow to arrive. */
 static void reject_request(caller_t *c, int status, const char *text)
 {
@@ -344,6 +359,8 @@
 void caller_tick(caller_t *c, ms_t now)
 {
 	const edge_limits_t *lim = limits(c);
+	ms_t idle_timeout =
+		c->idle_timeout ? c->idle_timeout : lim->idle_timeout;
 	ms_t age = now - c->since;
 	bool reading = c->x || !http_reader_idle(&c->in);
 
@@ -356,7 +373,7 @@
 		return;
 	if (reading && age > lim->header_timeout)
 		reject_request(c, 408, "request not complete in time");
-	else if (!reading && age > lim->idle_timeout &&
+	else if (!reading && age > idle_timeout &&
 		 tcp_unread(&c->tcp) != TCP_UNREAD_BYTES) {
 		c->idle_for = age;
 		begin_close(c, now);
--- a/lib/forward/dat.h
+++ b/lib/forward/dat.h
@@ -67,9 +67,10 @@
 	/*
 	 * Appends a whole answer that this host makes itself, with text as its
 	 * body. retry_after: when the caller should come back; 0: not given.
+	 * keep_for: how long the connection may be idle after it; 0: it ends.
 	 */
 	void (*write_local_reply)(int status, ms_t retry_after, str_t id,
-				  const char *text, bool close,
+				  const char *text, ms_t keep_for,
 				  GByteArray *out);
 } codec_t;
 
--- a/lib/forward/exchange.c
+++ b/lib/forward/exchange.c
@@ -297,6 +297,8 @@
 	}
 	if (x->forward->draining || x->close_after)
 		http_put(out, "Connection: close\r\n");
+	else
+		http_put_keep_alive(out, caller_keep_for(x->caller));
 	buffer_free(x->answer_head);
 	x->answer_head = out;
 }
--- a/lib/forward/priv.h
+++ b/lib/forward/priv.h
@@ -28,6 +28,7 @@
 	bool broken; /* to be closed, its request cancelled */
 	bool shutdown_sent;
 	unsigned int nrequests; /* read on it */
+	ms_t idle_timeout;	/* at the last answer; 0: there was none */
 	ms_t idle_for; /* before it was closed as idle; 0: it was not */
 };
 
@@ -125,6 +126,7 @@
 void caller_wake(caller_t *c);
 void caller_close(caller_t *c);
 void caller_tick(caller_t *c, ms_t now);
+ms_t caller_keep_for(caller_t *c);
 
 /* exchange.c */
 exchange_t *exchange_new(caller_t *c, const http_head_t *h);
--- a/lib/http/field.c
+++ b/lib/http/field.c
@@ -129,3 +129,18 @@
 	g_snprintf(text, sizeof(text), "%" G_GUINT64_FORMAT, n);
 	http_put_field(out, str_of(name), str_of(text));
 }
+
+/*
+ * Appends how long a connection may be idle, in whole seconds; nothing when
+ * that is less than one.
+ */
+void http_put_keep_alive(GByteArray *out, ms_t timeout)
+{
+	char text[32];
+
+	if (timeout < MS_PER_S)
+		return;
+	g_snprintf(text, sizeof(text), "timeout=%lld",
+		   (long long)(timeout / MS_PER_S));
+	http_put_field(out, str_of("Keep-Alive"), str_of(text));
+}
--- a/lib/http/fns.h
+++ b/lib/http/fns.h
@@ -30,6 +30,7 @@
 void http_put_str(GByteArray *out, str_t s);
 void http_put_field(GByteArray *out, str_t name, str_t value);
 void http_put_number(GByteArray *out, const char *name, uint64_t n);
+void http_put_keep_alive(GByteArray *out, ms_t timeout);
 
 /* sse.c: splits a text/event-stream into complete events. */
 typedef struct event_reader {
