Edge: a silent server keeps its request unless a retry is certain

Callers got 502, 503 or a broken stream from a sound server that was silent for a second and would have gone on. Cause: the connection of a silent attempt was closed first, and only then the retry policy looked for budget and a server; a stream that can't be resumed was ended too. Two such attempts ejected the server, as if it had lost them.

Ruled out: the deadline (2 s in the test, the silence 1.2 s), and the server's own end (it answers in the test).

Now an attempt is given up for silence only if the route allows a retry, an attempt is left, a server not tried yet has a free slot and the time to answer, and the budget grants it; the retry is taken from the budget at that moment. Otherwise the request stays with its server until the deadline. Attempts given up are counted apart from lost ones: two of them still eject the server, which may be gone without a word, but its next byte readmits it.

--- a/lib/edge/dat.h
+++ b/lib/edge/dat.h
@@ -164,6 +164,8 @@
 	double failure_rate;	  /* moving average, 0 to 1 */
 	double attempts_ended;	  /* since the last ejection */
 	unsigned int consecutive_losses;
+	unsigned int silences; /* attempts given up since it was last heard */
+	bool ejected_silent;   /* ejected for these and nothing else */
 	ms_t ejected_until;
 	ms_t ejection_ms;
 	bool probing;	    /* after an ejection: one request at a time */
@@ -214,6 +216,7 @@
 	bool charged;	 /* the cost is counted as sent */
 	unsigned int executions;   /* attempts that may have run */
 	unsigned int dispatches;   /* all attempts */
+	bool retry_reserved;	   /* taken from the budget for the next one */
 	uint32_t tried[TRIED_MAX]; /* serials of the servers */
 	unsigned int ntried;
 	shift_side_t side;   /* during a traffic shift */
@@ -237,6 +240,7 @@
 	ATTEMPT_REJECTED,   /* the server answered that it did not run it */
 	ATTEMPT_NOT_SENT,   /* no byte was sent */
 	ATTEMPT_LOST,	    /* bytes were sent; the answer is incomplete */
+	ATTEMPT_SILENT,	    /* given up for a retry: nothing came for long */
 	ATTEMPT_BAD_ANSWER, /* the answer is malformed */
 	ATTEMPT_WRONG_SERVER, /* another server has the address; not run */
 } attempt_result_t;
--- a/lib/edge/edge.c
+++ b/lib/edge/edge.c
@@ -153,6 +153,7 @@
 		[ATTEMPT_REJECTED] = "rejected",
 		[ATTEMPT_NOT_SENT] = "not_sent",
 		[ATTEMPT_LOST] = "lost",
+		[ATTEMPT_SILENT] = "silent",
 		[ATTEMPT_BAD_ANSWER] = "bad_answer",
 		[ATTEMPT_WRONG_SERVER] = "wrong_server",
 	};
@@ -328,7 +329,7 @@
 	backend_t *b = r->server;
 	double ms = (double)(now - r->sent_at);
 
-	b->last_byte_at = now;
+	health_heard(b, now);
 	r->last_event_at = now;
 	if (r->responded)
 		return;
@@ -347,7 +348,7 @@
 {
 	backend_t *b = r->server;
 
-	b->last_byte_at = now;
+	health_heard(b, now);
 	r->events++;
 	estimate_add_gap(b, (double)(now - r->last_event_at));
 	r->last_event_at = now;
@@ -406,7 +407,7 @@
 		return false;
 	if (!not_run && !may_rerun(r, how, resumable))
 		return false;
-	if (how == ATTEMPT_NOT_SENT)
+	if (how == ATTEMPT_NOT_SENT || r->retry_reserved)
 		return true;
 	return budget_spend(e, r->pool, now);
 }
@@ -423,9 +424,9 @@
 	backend_t *b = r->server;
 	bool retry;
 
-	b->last_byte_at = how == ATTEMPT_LOST || how == ATTEMPT_NOT_SENT
-				  ? b->last_byte_at
-				  : now;
+	if (how != ATTEMPT_LOST && how != ATTEMPT_SILENT &&
+	    how != ATTEMPT_NOT_SENT)
+		health_heard(b, now);
 	if (how != ATTEMPT_REJECTED && how != ATTEMPT_NOT_SENT &&
 	    how != ATTEMPT_WRONG_SERVER)
 		r->executions++;
@@ -435,6 +436,7 @@
 	shift_count(r, how);
 	release_server(e, r, how == ATTEMPT_NOT_SENT, now);
 	retry = should_retry(e, r, how, resumable, now);
+	r->retry_reserved = false;
 	if (how != ATTEMPT_ANSWERED)
 		edge_log_step(e, r, now, retry ? "retry" : "no_retry",
 			      "runs=%u attempts=%u dispatches=%u left_ms=%lld "
@@ -472,11 +474,8 @@
 		dispatch(e, p, now);
 }
 
-/*
- * Whether a running request that may be retried has had no event for so long
- * that it seems lost. One that may not be retried is left to its server.
- */
-bool edge_stalled(const edge_t *e, const request_t *r, ms_t now)
+/* Whether a running request has had no event for so long that it seems lost. */
+static bool is_stalled(const request_t *r, ms_t now)
 {
 	const backend_t *b = r->server;
 	const edge_route_t *rt = r->route;
@@ -486,12 +485,29 @@
 	ms_t limit = r->responded ? rt->gap_target * STALL_GAPS
 				  : rt->first_event_target * STALL_FIRSTS;
 
-	if (rt->retry == RETRY_NEVER || r->executions + 1 >= rt->attempts)
-		return false;
 	return (double)(now - r->last_event_at) >
 	       MAX(MAX(limit, STALL_MIN_MS), expected * stall_factor);
 }
 
+/*
+ * Whether to end a running attempt for its server's silence. That is so only if
+ * a retry is allowed, in the budget, and has a free slot at another server;
+ * otherwise the request is left to its server until its deadline. If true, the
+ * retry is taken from the budget, and edge_attempt_ended has to follow with
+ * ATTEMPT_SILENT and the same now.
+ */
+bool edge_give_up_silent(edge_t *e, request_t *r, bool resumable, ms_t now)
+{
+	if (!is_stalled(r, now) || now >= r->deadline ||
+	    r->dispatches >= ATTEMPTS_MAX ||
+	    r->executions + 1 >= r->route->attempts ||
+	    !may_rerun(r, ATTEMPT_SILENT, resumable) ||
+	    !select_has_other(e, r, now))
+		return false;
+	r->retry_reserved = budget_spend(e, r->pool, now);
+	return r->retry_reserved;
+}
+
 /* Returns when a caller whose request has not run should retry, in ms. */
 ms_t edge_retry_after(edge_t *e, const request_t *r, ms_t now)
 {
--- a/lib/edge/health.c
+++ b/lib/edge/health.c
@@ -12,6 +12,7 @@
 	EJECTION_MAX_MS = 4000,
 	/* A single lost answer may be the connection's fault */
 	CONSECUTIVE_LOSSES = 2,
+	SILENCES = 2, /* attempts given up at a server before it is ejected */
 };
 
 /* Factor on the expected first event latency */
@@ -27,7 +28,7 @@
  * Whether requests run on a server, but nothing has come from it for much
  * longer than its expected first event latency.
  */
-bool health_silent(const backend_t *b, ms_t now)
+static bool is_silent(const backend_t *b, ms_t now)
 {
 	const request_t *oldest;
 	double expected;
@@ -49,7 +50,7 @@
 		return false;
 	if (b->probing && b->running > 0)
 		return false;
-	return !health_silent(b, now);
+	return !is_silent(b, now);
 }
 
 static bool ejection_limit_reached(const pool_t *p, ms_t now)
@@ -90,6 +91,7 @@
 		CLAMP(b->ejection_ms * 2, EJECTION_MIN_MS, EJECTION_MAX_MS);
 	b->ejected_until = now + b->ejection_ms;
 	b->probing = true;
+	b->ejected_silent = false;
 	b->attempts_ended = 0;
 	b->failure_rate = 0;
 	log_line(LOG_INFO, "server_aside",
@@ -104,6 +106,20 @@
 		 b->pool->name);
 	b->probing = false;
 	b->ejection_ms = 0;
+	b->ejected_silent = false;
+	b->ejected_until = MIN(b->ejected_until, now);
+}
+
+/*
+ * Bytes have come from the server. One that was only ejected for its silence is
+ * readmitted at once.
+ */
+void health_heard(backend_t *b, ms_t now)
+{
+	b->last_byte_at = now;
+	b->silences = 0;
+	if (b->ejected_silent)
+		readmit(b, now);
 }
 
 /*
@@ -119,6 +135,18 @@
 		 b->id, b->pool->name, (unsigned long long)b->seq);
 }
 
+/* An attempt was given up: the server is silent, or gone without a word. */
+static void count_silence(edge_t *e, backend_t *b, ms_t now)
+{
+	bool only_silent = !b->probing || b->ejected_silent;
+
+	b->silences++;
+	if (now < b->ejected_until || (b->silences < SILENCES && !b->probing))
+		return;
+	eject(e, b, "silent", now);
+	b->ejected_silent = only_silent && now < b->ejected_until;
+}
+
 /* Updates the server's health by how an attempt ended. */
 void health_attempt_ended(edge_t *e, backend_t *b, attempt_result_t how,
 			  ms_t now)
@@ -133,6 +161,10 @@
 	}
 	if (how == ATTEMPT_REJECTED)
 		return;
+	if (how == ATTEMPT_SILENT) {
+		count_silence(e, b, now);
+		return;
+	}
 	b->attempts_ended += 1;
 	b->failure_rate +=
 		attempt_weight * ((failed ? 1 : 0) - b->failure_rate);
--- a/lib/edge/priv.h
+++ b/lib/edge/priv.h
@@ -128,7 +128,7 @@
 bool health_usable(const backend_t *b, ms_t now);
 void health_reset(backend_t *b);
 void health_displace(backend_t *b);
-bool health_silent(const backend_t *b, ms_t now);
+void health_heard(backend_t *b, ms_t now);
 void health_attempt_ended(edge_t *e, backend_t *b, attempt_result_t how,
 			  ms_t now);
 
@@ -146,6 +146,7 @@
 backend_t *select_server(edge_t *e, pool_t *p, const request_t *r, ms_t now);
 double select_score(edge_t *e, const backend_t *b, const request_t *r,
 		    unsigned int load, ms_t now);
+bool select_has_other(edge_t *e, const request_t *r, ms_t now);
 bool select_was_tried(const request_t *r, const backend_t *b);
 unsigned int select_load(const backend_t *b, ms_t now);
 unsigned int select_free_slots(const pool_t *p, ms_t now);
--- a/lib/forward/exchange.c
+++ b/lib/forward/exchange.c
@@ -490,11 +490,16 @@
 		local_reply(x, 502, 0, "server lost");
 }
 
+/* Whether another server can resume the stream from the last event passed. */
+static bool is_resumable(const exchange_t *x)
+{
+	return x->req.route->stream && (!x->answer_begun || x->has_last_event);
+}
+
 /* Ends an attempt: passes the answer on, fails, or lets the edge retry. */
 void exchange_attempt_end(exchange_t *x, attempt_result_t how, ms_t now)
 {
-	bool resumable =
-		x->req.route->stream && (!x->answer_begun || x->has_last_event);
+	bool resumable = is_resumable(x);
 	bool answered = how == ATTEMPT_ANSWERED || how == ATTEMPT_FAILED;
 	next_action_t next;
 
@@ -552,8 +557,8 @@
 			return;
 		server_conn_close(c);
 		exchange_attempt_end(x, ATTEMPT_NOT_SENT, now);
-	} else if (edge_stalled(f->edge, r, now)) {
+	} else if (edge_give_up_silent(f->edge, r, is_resumable(x), now)) {
 		server_conn_close(c);
-		exchange_attempt_end(x, ATTEMPT_LOST, now);
+		exchange_attempt_end(x, ATTEMPT_SILENT, now);
 	}
 }
