--- a/test/soak/caller.c
+++ b/test/soak/caller.c
@@ -95,6 +95,22 @@
 	s->calm_good += calm && good;
 }
 
+/*
+ * Where servers that pause are the only fault, a request that has run is
+ * answered, or ends at its deadline.
+ */
+static void check_paused(caller_s_t *c, bool answered)
+{
+	ms_t now = clock_now();
+	bool quit = c->quit_at && now >= c->quit_at;
+
+	if (quit || c->s->ended || now - c->sent_at >= TIMEOUT_MS ||
+	    (answered && c->status < 500) || fate_get(c->s, c->id)->runs == 0)
+		return;
+	violation(c->s, "silence", "%s ended with %d after %d ms", c->id,
+		  answered ? c->status : 0, (int)(now - c->sent_at));
+}
+
 /* The request is over, with an answer or without one. */
 static void over(caller_s_t *c, bool answered)
 {
@@ -108,6 +124,8 @@
 		check_refused(c);
 	if (answered && (c->status == 404 || c->status == 401))
 		violation(c->s, "denied", "%s got %d", c->id, c->status);
+	if (c->s->pauses_only)
+		check_paused(c, answered);
 	if (!c->limited)
 		count(c, answered && c->status == 200);
 	think(c);
--- a/test/soak/dat.h
+++ b/test/soak/dat.h
@@ -101,11 +101,12 @@
 	list_t jobs;
 	bool up;
 	bool leaving;
-	bool mute;	 /* runs, but answers nothing */
-	double cut;	 /* share of answers that are reset midway */
-	double fails;	 /* share of runs that end with 500 */
-	double extra;	 /* share of answers that come twice */
-	double unframed; /* share of answers without a length */
+	bool mute;	  /* runs, but answers nothing */
+	ms_t pause_until; /* sends nothing before; goes on then */
+	double cut;	  /* share of answers that are reset midway */
+	double fails;	  /* share of runs that end with 500 */
+	double extra;	  /* share of answers that come twice */
+	double unframed;  /* share of answers without a length */
 } server_t;
 
 /* A run of a request at a server. */
@@ -210,6 +211,7 @@
 	ms_t end_at;
 	ms_t next_fault;
 	unsigned int nfaults;
+	bool pauses_only; /* servers that pause are the only fault */
 	unsigned int violations;
 	unsigned int done[KINDS];
 	unsigned int good[KINDS];
--- a/test/soak/fault.c
+++ b/test/soak/fault.c
@@ -6,7 +6,9 @@
 enum {
 	FAULT_EVERY_MS = 700, /* between two faults, at most */
 	STOP_MS = 1200,	      /* SIGSTOP, at most */
-	ROUTES_MORE = 5,      /* routes beside the three that are used */
+	PAUSE_MIN_MS = 1000,  /* of a server that goes on afterwards */
+	PAUSE_MAX_MS = 1500,
+	ROUTES_MORE = 5, /* routes beside the three that are used */
 };
 
 /* Writes the next configuration: the routes in use, and some others. */
@@ -171,6 +173,21 @@
 		list_entry(p, sconn_t, link)->mute = true;
 }
 
+/* Some servers pause at once, all of them at times. */
+static void fault_pause(soak_t *s)
+{
+	int n = g_rand_int_range(s->faults, 1, (gint32)s->nservers + 1);
+
+	for (int i = 0; i < n; i++) {
+		server_t *v = any_server(s);
+		ms_t length =
+			g_rand_int_range(s->faults, PAUSE_MIN_MS, PAUSE_MAX_MS);
+
+		soak_note(s, "server %s pauses for %d ms", v->id, (int)length);
+		v->pause_until = clock_now() + length;
+	}
+}
+
 static void (*const faults[])(soak_t *s) = {
 	move_order,   fault_kill,   fault_kill_all, fault_term,
 	fault_term,   fault_hup,    fault_stop,	    fault_stop,
@@ -200,5 +217,9 @@
 	s->next_fault =
 		now + 50 + g_rand_int_range(s->faults, 0, FAULT_EVERY_MS);
 	s->nfaults++;
+	if (s->pauses_only) {
+		fault_pause(s);
+		return;
+	}
 	faults[g_rand_int_range(s->faults, 0, G_N_ELEMENTS(faults))](s);
 }
--- a/test/soak/main.c
+++ b/test/soak/main.c
@@ -21,6 +21,7 @@
 	gint edges;
 	gint servers;
 	gint callers;
+	gboolean pauses;
 	gboolean verbose;
 	char *dir;
 	char *daemon;
@@ -123,6 +124,8 @@
 		  "For settings and logs", "DIR" },
 		{ "daemon", 0, 0, G_OPTION_ARG_STRING, &opt.daemon,
 		  "Program to run", "FILE" },
+		{ "pauses", 0, 0, G_OPTION_ARG_NONE, &opt.pauses,
+		  "Servers that pause, and no other fault", NULL },
 		{ "verbose", 'v', 0, G_OPTION_ARG_NONE, &opt.verbose,
 		  "Tell each fault", NULL },
 		{ 0 },
@@ -145,6 +148,7 @@
 	s->rand = g_rand_new_with_seed((guint32)opt.seed);
 	s->faults = g_rand_new_with_seed((guint32)opt.seed + 1);
 	s->daemon = opt.daemon;
+	s->pauses_only = opt.pauses;
 	s->dir = opt.dir;
 	s->nedges = (unsigned int)CLAMP(opt.edges, 1, EDGES_MAX);
 	s->nservers = (unsigned int)CLAMP(opt.servers, 3, SERVERS_MAX);
--- a/test/soak/proc.c
+++ b/test/soak/proc.c
@@ -12,6 +12,10 @@
 
 static const char key[] = "000102030405060708090a0b0c0d0e0f";
 
+static const char many_retries[] = "retry_ratio = 0.2\nretry_slack = 20\n";
+/* So that they run out. */
+static const char few_retries[] = "retry_ratio = 0.005\n";
+
 static void write_ini(proc_t *p, const char *text)
 {
 	GError *err = NULL;
@@ -27,10 +31,11 @@
 		"[process]\nname = %s\ndata_center = dc-1\n"
 		"[listen]\ncallers = %s:%u\nready = %s:%u\npeers = %s:%u\n"
 		"[fleet]\nkey = %s\n[store]\naddress = %s:%u\n"
-		"[bounds]\ngrace_s = %d\nretry_ratio = 0.2\nretry_slack = 20\n",
+		"[bounds]\ngrace_s = %d\n%s",
 		p->name, p->callers.ip, p->callers.port, p->ready.ip,
 		p->ready.port, peers, s->port, key, s->store.at.addr.ip,
-		s->store.at.addr.port, GRACE_S);
+		s->store.at.addr.port, GRACE_S,
+		s->pauses_only ? few_retries : many_retries);
 
 	write_ini(p, text);
 	g_free(text);
--- a/test/soak/server.c
+++ b/test/soak/server.c
@@ -125,7 +125,7 @@
 	server_t *v = j->at;
 	char event[128];
 
-	if (v->mute)
+	if (v->mute || clock_now() < v->pause_until)
 		return;
 	if (!j->c) {
 		job_end(j);
