Ticks: a late tick is skipped, so that sockets are read before limits are judged

Callers got 408, 504 or a second attempt, and peers were taken as silent, though what was waited for had arrived. Cause: libuv runs timers before it reads sockets. After a long turn of the loop, such as taking a large configuration in force, or once a stopped process goes on, the tick judges time limits by a clock that ran on while nothing was read.

Ruled out: forgiving the pause, as peers do. It helps only for pauses above half of the limit, and holds for no other limit.

tick_runs decides with the time handed in: a tick over 50 ms late is skipped, never two in a row, so under lasting overload every other one runs. Used by edge, keeper and daemon through ticker_start, which takes over the histogram of gaps and counts what is skipped, and by the connections of peers.

--- a/cmd/chestnuthinged/daemon.c
+++ b/cmd/chestnuthinged/daemon.c
@@ -74,16 +74,15 @@
 static void close_all(daemon_t *d)
 {
 	d->ended = true;
-	uv_close((uv_handle_t *)&d->tick, NULL);
+	ticker_stop(&d->ticker);
 	signals_close(d);
 	web_close(&d->web);
 	peers_close(d->peers, on_peers_closed, d);
 }
 
-static void on_tick(uv_timer_t *t)
+static void on_tick(void *ctx, ms_t now)
 {
-	daemon_t *d = t->data;
-	ms_t now = clock_now();
+	daemon_t *d = ctx;
 
 	state_tick(d->state, now);
 	plat_tick(d->plat, now);
@@ -162,9 +161,8 @@
 		return NULL;
 	d->plat = plat_new(d);
 	state_start(d->state);
-	uv_timer_init(&d->loop, &d->tick);
-	d->tick.data = d;
-	uv_timer_start(&d->tick, on_tick, TICK, TICK);
+	ticker_start(&d->ticker, &d->loop, TICK, d->counters, "chestnuthinge",
+		     on_tick, d);
 	signals_start(d);
 	return d;
 }
--- a/cmd/chestnuthinged/dat.h
+++ b/cmd/chestnuthinged/dat.h
@@ -130,7 +130,7 @@
 	gossip_t *gossip;
 	entryd_t *entry; /* NULL for a sidecar */
 	sided_t *side;	 /* NULL for an entry */
-	uv_timer_t tick;
+	ticker_t ticker;
 	uv_signal_t term;
 	uv_signal_t intr;
 	bool leaving;  /* draining: takes no new work, but stays up */
--- a/cmd/chestnuthinged/edged.c
+++ b/cmd/chestnuthinged/edged.c
@@ -179,7 +179,7 @@
 
 static void end(edged_t *d)
 {
-	uv_close((uv_handle_t *)&d->tick, NULL);
+	ticker_stop(&d->ticker);
 	uv_close((uv_handle_t *)&d->term, NULL);
 	uv_close((uv_handle_t *)&d->intr, NULL);
 	uv_close((uv_handle_t *)&d->hup, NULL);
@@ -237,14 +237,10 @@
 	rolloutd_set_canary_share(d->rollouts, d->set->canary_share);
 }
 
-static void on_tick(uv_timer_t *t)
+static void on_tick(void *ctx, ms_t now)
 {
-	edged_t *d = t->data;
-	ms_t now = clock_now();
+	edged_t *d = ctx;
 
-	if (d->last_tick)
-		hist_add(d->tick_gap_ms, now - d->last_tick);
-	d->last_tick = now;
 	reload_settings(d, now);
 	topics_tick(d, now);
 	append_tick(d->append, now);
@@ -335,7 +331,6 @@
 	pages_free(d->pages);
 	pages_free(d->metrics);
 	uv_loop_close(&d->loop);
-	hist_free(d->tick_gap_ms);
 	counters_free(d->counters);
 	reload_free(d->reload);
 	edge_settings_free(d->set);
@@ -358,7 +353,6 @@
 	d->counters = counters_new();
 	d->bad_records =
 		counter_get(d->counters, "edge_bad_records_total", NULL);
-	d->tick_gap_ms = hist_new(d->counters, "edge_tick_gap_ms", NULL);
 	signal(SIGPIPE, SIG_IGN);
 	uv_loop_init(&d->loop);
 	make_edge(d);
@@ -368,9 +362,8 @@
 		return false;
 	}
 	topics_follow(d);
-	uv_timer_init(&d->loop, &d->tick);
-	d->tick.data = d;
-	uv_timer_start(&d->tick, on_tick, 0, TICK_MS);
+	ticker_start(&d->ticker, &d->loop, TICK_MS, d->counters, "edge",
+		     on_tick, d);
 	start_signal(d, &d->term, SIGTERM);
 	start_signal(d, &d->intr, SIGINT);
 	start_signal(d, &d->hup, SIGHUP);
--- a/cmd/chestnuthinged/edged_priv.h
+++ b/cmd/chestnuthinged/edged_priv.h
@@ -9,7 +9,7 @@
 
 typedef struct edged {
 	uv_loop_t loop;
-	uv_timer_t tick;
+	ticker_t ticker;
 	uv_signal_t term;
 	uv_signal_t intr;
 	uv_signal_t hup;
@@ -38,9 +38,6 @@
 	bool stopping;
 	ms_t stop_at;
 	counter_t *bad_records;
-	ms_t last_tick;
-	hist_t *tick_gap_ms; /* between two ticks: the longest turns of the
-				loop */
 } edged_t;
 
 /* topics.c */
--- a/cmd/chestnuthinged/keeperd.c
+++ b/cmd/chestnuthinged/keeperd.c
@@ -27,7 +27,7 @@
 
 typedef struct keeperd {
 	uv_loop_t loop;
-	uv_timer_t tick;
+	ticker_t ticker;
 	uv_signal_t term;
 	uv_signal_t intr;
 	uv_signal_t hup;
@@ -170,10 +170,9 @@
 	       keeper_granted(k->keeper) == 0 && keeper_waiting(k->keeper) == 0;
 }
 
-static void on_tick(uv_timer_t *t)
+static void on_tick(void *ctx, ms_t now)
 {
-	keeperd_t *d = t->data;
-	ms_t now = clock_now();
+	keeperd_t *d = ctx;
 	GHashTableIter it;
 	gpointer v;
 
@@ -219,7 +218,7 @@
 	if (d->ended || number == SIGHUP)
 		return;
 	d->ended = true;
-	uv_close((uv_handle_t *)&d->tick, NULL);
+	ticker_stop(&d->ticker);
 	uv_close((uv_handle_t *)&d->term, NULL);
 	uv_close((uv_handle_t *)&d->intr, NULL);
 	uv_close((uv_handle_t *)&d->hup, NULL);
@@ -310,9 +309,8 @@
 		dispose(d);
 		return false;
 	}
-	uv_timer_init(&d->loop, &d->tick);
-	d->tick.data = d;
-	uv_timer_start(&d->tick, on_tick, TICK_MS, TICK_MS);
+	ticker_start(&d->ticker, &d->loop, TICK_MS, d->counters, "keeper",
+		     on_tick, d);
 	start_signal(d, &d->term, SIGTERM);
 	start_signal(d, &d->intr, SIGINT);
 	start_signal(d, &d->hup, SIGHUP);
--- a/lib/base/dat.h
+++ b/lib/base/dat.h
@@ -175,4 +175,12 @@
 	TIER_LOWEST = 3,
 };
 
+/* Decides which ticks of a timer run; see tick_runs. */
+typedef struct tick {
+	ms_t period;
+	ms_t last; /* when the last one came, run or skipped */
+	bool started;
+	bool skipped; /* the last one was */
+} tick_t;
+
 #endif
--- a/lib/base/fns.h
+++ b/lib/base/fns.h
@@ -43,6 +43,10 @@
 ms_t backoff_next(backoff_t *b, GRand *rand);
 void backoff_reset(backoff_t *b);
 
+/* tick.c */
+void tick_init(tick_t *t, ms_t period);
+bool tick_runs(tick_t *t, ms_t now);
+
 /* priority.c */
 extern const grant_class_t grant_order[GRANT_CLASSES];
 
--- a/lib/net/dat.h
+++ b/lib/net/dat.h
@@ -83,4 +83,14 @@
 	void (*end)(void *ctx, code_t code);
 } httpc_ops_t;
 
+/* A process's periodic work. */
+typedef struct ticker {
+	uv_timer_t timer;
+	tick_t tick;
+	void (*fn)(void *ctx, ms_t now);
+	void *ctx;
+	hist_t *gap_ms; /* between two ticks: the longest turns of the loop */
+	counter_t *skipped;
+} ticker_t;
+
 #endif
--- a/lib/net/fns.h
+++ b/lib/net/fns.h
@@ -30,6 +30,12 @@
 	       uv_connection_cb on_connection);
 tcp_unread_t tcp_unread(const uv_tcp_t *conn);
 
+/* ticker.c */
+void ticker_start(ticker_t *t, uv_loop_t *loop, ms_t period,
+		  counters_t *counters, const char *prefix,
+		  void (*fn)(void *ctx, ms_t now), void *ctx);
+void ticker_stop(ticker_t *t);
+
 /* clock.c */
 ms_t clock_now(void);	  /* monotonic, milliseconds */
 int64_t clock_unix(void); /* seconds since 1970 */
--- a/lib/net/peers.c
+++ b/lib/net/peers.c
@@ -35,7 +35,7 @@
 	size_t nhandles;
 	GHashTable *by_inc;  /* conn_t in state CONN_READY */
 	GHashTable *targets; /* target_t by name */
-	ms_t last_tick;
+	tick_t ticks;
 	counter_t *up;
 	bool closing;
 	void (*done)(void *ctx);
@@ -202,9 +202,8 @@
  */
 static void forgive_pause(peers_t *ps, ms_t now)
 {
-	ms_t pause = now - ps->last_tick;
+	ms_t pause = ps->ticks.started ? now - ps->ticks.last : 0;
 
-	ps->last_tick = now;
 	if (pause < ps->env.conf.silent / 2)
 		return;
 	for (list_t *p = ps->conns.next; p != &ps->conns; p = p->next)
@@ -219,6 +218,8 @@
 	list_t *tmp;
 
 	forgive_pause(ps, now);
+	if (!tick_runs(&ps->ticks, now))
+		return;
 	list_for_each_safe(pos, tmp, &ps->conns)
 		conn_tick(list_entry(pos, conn_t, link), now);
 	try_targets(ps, now);
@@ -252,7 +253,7 @@
 	ps->targets = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 					    target_free);
 	list_init(&ps->conns);
-	ps->last_tick = clock_now();
+	tick_init(&ps->ticks, TICK_MS);
 	uv_timer_init(loop, &ps->tick);
 	ps->tick.data = ps;
 	uv_timer_start(&ps->tick, on_tick, TICK_MS, TICK_MS);
--- a/test/base.c
+++ b/test/base.c
@@ -113,6 +113,34 @@
 }
 END_TEST
 
+typedef struct tick_case {
+	const char *name;
+	ms_t at[6]; /* of ticks that are due each 10 ms; -1: no more */
+	const char *runs;
+} tick_case_t;
+
+static const tick_case_t tick_cases[] = {
+	{ "first tick, at any time", { 100000, -1 }, "y" },
+	{ "on time", { 1, 11, 21, 31, -1 }, "yyyy" },
+	{ "a little late", { 1, 11, 61, 71, -1 }, "yyyy" },
+	{ "late once", { 1, 11, 82, 92, 102, -1 }, "yynyy" },
+	{ "late always", { 1, 101, 201, 301, 401, -1 }, "ynyny" },
+	{ "after a stop", { 1, 11, 60011, 60012, 60022, -1 }, "yynyy" },
+	{ "late again after one on time", { 1, 101, 111, 211, -1 }, "ynyn" },
+};
+
+START_TEST(late_tick_is_skipped_once)
+{
+	const tick_case_t *c = &tick_cases[_i];
+	tick_t t;
+
+	tick_init(&t, 10);
+	for (size_t i = 0; i < strlen(c->runs); i++)
+		ck_assert_msg(tick_runs(&t, c->at[i]) == (c->runs[i] == 'y'),
+			      "%s: at %d ms", c->name, (int)c->at[i]);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("base");
@@ -120,6 +148,8 @@
 	SRunner *r = srunner_create(s);
 	int failed;
 
+	tcase_add_loop_test(t, late_tick_is_skipped_once, 0,
+			    G_N_ELEMENTS(tick_cases));
 	tcase_add_test(t, list_keeps_order);
 	tcase_add_loop_test(t, code_meaning, 0, G_N_ELEMENTS(code_cases));
 	tcase_add_test(t, counters_print_each_once);
--- a/test/peers.c
+++ b/test/peers.c
@@ -8,6 +8,9 @@
 	SILENT_MS = 120,
 	WAIT_MS = 3000,
 	PIPES_MAX = 64,
+	LONG_SILENT_MS = 600,
+	HELD_MS = 450, /* frames on their way */
+	BUSY_MS = 200, /* a long turn of the loop */
 	QUEUE_MAX = 64 << 10,
 };
 
@@ -70,7 +73,7 @@
 }
 
 static void node_start(node_t *n, uv_loop_t *loop, role_t role, uint64_t inc,
-		       const char *key)
+		       const char *key, ms_t silent)
 {
 	static const peers_ops_t ops = { on_up, on_down, on_msg };
 	peers_conf_t conf = { .role = role,
@@ -81,7 +84,7 @@
 			      .frame_max = 32 << 10,
 			      .queue_max = QUEUE_MAX,
 			      .heartbeat = HEARTBEAT_MS,
-			      .silent = SILENT_MS,
+			      .silent = silent,
 			      .retry_base = 10,
 			      .retry_max = 50,
 			      .greetings_max = 64 };
@@ -196,7 +199,8 @@
 	uv_loop_close(&loop);
 }
 
-static fixture_t *start(const char *entry_key, const char *target_name)
+static fixture_t *start_silent(const char *entry_key, const char *target_name,
+			       ms_t silent)
 {
 	fixture_t *f = g_new0(fixture_t, 1);
 
@@ -206,14 +210,19 @@
 	bind_any(&f->listener, &f->pipe_at);
 	uv_listen((uv_stream_t *)&f->listener, PIPES_MAX, on_pipe);
 	free_port(&f->side_at);
-	node_start(&f->entry, &f->loop, ROLE_ENTRY, 11, entry_key);
-	node_start(&f->side, &f->loop, ROLE_SIDECAR, 22, "key");
+	node_start(&f->entry, &f->loop, ROLE_ENTRY, 11, entry_key, silent);
+	node_start(&f->side, &f->loop, ROLE_SIDECAR, 22, "key", silent);
 	ck_assert_int_eq(peers_listen(f->side.ps, &f->side_at), CODE_OK);
 	if (target_name)
 		peers_connect(f->entry.ps, target_name, &f->pipe_at);
 	return f;
 }
 
+static fixture_t *start(const char *entry_key, const char *target_name)
+{
+	return start_silent(entry_key, target_name, SILENT_MS);
+}
+
 static void stop(fixture_t *f)
 {
 	peers_close(f->entry.ps, NULL, NULL);
@@ -287,7 +296,8 @@
 	int n = G_N_ELEMENTS(nodes);
 
 	for (int i = 0; i < n; i++) {
-		node_start(&nodes[i], &f->loop, ROLE_ENTRY, 100 + i, "key");
+		node_start(&nodes[i], &f->loop, ROLE_ENTRY, 100 + i, "key",
+			   SILENT_MS);
 		peers_connect(nodes[i].ps, "s1", &f->side_at);
 	}
 	run_for(f, SILENT_MS * 2L);
@@ -358,6 +368,25 @@
 }
 END_TEST
 
+/* Frames that lie unread after a long turn of the loop: no silence. */
+START_TEST(long_turn_is_not_silence)
+{
+	fixture_t *f = start_silent("key", "s1", LONG_SILENT_MS);
+	uv_stream_t *from_side = (uv_stream_t *)&f->pipes[0].end[1];
+
+	run_until_up(f, 1);
+	uv_read_stop(from_side);
+	run_for(f, HELD_MS);
+	uv_read_start(from_side, on_alloc, on_pipe_bytes);
+	uv_run(&f->loop, UV_RUN_NOWAIT);
+	g_usleep(BUSY_MS * 1000UL);
+	run_for(f, BUSY_MS);
+	ck_assert_int_eq(f->entry.downs, 0);
+	ck_assert_int_eq(f->side.downs, 0);
+	stop(f);
+}
+END_TEST
+
 START_TEST(changed_address_is_taken)
 {
 	fixture_t *f = start("key", NULL);
@@ -402,7 +431,7 @@
 	node_t twin = { 0 };
 
 	run_until_up(f, 1);
-	node_start(&twin, &f->loop, ROLE_ENTRY, 11, "key");
+	node_start(&twin, &f->loop, ROLE_ENTRY, 11, "key", SILENT_MS);
 	peers_connect(twin.ps, "s1", &f->side_at);
 	run_for(f, 10);
 	peers_forget(f->entry.ps, "s1");
@@ -574,6 +603,7 @@
 	tcase_add_test(t, other_name_is_refused);
 	tcase_add_test(t, silent_connection_is_replaced);
 	tcase_add_test(t, own_pause_is_not_silence);
+	tcase_add_test(t, long_turn_is_not_silence);
 	tcase_add_test(t, changed_address_is_taken);
 	tcase_add_test(t, forgotten_peer_keeps_its_connection);
 	tcase_add_test(t, new_connection_of_an_incarnation_replaces_the_old);
