--- a/lib/net/fns.h
+++ b/lib/net/fns.h
@@ -36,6 +36,12 @@
 void worker_put(worker_t *w, void *input);
 void worker_close(worker_t *w);
 
+/* ticker.c */
+void ticker_start(ticker_t *t, uv_loop_t *loop, ms_t period,
+		  counters_t *counters, const char *prefix,
+		  void (*fn)(void *ctx, ms_t now), void *ctx);
+void ticker_stop(ticker_t *t);
+
 /* clock.c */
 ms_t clock_now(void);	  /* monotonic, milliseconds */
 int64_t clock_unix(void); /* seconds since 1970 */
