--- a/lib/base/dat.h
+++ b/lib/base/dat.h
@@ -178,8 +178,7 @@
 /* Decides which ticks of a timer run; see tick_runs. */
 typedef struct tick {
 	ms_t period;
-	ms_t last; /* when the last one came, run or skipped */
-	bool started;
+	ms_t last;    /* when the last one came, run or skipped, or the start */
 	bool skipped; /* the last one was */
 } tick_t;
 
--- a/lib/base/fns.h
+++ b/lib/base/fns.h
@@ -44,7 +44,7 @@
 void backoff_reset(backoff_t *b);
 
 /* tick.c */
-void tick_init(tick_t *t, ms_t period);
+void tick_init(tick_t *t, ms_t period, ms_t now);
 bool tick_runs(tick_t *t, ms_t now);
 
 /* priority.c */
--- a/lib/base/tick.c
+++ b/lib/base/tick.c
@@ -9,10 +9,10 @@
 	LATE_MS = 50, /* well below the shortest time limit that ticks judge */
 };
 
-/* Prepares for ticks that come each period ms. */
-void tick_init(tick_t *t, ms_t period)
+/* Prepares for ticks that come each period ms from now on. */
+void tick_init(tick_t *t, ms_t period, ms_t now)
 {
-	*t = (tick_t){ .period = period };
+	*t = (tick_t){ .period = period, .last = now };
 }
 
 /*
@@ -21,9 +21,8 @@
  */
 bool tick_runs(tick_t *t, ms_t now)
 {
-	bool late = t->started && now - t->last > t->period + LATE_MS;
+	bool late = now - t->last > t->period + LATE_MS;
 
-	t->started = true;
 	t->last = now;
 	t->skipped = late && !t->skipped;
 	return !t->skipped;
--- a/lib/net/httpc.c
+++ b/lib/net/httpc.c
@@ -18,6 +18,7 @@
 	h2o_timeout_t io_timeout;
 	h2o_http1client_ctx_t client_ctx;
 	uv_timer_t sweep;
+	tick_t sweeps;
 	uv_timer_t last; /* closed after every other handle */
 	list_t reqs;
 	bool sweeping; /* calls cancelled meanwhile stay in the list */
@@ -212,6 +213,8 @@
 	list_t *pos;
 	list_t *tmp;
 
+	if (!tick_runs(&c->sweeps, now))
+		return;
 	c->sweeping = true;
 	list_for_each_safe(pos, tmp, &c->reqs)
 	{
@@ -286,8 +289,10 @@
 	write_request(r, call);
 	list_add_tail(&c->reqs, &r->link);
 	c->calls->value++;
-	if (!uv_is_active((uv_handle_t *)&c->sweep))
+	if (!uv_is_active((uv_handle_t *)&c->sweep)) {
+		tick_init(&c->sweeps, SWEEP_MS, clock_now());
 		uv_timer_start(&c->sweep, on_sweep, SWEEP_MS, SWEEP_MS);
+	}
 	r->in_library = true;
 	h2o_http1client_connect(&r->client, r, &c->client_ctx,
 				h2o_iovec_init(r->host, strlen(r->host)),
--- a/lib/net/peers.c
+++ b/lib/net/peers.c
@@ -202,7 +202,7 @@
  */
 static void forgive_pause(peers_t *ps, ms_t now)
 {
-	ms_t pause = ps->ticks.started ? now - ps->ticks.last : 0;
+	ms_t pause = now - ps->ticks.last;
 
 	if (pause < ps->env.conf.silent / 2)
 		return;
@@ -253,7 +253,7 @@
 	ps->targets = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 					    target_free);
 	list_init(&ps->conns);
-	tick_init(&ps->ticks, TICK_MS);
+	tick_init(&ps->ticks, TICK_MS, clock_now());
 	uv_timer_init(loop, &ps->tick);
 	ps->tick.data = ps;
 	uv_timer_start(&ps->tick, on_tick, TICK_MS, TICK_MS);
--- a/lib/net/ticker.c
+++ b/lib/net/ticker.c
@@ -6,8 +6,7 @@
 	ticker_t *t = timer->data;
 	ms_t now = clock_now();
 
-	if (t->tick.started)
-		hist_add(t->gap_ms, now - t->tick.last);
+	hist_add(t->gap_ms, now - t->tick.last);
 	if (tick_runs(&t->tick, now))
 		t->fn(t->ctx, now);
 	else
@@ -31,7 +30,7 @@
 	t->skipped = counter_get(counters, skipped, NULL);
 	g_free(gap);
 	g_free(skipped);
-	tick_init(&t->tick, period);
+	tick_init(&t->tick, period, clock_now());
 	uv_timer_init(loop, &t->timer);
 	t->timer.data = t;
 	uv_timer_start(&t->timer, on_timer, 0, (uint64_t)period);
--- a/test/base.c
+++ b/test/base.c
@@ -120,7 +120,7 @@
 } tick_case_t;
 
 static const tick_case_t tick_cases[] = {
-	{ "first tick, at any time", { 100000, -1 }, "y" },
+	{ "first tick late", { 82, 92, 102, -1 }, "nyy" },
 	{ "on time", { 1, 11, 21, 31, -1 }, "yyyy" },
 	{ "a little late", { 1, 11, 61, 71, -1 }, "yyyy" },
 	{ "late once", { 1, 11, 82, 92, 102, -1 }, "yynyy" },
@@ -134,7 +134,7 @@
 	const tick_case_t *c = &tick_cases[_i];
 	tick_t t;
 
-	tick_init(&t, 10);
+	tick_init(&t, 10, 0);
 	for (size_t i = 0; i < strlen(c->runs); i++)
 		ck_assert_msg(tick_runs(&t, c->at[i]) == (c->runs[i] == 'y'),
 			      "%s: at %d ms", c->name, (int)c->at[i]);
--- a/test/httpc.c
+++ b/test/httpc.c
@@ -234,6 +234,36 @@
 }
 END_TEST
 
+/* The answer lies unread after a long turn of the loop: no silence. */
+START_TEST(long_turn_is_not_silence)
+{
+	counters_t *counters = counters_new();
+	httpc_call_t call = { .method = "GET",
+			      .path = "/",
+			      .silent = SILENT_MS };
+	result_t r = { .body = g_string_new(NULL) };
+	uv_loop_t loop;
+	server_t s;
+	httpc_t *h;
+
+	uv_loop_init(&loop);
+	server_start(&s, &loop, &cases[0], &call.to);
+	h = httpc_new(&loop, counters);
+	httpc_call(h, &call, &ops, &r);
+	while (!s.answered)
+		uv_run(&loop, UV_RUN_NOWAIT);
+	g_usleep(2 * SILENT_MS * 1000UL);
+	run_until(&loop, &r.ends, SILENT_MS * 20L);
+	ck_assert_int_eq(r.ends, 1);
+	ck_assert_int_eq(r.code, CODE_OK);
+	httpc_free(h);
+	server_stop(&s);
+	loop_end(&loop);
+	g_string_free(r.body, TRUE);
+	counters_free(counters);
+}
+END_TEST
+
 START_TEST(no_listener_is_not_sent)
 {
 	counters_t *counters = counters_new();
@@ -302,6 +332,7 @@
 	int failed;
 
 	tcase_add_loop_test(t, answer_cases, 0, G_N_ELEMENTS(cases));
+	tcase_add_test(t, long_turn_is_not_silence);
 	tcase_add_test(t, no_listener_is_not_sent);
 	tcase_add_loop_test(t, cancelled_call_tells_nothing_more, 0, 3);
 	suite_add_tcase(s, t);
