--- a/test/httpc.c
+++ b/test/httpc.c
@@ -252,7 +252,7 @@
 	httpc_call(h, &call, &ops, &r);
 	while (!s.answered)
 		uv_run(&loop, UV_RUN_NOWAIT);
-	g_usleep(2 * SILENT_MS * 1000UL);
+	g_usleep(SILENT_MS * 2000UL);
 	run_until(&loop, &r.ends, SILENT_MS * 20L);
 	ck_assert_int_eq(r.ends, 1);
 	ck_assert_int_eq(r.code, CODE_OK);
