Soak: planned stops of edges under long requests, judged by what callers see (fails)

The soak did not judge this.

Their traces show no connection that broke by itself: the edge left a server that had paused (result=lost), and then either had no budget for a retry ("server lost in the stream") or queued the stream and gave it up at its next tick, 10 ms later ("given_up", "no server to go on at").

--- a/test/edge.c
+++ b/test/edge.c
@@ -241,6 +241,43 @@
 }
 END_TEST
 
+/* A stream that lost its server waits for the next one up to its deadline. */
+START_TEST(test_begun_stream_waits)
+{
+	static const ms_t returns[] = { 4 * MS, 0 }; /* of a server; 0: never */
+	edge_route_t rt = route;
+	ms_t now = 3 * MS;
+	request_t r;
+	world_t w;
+
+	world_init(&w, 1);
+	rt.stream = true;
+	rt.retry = RETRY_RESUME;
+	rt.timeout = 8 * MS;
+	put_server(&w, "s", "10.0.0.1", 1, false, 1, 0);
+	request_init(&r, &rt, 1);
+	r.give_up_at = 2 * MS;
+	edge_submit(w.edge, &r, 1);
+	edge_first_event(w.edge, &r, 2);
+	edge_server_gone(w.edge, "s", now);
+	ck_assert_int_eq(
+		edge_attempt_ended(w.edge, &r, ATTEMPT_LOST, true, now),
+		NEXT_RETRY);
+	for (; now < r.deadline; now += 10) {
+		if (now == returns[_i])
+			put_server(&w, "t", "10.0.0.2", 1, false, 1, now);
+		edge_tick(w.edge, now);
+		ck_assert_uint_eq(w.refused, 0);
+	}
+	edge_tick(w.edge, now);
+	ck_assert_uint_eq(w.refused, returns[_i] == 0);
+	ck_assert_uint_eq(w.sent, 1 + (returns[_i] > 0));
+	if (returns[_i])
+		edge_abandon(w.edge, &r, now);
+	world_clear(&w);
+}
+END_TEST
+
 /*
  * A server that loses requests is ejected, and is used again once it recovers.
  */
@@ -468,6 +505,7 @@
 	tcase_add_test(t, test_budget);
 	tcase_add_loop_test(t, test_order, 0, G_N_ELEMENTS(order_cases));
 	tcase_add_test(t, test_expired);
+	tcase_add_loop_test(t, test_begun_stream_waits, 0, 2);
 	tcase_add_test(t, test_ejection);
 	tcase_add_test(t, test_long_streams);
 	tcase_add_test(t, test_cut_streams);
--- a/test/fault/soak.sh
+++ b/test/fault/soak.sh
@@ -1,8 +1,11 @@
 #!/bin/bash
 # A short run of the soak for each of a few fixed seeds, and for each seed that
 # ever failed (test/soak/seeds), with so many edges. No promise may be broken.
+# Usage: soak.sh [BUILD [LIST [OPTION...]]]; options go to the soak.
 set -u
 bin=${1:-build/rel}
+list=$(dirname "$0")/../soak/${2:-seeds}
+shift $(($# < 2 ? $# : 2))
 t=$(mktemp -d "${TMPDIR:-/tmp}/soak.XXXXXX")
 trap 'rm -rf "$t"' EXIT
 code=0
@@ -10,7 +13,7 @@
 	case $seed in '' | '#'*) continue ;; esac
 	mkdir "$t/$seed"
 	if ! "$bin/soak" --seed "$seed" --seconds "$seconds" --edges "$edges" \
-		--dir "$t/$seed" --daemon "$bin/chestnuthinged" >"$t/$seed/out" 2>&1; then
+		--dir "$t/$seed" --daemon "$bin/chestnuthinged" "$@" >"$t/$seed/out" 2>&1; then
 		cat "$t/$seed/out"
 		echo "FAILED: seed $seed ($why)"
 		code=1
@@ -20,5 +23,5 @@
 		code=1
 	fi
 	tail -n 1 "$t/$seed/out"
-done <"$(dirname "$0")/../soak/seeds"
+done <"$list"
 exit $code
--- a/test/soak/caller.c
+++ b/test/soak/caller.c
@@ -9,12 +9,22 @@
 	KEEP_REQUESTS = 20, /* on one connection, at most */
 	QUIT_AFTER_MS = 60, /* at most, of those that hang up */
 	GONE_MS = 1500,	    /* a server may work on for so long */
+	/* A stopping edge still takes new connections for so long. */
+	ROTATION_MS = 2000,
+	LOST_SLACK_MS = 200,   /* a request that was sent longer ago was read */
+	LATE_SENT_MS = 3000,   /* after SIGTERM: later ones must be answered */
+	AFTER_GRACE_MS = 1000, /* a stop counts for so long past the grace */
 };
 
 static const double quit_share = 0.03;
+/* Share of the answers after which the next request is sent at once. */
+static const double eager_share = 0.5;
+/* Share of the grace after which a run may be broken off. */
+static const double break_off_share = 5.0 / 6;
 static const char *const hosts[KINDS] = { "safe", "once", "stream" };
 
 static void think(caller_s_t *c);
+static void ask_next(caller_s_t *c);
 
 static bool on_head(void *ctx, hconn_t *l, const http_head_t *h)
 {
@@ -95,6 +105,33 @@
 	s->calm_good += calm && good;
 }
 
+/*
+ * A connection ended without a whole answer. Around a planned stop that is
+ * allowed only if the request was neither passed on nor read, or if it was sent
+ * early and a server is still at work on it late in the grace.
+ */
+static void check_lost(caller_s_t *c, ms_t now)
+{
+	const fate_t *f = fate_get(c->s, c->id);
+	ms_t term = c->to->term_at;
+	ms_t worked = f->running > 0 ? now : f->worked_until;
+	ms_t late = term + (ms_t)((double)c->s->grace * break_off_share);
+
+	if (!c->s->stops || term == 0 ||
+	    now > term + c->s->grace + AFTER_GRACE_MS ||
+	    now >= c->sent_at + c->s->timeout)
+		return;
+	if (f->runs == 0 && now - c->sent_at <= LOST_SLACK_MS)
+		return;
+	if (worked >= late && c->sent_at <= term + LATE_SENT_MS)
+		return;
+	violation(c->s, "lost",
+		  "%s (kind %d, %u on its connection, runs %u) sent to %s "
+		  "%lld ms after SIGTERM, closed at %lld ms",
+		  c->id, c->kind, c->on_conn, f->runs, c->to->name,
+		  (long long)(c->sent_at - term), (long long)(now - term));
+}
+
 /* The request is over, with an answer or without one. */
 static void over(caller_s_t *c, bool answered)
 {
@@ -110,7 +147,10 @@
 		violation(c->s, "denied", "%s got %d", c->id, c->status);
 	if (!c->limited)
 		count(c, answered && c->status == 200);
-	think(c);
+	if (c->s->stops && c->conn && g_rand_double(c->s->rand) < eager_share)
+		ask_next(c);
+	else
+		think(c);
 }
 
 static void on_end(void *ctx, hconn_t *l, bool keep)
@@ -135,12 +175,22 @@
 	if (code == CODE_BAD_ANSWER && c->waiting)
 		violation(c->s, "mixed", "%s got bytes that are no answer",
 			  c->id);
-	if (c->waiting)
-		over(c, false);
+	if (!c->waiting)
+		return;
+	check_lost(c, clock_now());
+	over(c, false);
 }
 
 static const hconn_ops_t ops = { on_head, on_body, on_end, on_gone };
 
+static bool takes_requests(const proc_t *p, ms_t now)
+{
+	bool rotated =
+		p->stopping && (!p->s->stops || now > p->term_at + ROTATION_MS);
+
+	return p->running && !rotated && !p->stopped_until;
+}
+
 /* A daemon that takes requests, or any when none says so. */
 static proc_t *choose(caller_s_t *c)
 {
@@ -150,7 +200,7 @@
 		proc_t *p = &s->procs[g_rand_int_range(s->rand, 0,
 						       (gint32)s->nedges)];
 
-		if (p->running && !p->stopping && !p->stopped_until)
+		if (takes_requests(p, clock_now()))
 			return p;
 	}
 	return &s->procs[0];
@@ -168,20 +218,20 @@
 	fate->kind = c->kind;
 	fate->limited = c->limited;
 	fate->sent_at = now;
-	text = g_strdup_printf("%s /a/%s HTTP/1.1\r\nHost: %s\r\n"
-			       "X-Request-Id: %s\r\nX-Timeout-Ms: %d\r\n"
-			       "Authorization: Bearer %s\r\n%s\r\n%s",
-			       post ? "POST" : "GET", c->id, hosts[c->kind],
-			       c->id, TIMEOUT_MS, c->limited ? "guild" : "key",
-			       post ? "Content-Length: 4\r\n" : "",
-			       post ? "body" : "");
+	text = g_strdup_printf(
+		"%s /a/%s HTTP/1.1\r\nHost: %s\r\n"
+		"X-Request-Id: %s\r\nX-Timeout-Ms: %d\r\n"
+		"Authorization: Bearer %s\r\n%s\r\n%s",
+		post ? "POST" : "GET", c->id, hosts[c->kind], c->id,
+		(int)c->s->timeout, c->limited ? "guild" : "key",
+		post ? "Content-Length: 4\r\n" : "", post ? "body" : "");
 	http_put(out, text);
 	g_free(text);
 	c->status = 0;
 	c->waiting = true;
 	c->sent_at = now;
 	c->quit_at = 0;
-	if (g_rand_double(c->s->rand) < quit_share)
+	if (!c->s->stops && g_rand_double(c->s->rand) < quit_share)
 		c->quit_at = now + 1 +
 			     g_rand_int_range(c->s->rand, 0, QUIT_AFTER_MS);
 	c->on_conn++;
@@ -189,10 +239,8 @@
 	g_byte_array_free(out, TRUE);
 }
 
-static void on_timer(uv_timer_t *t)
+static void ask_next(caller_s_t *c)
 {
-	caller_s_t *c = t->data;
-
 	if (c->s->ended)
 		return;
 	c->kind = (kind_t)g_rand_int_range(c->s->rand, 0, KINDS);
@@ -211,6 +259,11 @@
 		think(c);
 }
 
+static void on_timer(uv_timer_t *t)
+{
+	ask_next(t->data);
+}
+
 static void think(caller_s_t *c)
 {
 	uv_timer_start(&c->timer, on_timer,
@@ -222,7 +275,7 @@
 void caller_look(caller_s_t *c, ms_t now)
 {
 	bool quits = c->quit_at && now >= c->quit_at;
-	bool late = now - c->sent_at > TIMEOUT_MS + PATIENCE_MS;
+	bool late = now - c->sent_at > c->s->timeout + PATIENCE_MS;
 
 	if (!c->waiting || (!quits && !late))
 		return;
--- a/test/soak/dat.h
+++ b/test/soak/dat.h
@@ -19,8 +19,11 @@
 	EVENTS = 12,	    /* of each stream */
 	EVENT_MS = 8,	    /* between them */
 	WORK_MS = 12,	    /* of a plain call */
+	STEP_MORE_MS = 100, /* more of both at most, with planned stops only */
+	PAUSE_MS = 1500,    /* the same of a tenth of the steps */
 	TIMEOUT_MS = 1500,  /* of every route */
-	HEARTBEAT_MS = 300, /* of the servers' entries */
+	LONG_TIMEOUT_MS = 9000, /* the same with planned stops only */
+	HEARTBEAT_MS = 300,	/* of the servers' entries */
 	LIMITED_EVERY =
 		8, /* of so many callers one is of the limited customer */
 	LIMIT_PER_S = 30,	/* of that customer, and its burst */
@@ -137,6 +140,7 @@
 	bool edge;
 	bool running;
 	bool stopping;	    /* SIGTERM was sent */
+	ms_t term_at;	    /* when; 0 not */
 	ms_t stopped_until; /* SIGSTOP was sent; 0 not */
 	ms_t start_at;	    /* to be started again; 0 not */
 	addr_t callers;
@@ -167,7 +171,9 @@
 typedef struct fate {
 	kind_t kind;
 	unsigned int runs;
-	bool limited; /* of the customer with a limit */
+	unsigned int running;
+	ms_t worked_until; /* when the last run ended */
+	bool limited;	   /* of the customer with a limit */
 	ms_t sent_at;
 	bool said_not_run;
 	bool answered;
@@ -216,6 +222,10 @@
 	unsigned int calm_done;
 	unsigned int calm_good;
 	bool ended;
+	bool stops;		/* planned stops of edges are the only faults */
+	ms_t grace;		/* of the daemons, from SIGTERM to their end */
+	ms_t timeout;		/* of every route */
+	unsigned int next_stop; /* edge */
 };
 
 #endif
--- a/test/soak/fault.c
+++ b/test/soak/fault.c
@@ -7,6 +7,7 @@
 	FAULT_EVERY_MS = 700, /* between two faults, at most */
 	STOP_MS = 1200,	      /* SIGSTOP, at most */
 	ROUTES_MORE = 5,      /* routes beside the three that are used */
+	TERM_EVERY_MS = 3000, /* between two planned stops, at least */
 };
 
 /* Writes the next configuration: the routes in use, and some others. */
@@ -27,7 +28,7 @@
 			"\"latency_target_ms\":200,\"gap_target_ms\":200,"
 			"\"priority\":%d,\"attempts\":2,\"service\":\"%s\","
 			"\"resumable\":true},",
-			names[i], names[i], kinds[i], TIMEOUT_MS, i,
+			names[i], names[i], kinds[i], (int)s->timeout, i,
 			i == KIND_STREAM ? "models" : "desk");
 	for (int i = 0; i <= more; i++)
 		g_string_append_printf(
@@ -179,6 +180,20 @@
 	fault_return, fault_server, fault_server,   fault_silence,
 };
 
+/* Stops the edges in turn. */
+static void next_planned_stop(soak_t *s, ms_t now)
+{
+	proc_t *p = &s->procs[s->next_stop++ % s->nedges];
+
+	s->next_fault = now + TERM_EVERY_MS +
+			g_rand_int_range(s->faults, 0, FAULT_EVERY_MS);
+	if (!p->running || p->stopping)
+		return;
+	s->nfaults++;
+	soak_note(s, "planned stop of %s", p->name);
+	proc_signal(p, SIGTERM);
+}
+
 static void calm(soak_t *s, ms_t now)
 {
 	soak_note(s, "calm");
@@ -197,6 +212,10 @@
 		calm(s, now);
 		return;
 	}
+	if (s->stops) {
+		next_planned_stop(s, now);
+		return;
+	}
 	s->next_fault =
 		now + 50 + g_rand_int_range(s->faults, 0, FAULT_EVERY_MS);
 	s->nfaults++;
--- a/test/soak/main.c
+++ b/test/soak/main.c
@@ -13,6 +13,8 @@
 	JUDGED_MS = 2500,
 	CALM_GOOD_PERCENT = 95, /* of the requests of the calm end */
 	SHOWN = 20,		/* violations told in full */
+	GRACE_MS = 3000,	/* of the daemons */
+	LONG_GRACE_MS = 8000,	/* the same with planned stops only */
 };
 
 typedef struct options {
@@ -21,6 +23,7 @@
 	gint edges;
 	gint servers;
 	gint callers;
+	gboolean stops;
 	gboolean verbose;
 	char *dir;
 	char *daemon;
@@ -123,6 +126,8 @@
 		  "For settings and logs", "DIR" },
 		{ "daemon", 0, 0, G_OPTION_ARG_STRING, &opt.daemon,
 		  "Program to run", "FILE" },
+		{ "stops", 0, 0, G_OPTION_ARG_NONE, &opt.stops,
+		  "Only planned stops of edges, under long requests", NULL },
 		{ "verbose", 'v', 0, G_OPTION_ARG_NONE, &opt.verbose,
 		  "Tell each fault", NULL },
 		{ 0 },
@@ -146,6 +151,9 @@
 	s->faults = g_rand_new_with_seed((guint32)opt.seed + 1);
 	s->daemon = opt.daemon;
 	s->dir = opt.dir;
+	s->stops = opt.stops;
+	s->grace = opt.stops ? LONG_GRACE_MS : GRACE_MS;
+	s->timeout = opt.stops ? LONG_TIMEOUT_MS : TIMEOUT_MS;
 	s->nedges = (unsigned int)CLAMP(opt.edges, 1, EDGES_MAX);
 	s->nservers = (unsigned int)CLAMP(opt.servers, 3, SERVERS_MAX);
 	s->fates = g_hash_table_new(g_str_hash, g_str_equal);
--- a/test/soak/proc.c
+++ b/test/soak/proc.c
@@ -5,7 +5,6 @@
 #include "fns.h"
 
 enum {
-	GRACE_S = 3, /* of the daemons, from SIGTERM to their end */
 	RESTART_MS = 300,
 	KILL_AFTER_MS = 4000, /* past the grace */
 };
@@ -30,7 +29,7 @@
 		"[bounds]\ngrace_s = %d\nretry_ratio = 0.2\nretry_slack = 20\n",
 		p->name, p->callers.ip, p->callers.port, p->ready.ip,
 		p->ready.port, peers, s->port, key, s->store.at.addr.ip,
-		s->store.at.addr.port, GRACE_S);
+		s->store.at.addr.port, (int)(s->grace / MS_PER_S));
 
 	write_ini(p, text);
 	g_free(text);
@@ -83,6 +82,7 @@
 	io[2] = io[1];
 	p->start_at = 0;
 	p->stopping = false;
+	p->term_at = 0;
 	p->handle.data = p;
 	if (uv_spawn(&s->loop, &p->handle, &o))
 		g_error("cannot start %s", s->daemon);
@@ -154,6 +154,8 @@
 {
 	if (!p->running)
 		return;
+	if (number == SIGTERM && !p->stopping)
+		p->term_at = clock_now();
 	p->stopping = p->stopping || number == SIGTERM;
 	uv_process_kill(&p->handle, number);
 }
@@ -188,8 +190,7 @@
 			uv_process_kill(&p->handle, SIGCONT);
 			proc_signal(p, SIGTERM);
 		} else if (p->running &&
-			   now - s->end_at >
-				   GRACE_S * MS_PER_S + KILL_AFTER_MS) {
+			   now - s->end_at > s->grace + KILL_AFTER_MS) {
 			violation(s, "exit", "%s did not end in its grace",
 				  p->name);
 			uv_process_kill(&p->handle, SIGKILL);
--- a/test/soak/server.c
+++ b/test/soak/server.c
@@ -3,6 +3,8 @@
 #include <string.h>
 #include "fns.h"
 
+static const double pause_share = 0.1; /* of the steps of long requests */
+
 static void run_next(server_t *v);
 
 static void on_job_closed(uv_handle_t *h)
@@ -18,8 +20,13 @@
 	server_t *v = j->at;
 
 	list_del(&j->link);
-	if (j->started)
+	if (j->started) {
+		fate_t *f = fate_get(v->s, j->id);
+
 		v->running--;
+		f->running--;
+		f->worked_until = clock_now();
+	}
 	if (j->c)
 		j->c->job = NULL;
 	uv_close((uv_handle_t *)&j->timer, on_job_closed);
@@ -41,6 +48,18 @@
 	return share > 0 && g_rand_double(v->s->faults) < share;
 }
 
+/* Returns the time of a plain call, or from one event to the next, in ms. */
+static uint64_t step_ms(server_t *v)
+{
+	int ms = v->stream ? EVENT_MS : WORK_MS;
+
+	if (v->s->stops)
+		ms += g_rand_int_range(v->s->faults, 0,
+				       chance(v, pause_share) ? PAUSE_MS
+							      : STEP_MORE_MS);
+	return (uint64_t)ms;
+}
+
 /* Sends what was kept of an earlier answer, where the next one is due. */
 static void send_late(sconn_t *c)
 {
@@ -149,6 +168,8 @@
 	}
 	chunk(j->c, event);
 	j->next++;
+	uv_timer_set_repeat(t, step_ms(v));
+	uv_timer_again(t);
 }
 
 /*
@@ -173,6 +194,7 @@
 {
 	server_t *v = j->at;
 	fate_t *f = fate_get(v->s, j->id);
+	uint64_t step;
 
 	j->started = true;
 	v->running++;
@@ -188,8 +210,9 @@
 			  j->id);
 	if (v->stream && j->c)
 		stream_head(j);
-	uv_timer_start(&j->timer, on_step, v->stream ? EVENT_MS : WORK_MS,
-		       v->stream ? EVENT_MS : WORK_MS);
+	f->running++;
+	step = step_ms(v);
+	uv_timer_start(&j->timer, on_step, step, step);
 }
 
 static void run_next(server_t *v)
@@ -216,7 +239,7 @@
 	if (!str_eq(http_value(h, "X-Tenant"),
 		    str_of(fate_get(v->s, id)->limited ? "guild" : "school")))
 		violation(v->s, "customer", "%s came without its customer", id);
-	if (!http_parse_number(left, &ms) || ms > TIMEOUT_MS)
+	if (!http_parse_number(left, &ms) || ms > (uint64_t)v->s->timeout)
 		violation(v->s, "deadline", "%s came with %.*s ms left", id,
 			  (int)left.n, left.p);
 }
