Edge: a begun stream that lost its server waits for another until its deadline

Callers saw: a stream that broke off a few seconds in, outcome="no server to go on at", 10 ms after its server was lost, although its time was not up and servers had free slots soon after.

Cause: a stream that waits again was given up by give_up_at, the time at which a caller leaves a stream that has not begun. It lies 2 s after the request's arrival, so a stream that was older than this was given up at the first tick, before a keeper could grant a slot. Ruled out: a refusal by the keeper (asked, no answer yet).

--- a/lib/edge/dat.h
+++ b/lib/edge/dat.h
@@ -206,7 +206,8 @@
 	ms_t arrived;
 	ms_t deadline;	     /* for the final answer */
 	ms_t first_event_by; /* when the first event is due by its target */
-	ms_t give_up_at; /* when the caller cancels a stream without an event */
+	ms_t give_up_at; /* when the caller cancels a stream that has not begun
+			  */
 	double prompt;	 /* prompt tokens */
 	double output;	 /* expected output tokens */
 	double tokens;	 /* charged to a quota in tokens */
--- a/lib/edge/queue.c
+++ b/lib/edge/queue.c
@@ -85,6 +85,19 @@
 	}
 }
 
+/*
+ * Whether a request has waited too long. A stream that has begun and lost its
+ * server may wait for another until its deadline: an event may still come.
+ */
+static bool waited_too_long(const request_t *r, ms_t now)
+{
+	ms_t need = (ms_t)r->pool->first_event_mean;
+
+	if (r->route->stream && r->ever_responded)
+		return now >= r->deadline;
+	return now >= MIN(r->deadline, r->give_up_at) - need;
+}
+
 static void expire(edge_t *e, list_t *head, ms_t now)
 {
 	list_t *pos;
@@ -94,9 +107,8 @@
 	{
 		request_t *r = list_entry(pos, request_t, link);
 		pool_t *p = r->pool;
-		ms_t need = (ms_t)p->first_event_mean;
 
-		if (now < r->deadline - need && now < r->give_up_at - need)
+		if (!waited_too_long(r, now))
 			continue;
 		edge_log_step(e, r, now, "given_up",
 			      "why=no_slot waiting=%u asked=%u free_slots=%u "
