Edge: keepers keep the slot request of a begun stream

Callers saw: a begun stream whose server was lost waited for its whole time and was cut, while all servers that it had asked had free slots.

Cause: the slot request's deadline was also taken from give_up_at, which lies in the past for a stream older than 2 s. The keeper dropped it as expired at its next tick, and the edge did not ask again. Evidence: traces with given_up free_slots=16 and asked=4, 6.6 s after the last slot request. Ruled out: starvation by requests that are in time (slots were free).

Change: edge_waits_until says it for the queue and for keepers alike.

--- a/cmd/chestnuthinged/peering.c
+++ b/cmd/chestnuthinged/peering.c
@@ -289,7 +289,7 @@
 			  ms_t target_ms, ms_t now)
 {
 	msg_t ask = { .type = MSG_SLOT_REQUEST };
-	ms_t until = MIN(r->deadline, r->give_up_at);
+	ms_t until = edge_waits_until(r);
 
 	ask.u.slot_request.server = str_of(b->id);
 	ask.u.slot_request.rid = r->rid;
--- a/lib/edge/fns.h
+++ b/lib/edge/fns.h
@@ -75,6 +75,7 @@
 		      unsigned int waiting, ms_t now);
 next_action_t edge_attempt_ended(edge_t *e, request_t *r, attempt_result_t how,
 				 bool resumable, ms_t now);
+ms_t edge_waits_until(const request_t *r);
 void edge_abandon(edge_t *e, request_t *r, ms_t now);
 bool edge_stalled(const edge_t *e, const request_t *r, ms_t now);
 ms_t edge_retry_after(edge_t *e, const request_t *r, ms_t now);
--- a/lib/edge/queue.c
+++ b/lib/edge/queue.c
@@ -85,17 +85,26 @@
 	}
 }
 
+static bool has_begun(const request_t *r)
+{
+	return r->route->stream && r->ever_responded;
+}
+
 /*
- * Whether a request has waited too long. A stream that has begun and lost its
- * server may wait for another until its deadline: an event may still come.
+ * Returns until when a request may wait for a slot. A stream that has begun and
+ * lost its server may wait for another until its deadline.
  */
+ms_t edge_waits_until(const request_t *r)
+{
+	return has_begun(r) ? r->deadline : MIN(r->deadline, r->give_up_at);
+}
+
+/* Whether a request has waited too long; one that has begun is never early. */
 static bool waited_too_long(const request_t *r, ms_t now)
 {
-	ms_t need = (ms_t)r->pool->first_event_mean;
+	ms_t need = has_begun(r) ? 0 : (ms_t)r->pool->first_event_mean;
 
-	if (r->route->stream && r->ever_responded)
-		return now >= r->deadline;
-	return now >= MIN(r->deadline, r->give_up_at) - need;
+	return now >= edge_waits_until(r) - need;
 }
 
 static void expire(edge_t *e, list_t *head, ms_t now)
--- a/test/edge.c
+++ b/test/edge.c
@@ -278,6 +278,34 @@
 }
 END_TEST
 
+typedef struct wait_case {
+	bool stream;
+	bool begun;
+	ms_t until;
+} wait_case_t;
+
+static const wait_case_t wait_cases[] = {
+	{ true, false, 2 * MS },
+	{ true, true, 8 * MS },
+	{ false, true, 2 * MS },
+};
+
+/* A keeper drops the slot request of a begun stream by the same time. */
+START_TEST(test_waits_until)
+{
+	const wait_case_t *c = &wait_cases[_i];
+	edge_route_t rt = route;
+	request_t r;
+
+	rt.stream = c->stream;
+	rt.timeout = 8 * MS;
+	request_init(&r, &rt, 0);
+	r.give_up_at = 2 * MS;
+	r.ever_responded = c->begun;
+	ck_assert_int_eq(edge_waits_until(&r), c->until);
+}
+END_TEST
+
 /*
  * A server that loses requests is ejected, and is used again once it recovers.
  */
@@ -506,6 +534,7 @@
 	tcase_add_loop_test(t, test_order, 0, G_N_ELEMENTS(order_cases));
 	tcase_add_test(t, test_expired);
 	tcase_add_loop_test(t, test_begun_stream_waits, 0, 2);
+	tcase_add_loop_test(t, test_waits_until, 0, G_N_ELEMENTS(wait_cases));
 	tcase_add_test(t, test_ejection);
 	tcase_add_test(t, test_long_streams);
 	tcase_add_test(t, test_cut_streams);
