Soak: a failed run may end with 503, 429 or 408 (fails)

The soak's servers failed with 500 only, so it could not show an edge that passes a server's own 503, 429 or 408, without the field that says "not run", to the caller.

--- a/test/soak/server.c
+++ b/test/soak/server.c
@@ -70,6 +70,14 @@
 	c->late = NULL;
 }
 
+/* The status of a run that failed; none of them says that it was not run. */
+static int failure_status(const job_t *j)
+{
+	static const int statuses[] = { 500, 503, 429, 408 };
+
+	return statuses[g_str_hash(j->id) % G_N_ELEMENTS(statuses)];
+}
+
 /* Ends a plain call with its answer, spoiled as the faults say. */
 static void answer_plain(job_t *j)
 {
@@ -78,11 +86,13 @@
 	bool fails = chance(v, v->fails) || move_fails(v);
 	bool cut = chance(v, v->cut);
 	bool unframed = !fails && chance(v, v->unframed);
+	int status;
 	char *body = g_strdup_printf("answer %s of %s", j->id, v->id);
 	GString *out = g_string_new(NULL);
 
-	g_string_append_printf(out, "HTTP/1.1 %s\r\n",
-			       fails ? "500 Internal Server Error" : "200 OK");
+	status = fails ? failure_status(j) : 200;
+	g_string_append_printf(out, "HTTP/1.1 %d %s\r\n", status,
+			       http_reason(status));
 	put_fields(out, v, j->id);
 	if (!unframed)
 		g_string_append_printf(out, "Content-Length: %zu\r\n",
