Answers: a server's 503, 429 or 408 is passed on only if it says "not run"

Callers saw: a request that may run once was answered 503, 429 or 408 and had run; callers take these for a promise and send it again.

Cause: an answer was passed on by its status alone. A server's answer tells that the request was not run only with the field for it; those are retried or answered by this host and do not come here. Ruled out: statuses left over from an earlier attempt (each head sets them anew).

--- a/lib/forward/exchange.c
+++ b/lib/forward/exchange.c
@@ -490,6 +490,15 @@
 		local_reply(x, 502, 0, "server lost");
 }
 
+/*
+ * Whether callers take the status for a promise that the request was not run.
+ * A server's answer gives it only with the field for that.
+ */
+static bool says_not_run(int status)
+{
+	return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
 /* Ends an attempt: passes the answer on, fails, or lets the edge retry. */
 void exchange_attempt_end(exchange_t *x, attempt_result_t how, ms_t now)
 {
@@ -508,7 +517,7 @@
 				  now);
 	if (next == NEXT_RETRY)
 		return;
-	if (answered)
+	if (answered && !says_not_run(x->status))
 		finish(x);
 	else
 		fail(x, how, now);
