--- a/test/soak/main.c
+++ b/test/soak/main.c
@@ -13,6 +13,8 @@
 	JUDGED_MS = 2500,
 	CALM_GOOD_PERCENT = 95, /* of the requests of the calm end */
 	SHOWN = 20,		/* violations told in full */
+	GRACE_MS = 3000,	/* of the daemons */
+	LONG_GRACE_MS = 8000,	/* the same with planned stops only */
 };
 
 typedef struct options {
@@ -22,6 +24,7 @@
 	gint servers;
 	gint callers;
 	gboolean pauses;
+	gboolean stops;
 	gboolean verbose;
 	char *dir;
 	char *daemon;
@@ -126,6 +129,8 @@
 		  "Program to run", "FILE" },
 		{ "pauses", 0, 0, G_OPTION_ARG_NONE, &opt.pauses,
 		  "Servers that pause, and no other fault", NULL },
+		{ "stops", 0, 0, G_OPTION_ARG_NONE, &opt.stops,
+		  "Only planned stops of edges, under long requests", NULL },
 		{ "verbose", 'v', 0, G_OPTION_ARG_NONE, &opt.verbose,
 		  "Tell each fault", NULL },
 		{ 0 },
@@ -150,6 +155,9 @@
 	s->daemon = opt.daemon;
 	s->pauses_only = opt.pauses;
 	s->dir = opt.dir;
+	s->stops = opt.stops;
+	s->grace = opt.stops ? LONG_GRACE_MS : GRACE_MS;
+	s->timeout = opt.stops ? LONG_TIMEOUT_MS : TIMEOUT_MS;
 	s->nedges = (unsigned int)CLAMP(opt.edges, 1, EDGES_MAX);
 	s->nservers = (unsigned int)CLAMP(opt.servers, 3, SERVERS_MAX);
 	s->fates = g_hash_table_new(g_str_hash, g_str_equal);
