--- a/lib/edge/dat.h
+++ b/lib/edge/dat.h
@@ -189,6 +189,20 @@
 	SLOT_REQUESTS_MAX = 8,
 };
 
+/* A part of a prompt that requests may share: the hash of its name. */
+typedef uint64_t prompt_part_t;
+
+/*
+ * A server that ended while requests with these parts waited for their first
+ * event: each of the parts may be the cause.
+ */
+typedef struct crash_report {
+	const char *server;   /* its id */
+	int64_t started_unix; /* with the id, one life of the server */
+	const prompt_part_t *parts;
+	size_t nparts;
+} crash_report_t;
+
 /* A caller's request, from arrival to final answer. */
 typedef struct request {
 	list_t link; /* in a queue of its pool, or of those that ask */
@@ -210,8 +224,11 @@
 	double prompt;	 /* prompt tokens */
 	double output;	 /* expected output tokens */
 	double tokens;	 /* charged to a quota in tokens */
-	double cost;	 /* in the unit of the customer's quota */
-	bool charged;	 /* the cost is counted as sent */
+	/* Its prompt's parts, without the last, which no other request has */
+	const prompt_part_t *parts;
+	size_t nparts;
+	double cost;		   /* in the unit of the customer's quota */
+	bool charged;		   /* the cost is counted as sent */
 	unsigned int executions;   /* attempts that may have run */
 	unsigned int dispatches;   /* all attempts */
 	uint32_t tried[TRIED_MAX]; /* serials of the servers */
@@ -292,6 +309,12 @@
 	void (*keeper_wanted)(void *ctx, const addr_t *server, bool wanted);
 	/* A server is about to be freed: close its connections. */
 	void (*forget)(void *ctx, backend_t *b);
+	/*
+	 * To all hosts: a server ended, or requests with a part that was
+	 * reported are answered.
+	 */
+	void (*crash_seen)(void *ctx, const crash_report_t *c);
+	void (*part_answered)(void *ctx, prompt_part_t part);
 } edge_ops_t;
 
 #endif
