Callers: the parts of a prompt are read, and shown in the line of a request

The lines of requests did not name the parts of their prompts, so a part that ends servers could not be told from servers that end by themselves. X-Prompt-Prefix is decoded to hashes of the parts' names, without the last entry, which no other request shares; each part counts once, 64 at most. Malformed entries and those beyond the bound are left out and counted (edge_prompt_parts_omitted_total, parts_omitted= in the line). step=accepted shows the first eight as parts=.

Tests: adapter test_parts, test_hundreds_of_parts.

--- a/cmd/chestnuthinged/edged.c
+++ b/cmd/chestnuthinged/edged.c
@@ -95,11 +95,23 @@
 	peering_keeper(d->peering, server, wanted);
 }
 
-static const edge_ops_t edge_ops = { on_send,	       on_refuse,
-				     on_note,	       on_slot_request,
-				     on_release,       on_quota_join,
-				     on_quota_leave,   on_quota_take,
-				     on_keeper_wanted, on_forget };
+static void on_crash_seen(void *ctx, const crash_report_t *c)
+{
+	(void)ctx;
+	(void)c;
+}
+
+static void on_part_answered(void *ctx, prompt_part_t part)
+{
+	(void)ctx;
+	(void)part;
+}
+
+static const edge_ops_t edge_ops = {
+	on_send,	  on_refuse,	 on_note,	 on_slot_request,
+	on_release,	  on_quota_join, on_quota_leave, on_quota_take,
+	on_keeper_wanted, on_forget,	 on_crash_seen,	 on_part_answered
+};
 
 static void on_rollout_count(void *ctx, uint64_t host, const char *service,
 			     uint64_t order, const char *cell, uint64_t value)
--- a/lib/forward/dat.h
+++ b/lib/forward/dat.h
@@ -15,6 +15,10 @@
 typedef struct caller caller_t;
 typedef struct exchange exchange_t;
 
+enum {
+	PROMPT_PARTS_MAX = 64, /* of a prompt that are kept */
+};
+
 /* What the codec reads from the head of a caller's request. */
 typedef struct call_info {
 	str_t id; /* the caller's request id; empty when it gave none */
@@ -27,6 +31,10 @@
 	double output_tokens_max;
 	bool resumes; /* continues a stream after last_event_id */
 	uint64_t last_event_id;
+	/* The prompt's parts, each once, in order, without the last. */
+	prompt_part_t parts[PROMPT_PARTS_MAX];
+	size_t nparts;
+	unsigned int parts_omitted; /* malformed, or beyond the bound */
 } call_info_t;
 
 /* What the codec reads from the head of a backend server's answer. */
--- a/lib/forward/exchange.c
+++ b/lib/forward/exchange.c
@@ -56,7 +56,10 @@
 	x->is_head_request = http_name_is(h->method, "HEAD");
 	x->has_body = h->chunked || h->has_length;
 	x->close_after = !h->keep_alive;
+	x->req.parts = x->call.parts;
+	x->req.nparts = x->call.nparts;
 	c->forward->requests->value++;
+	c->forward->parts_omitted->value += x->call.parts_omitted;
 	return x;
 }
 
@@ -202,6 +205,7 @@
 {
 	request_t *r = &x->req;
 	const char *text = NULL;
+	char *parts;
 	int status;
 
 	if (forward_refuses_new(x->forward, now)) {
@@ -225,16 +229,19 @@
 	r->output = x->call.output_tokens > 0 ? x->call.output_tokens
 					      : x->call.output_tokens_max;
 	r->tokens = x->call.prompt_tokens + x->call.output_tokens_max;
+	parts = trace_parts(x);
 	trace_add(x, now, "accepted",
 		  "route=%s priority=%u customer=%s config=%llu prompt=%.0f "
 		  "output=%.0f tokens=%.0f timeout_ms=%lld giveup_ms=%lld "
-		  "target_ms=%lld body=%u",
+		  "target_ms=%lld body=%u parts=%s parts_omitted=%u",
 		  r->route->name, r->priority,
 		  r->customer ? r->customer->name : "-",
 		  (unsigned long long)d->version, r->prompt, r->output,
 		  r->tokens, (long long)(r->deadline - now),
 		  (long long)(r->give_up_at - now),
-		  (long long)(r->first_event_by - now), x->body->len);
+		  (long long)(r->first_event_by - now), x->body->len, parts,
+		  x->call.parts_omitted);
+	g_free(parts);
 	edge_submit(x->forward->edge, r, now);
 }
 
--- a/lib/forward/forward.c
+++ b/lib/forward/forward.c
@@ -46,6 +46,8 @@
 	uv_timer_init(loop, &f->deferred);
 	f->deferred.data = f;
 	f->requests = counter_get(counters, "edge_requests_total", NULL);
+	f->parts_omitted =
+		counter_get(counters, "edge_prompt_parts_omitted_total", NULL);
 	f->connects = counter_get(counters, "edge_server_connects_total", NULL);
 	f->reused = counter_get(counters, "edge_server_reuses_total", NULL);
 	f->answer_ms = hist_new(counters, "edge_answer_ms", NULL);
--- a/lib/forward/priv.h
+++ b/lib/forward/priv.h
@@ -107,6 +107,7 @@
 	counter_t *stray_answers;
 	counter_t *unread_at_close; /* reads from callers after the shutdown */
 	hist_t *answer_ms;	    /* of whole answers of servers */
+	counter_t *parts_omitted;   /* of prompts, not kept */
 	counter_t *omitted;   /* failed requests whose trace was not logged */
 	int64_t trace_second; /* of the two counts that follow */
 	unsigned int traces;  /* of failed requests, logged or not */
@@ -139,6 +140,7 @@
 void trace_add(exchange_t *x, ms_t now, const char *step, const char *fmt, ...)
 	G_GNUC_PRINTF(4, 5);
 bool trace_should_log(exchange_t *x, bool failed, ms_t now);
+char *trace_parts(const exchange_t *x);
 void trace_log(const exchange_t *x);
 void trace_clear(exchange_t *x);
 
--- a/lib/forward/trace.c
+++ b/lib/forward/trace.c
@@ -5,12 +5,14 @@
  * with all of its lines or not at all. A limit per second keeps an overload
  * from filling the log.
  */
+#include <inttypes.h>
 #include <stdarg.h>
 #include <string.h>
 #include "forward/priv.h"
 
 enum {
 	TRACE_BYTES = 1500, /* of one request; later steps are omitted */
+	PARTS_SHOWN = 8,    /* parts of a prompt in a line */
 	FAILED_PER_S = 100, /* failed ones logged a second, at most */
 };
 
@@ -31,6 +33,21 @@
 	g_string_append_c(x->trace, '\n');
 }
 
+/*
+ * Returns the first PARTS_SHOWN parts of the prompt as text, "-" for none; the
+ * caller frees it.
+ */
+char *trace_parts(const exchange_t *x)
+{
+	const request_t *r = &x->req;
+	GString *out = g_string_new(r->nparts ? NULL : "-");
+
+	for (size_t i = 0; i < MIN(r->nparts, PARTS_SHOWN); i++)
+		g_string_append_printf(out, "%s%016" PRIx64, i ? "," : "",
+				       r->parts[i]);
+	return g_string_free(out, FALSE);
+}
+
 /* Whether one more failed request may be logged in this second. */
 static bool within_limit(forward_t *f, ms_t now)
 {
--- a/test/adapter.c
+++ b/test/adapter.c
@@ -133,6 +133,7 @@
 	{ "X-Request-Id", "abc", true },
 	{ "X-Model", "m", true },
 	{ "X-Token-Usage", "10,5", true },
+	{ "X-Prompt-Prefix", "5c1e:800,e440:250", true },
 	{ "X-Other", "y", true },
 	{ "Authorization", "Bearer k", false },
 	{ "X-Tenant", "someone", false },
@@ -171,6 +172,87 @@
 }
 END_TEST
 
+/* The parts of a prompt that requests may share. */
+typedef struct parts_case {
+	const char *name;
+	const char *value;
+	const char *want[4]; /* names of the parts, in order */
+	unsigned int omitted;
+} parts_case_t;
+
+static const parts_case_t part_lists[] = {
+	{ "three", "5c1e:800,91bd:410,e440:250", { "5c1e", "91bd" }, 0 },
+	{ "capitals are the same", "5C1E:800,e440:250", { "5c1e" }, 0 },
+	{ "leading zeros count", "05c1e:8,e440:250", { "05c1e" }, 0 },
+	{ "the last alone", "e440:250", { NULL }, 0 },
+	{ "empty", "", { NULL }, 0 },
+	{ "blanks", " 5c1e:800 ,\t91bd:410 , e440:250", { "5c1e", "91bd" }, 0 },
+	{ "twice the same",
+	  "5c1e:1,91bd:2,5c1e:3,e440:4",
+	  { "5c1e", "91bd" },
+	  0 },
+	{ "the last also before",
+	  "5c1e:1,91bd:2,5c1e:3",
+	  { "5c1e", "91bd" },
+	  0 },
+	{ "not hexadecimal",
+	  "5c1e:1,xyz:2,91bd:3,e440:4",
+	  { "5c1e", "91bd" },
+	  1 },
+	{ "no tokens", "5c1e,91bd:,77:x,12:3,e440:4", { "12" }, 3 },
+	{ "no name", ":5,12:3,e440:4", { "12" }, 1 },
+	{ "empty entries", ",,12:3,", { "12" }, 2 },
+	{ "malformed last", "12:3,e440", { "12" }, 0 },
+};
+
+static void read_parts_of(const char *value, call_info_t *call)
+{
+	GByteArray *pass = g_byte_array_new();
+	http_head_t h = { 0 };
+
+	h.method = str_of("POST");
+	h.target = str_of("/");
+	h.fields[0].name = str_of("X-Prompt-Prefix");
+	h.fields[0].value = str_of(value);
+	h.nfields = 1;
+	adapter_codec.read_call(&h, call, pass);
+	g_byte_array_free(pass, TRUE);
+}
+
+START_TEST(test_parts)
+{
+	const parts_case_t *c = &part_lists[_i];
+	call_info_t call;
+	size_t n = 0;
+
+	read_parts_of(c->value, &call);
+	for (; n < G_N_ELEMENTS(c->want) && c->want[n]; n++) {
+		ck_assert_msg(n < call.nparts, "%s", c->name);
+		ck_assert_msg(call.parts[n] ==
+				      hash64(c->want[n], strlen(c->want[n]), 0),
+			      "%s: %zu", c->name, n);
+	}
+	ck_assert_msg(call.nparts == n, "%s", c->name);
+	ck_assert_msg(call.parts_omitted == c->omitted, "%s", c->name);
+}
+END_TEST
+
+START_TEST(test_hundreds_of_parts)
+{
+	enum { ENTRIES = 300 };
+	GString *value = g_string_new(NULL);
+	call_info_t call;
+
+	for (unsigned int i = 0; i < ENTRIES; i++)
+		g_string_append_printf(value, "%s%x:5", i ? "," : "", i + 1);
+	read_parts_of(value->str, &call);
+	ck_assert_uint_eq(call.nparts, PROMPT_PARTS_MAX);
+	ck_assert_uint_eq(call.parts_omitted, ENTRIES - 1 - PROMPT_PARTS_MAX);
+	ck_assert(call.parts[0] == hash64("1", 1, 0));
+	g_string_free(value, TRUE);
+}
+END_TEST
+
 START_TEST(test_send_fields)
 {
 	GByteArray *out = g_byte_array_new();
@@ -334,6 +416,8 @@
 	tcase_add_loop_test(t, test_status, 0, G_N_ELEMENTS(statuses));
 	tcase_add_loop_test(t, test_config, 0, G_N_ELEMENTS(configs));
 	tcase_add_loop_test(t, test_pass, 0, G_N_ELEMENTS(passes));
+	tcase_add_loop_test(t, test_parts, 0, G_N_ELEMENTS(part_lists));
+	tcase_add_test(t, test_hundreds_of_parts);
 	tcase_add_test(t, test_send_fields);
 	tcase_add_loop_test(t, test_answer, 0, G_N_ELEMENTS(answers));
 	srunner_run_all(r, CK_NORMAL);
