Soak: a part of prompts that ends server after server (fails)

From 3 s after the fifth end at most three requests with the part may reach servers, counted for edges that ran undisturbed and reached the store for 3 s. Sound callers share its first part and its key. The store drops a key when a record has no value, as the users' does.

--- a/test/fault/soak.sh
+++ b/test/fault/soak.sh
@@ -1,15 +1,17 @@
 #!/bin/bash
 # A short run of the soak for each of a few fixed seeds, and for each seed that
-# ever failed (test/soak/seeds), with so many edges. No promise may be broken.
+# ever failed (test/soak/seeds), with so many edges and callers whose requests
+# end servers. No promise may be broken.
 set -u
 bin=${1:-build/rel}
 t=$(mktemp -d "${TMPDIR:-/tmp}/soak.XXXXXX")
 trap 'rm -rf "$t"' EXIT
 code=0
-while read -r seed seconds edges why; do
+while read -r seed seconds edges poison why; do
 	case $seed in '' | '#'*) continue ;; esac
 	mkdir "$t/$seed"
 	if ! "$bin/soak" --seed "$seed" --seconds "$seconds" --edges "$edges" \
+		--poison "$poison" \
 		--dir "$t/$seed" --daemon "$bin/chestnuthinged" >"$t/$seed/out" 2>&1; then
 		cat "$t/$seed/out"
 		echo "FAILED: seed $seed ($why)"
--- a/test/soak/caller.c
+++ b/test/soak/caller.c
@@ -4,11 +4,13 @@
 #include "fns.h"
 
 enum {
-	THINK_MS = 30,	    /* between two requests, at most */
-	PATIENCE_MS = 3000, /* past the route's time: no answer came */
-	KEEP_REQUESTS = 20, /* on one connection, at most */
-	QUIT_AFTER_MS = 60, /* at most, of those that hang up */
-	GONE_MS = 1500,	    /* a server may work on for so long */
+	THINK_MS = 30,	       /* between two requests, at most */
+	POISON_THINK_MS = 700, /* the same, of those with a part that ends
+				  servers */
+	PATIENCE_MS = 3000,    /* past the route's time: no answer came */
+	KEEP_REQUESTS = 20,    /* on one connection, at most */
+	QUIT_AFTER_MS = 60,    /* at most, of those that hang up */
+	GONE_MS = 1500,	       /* a server may work on for so long */
 };
 
 static const double quit_share = 0.03;
@@ -108,7 +110,7 @@
 		check_refused(c);
 	if (answered && (c->status == 404 || c->status == 401))
 		violation(c->s, "denied", "%s got %d", c->id, c->status);
-	if (!c->limited)
+	if (!c->limited && !c->poison)
 		count(c, answered && c->status == 200);
 	think(c);
 }
@@ -160,6 +162,7 @@
 {
 	GByteArray *out = g_byte_array_new();
 	char *text;
+	char *parts;
 	bool post = c->kind != KIND_SAFE;
 	fate_t *fate;
 
@@ -167,16 +170,20 @@
 	fate = fate_get(c->s, c->id);
 	fate->kind = c->kind;
 	fate->limited = c->limited;
+	fate->to = c->to;
 	fate->sent_at = now;
+	parts = poison_parts(c);
 	text = g_strdup_printf("%s /a/%s HTTP/1.1\r\nHost: %s\r\n"
 			       "X-Request-Id: %s\r\nX-Timeout-Ms: %d\r\n"
-			       "Authorization: Bearer %s\r\n%s\r\n%s",
+			       "Authorization: Bearer %s\r\n"
+			       "X-Prompt-Prefix: %s\r\n%s\r\n%s",
 			       post ? "POST" : "GET", c->id, hosts[c->kind],
 			       c->id, TIMEOUT_MS, c->limited ? "guild" : "key",
-			       post ? "Content-Length: 4\r\n" : "",
+			       parts, post ? "Content-Length: 4\r\n" : "",
 			       post ? "body" : "");
 	http_put(out, text);
 	g_free(text);
+	g_free(parts);
 	c->status = 0;
 	c->waiting = true;
 	c->sent_at = now;
@@ -195,7 +202,8 @@
 
 	if (c->s->ended)
 		return;
-	c->kind = (kind_t)g_rand_int_range(c->s->rand, 0, KINDS);
+	c->kind = c->poison ? KIND_STREAM
+			    : (kind_t)g_rand_int_range(c->s->rand, 0, KINDS);
 	if (c->conn && !hconn_reusable(c->conn)) {
 		hconn_close(c->conn);
 		c->conn = NULL;
@@ -213,9 +221,10 @@
 
 static void think(caller_s_t *c)
 {
+	int most = c->poison ? POISON_THINK_MS : THINK_MS;
+
 	uv_timer_start(&c->timer, on_timer,
-		       1 + (uint64_t)g_rand_int_range(c->s->rand, 0, THINK_MS),
-		       0);
+		       1 + (uint64_t)g_rand_int_range(c->s->rand, 0, most), 0);
 }
 
 /* Hangs up when it is time to, and when no answer comes at all. */
@@ -236,15 +245,17 @@
 	over(c, false);
 }
 
-/* Starts callers. */
+/* Starts n sound callers, and those with the part that ends servers. */
 void callers_start(soak_t *s, unsigned int n)
 {
-	s->ncallers = n;
-	for (unsigned int i = 0; i < n; i++) {
+	s->ncallers = MIN(n + s->poison.callers, CALLERS_MAX);
+	for (unsigned int i = 0; i < s->ncallers; i++) {
 		caller_s_t *c = &s->callers[i];
 
 		c->s = s;
-		c->limited = i % LIMITED_EVERY == LIMITED_EVERY - 1;
+		c->poison = i >= n;
+		c->limited =
+			!c->poison && i % LIMITED_EVERY == LIMITED_EVERY - 1;
 		c->body = g_string_new(NULL);
 		c->stamp = g_string_new(NULL);
 		uv_timer_init(&s->loop, &c->timer);
--- a/test/soak/dat.h
+++ b/test/soak/dat.h
@@ -83,6 +83,7 @@
 typedef struct store {
 	listen_t at;
 	GHashTable *topics;
+	ms_t changed_at; /* its state */
 	store_state_t state;
 } store_t;
 
@@ -101,6 +102,9 @@
 	list_t jobs;
 	bool up;
 	bool leaving;
+	ms_t lapse_at;	 /* its entry lapses after a crash; 0 not */
+	ms_t back_at;	 /* it starts again after a crash; 0 not */
+	bool keeps_id;	 /* it starts again with the id that it had */
 	bool mute;	 /* runs, but answers nothing */
 	double cut;	 /* share of answers that are reset midway */
 	double fails;	 /* share of runs that end with 500 */
@@ -117,6 +121,7 @@
 	char *id;
 	unsigned int next; /* event to send */
 	bool started;
+	bool poison; /* has the part that ends servers */
 	bool counted;
 	ms_t gone_at; /* its connection closed; 0 not */
 } job_t;
@@ -139,6 +144,7 @@
 	bool stopping;	    /* SIGTERM was sent */
 	ms_t stopped_until; /* SIGSTOP was sent; 0 not */
 	ms_t start_at;	    /* to be started again; 0 not */
+	ms_t disturbed_at;  /* last start, end, pause or wake */
 	addr_t callers;
 	addr_t ready;
 	unsigned int starts;
@@ -156,6 +162,7 @@
 	GString *body;
 	GString *stamp;
 	bool limited; /* of the customer with a limit */
+	bool poison;  /* sends the part that ends servers */
 	bool quits;   /* leaves before the answer */
 	bool waiting;
 	ms_t sent_at;
@@ -168,11 +175,21 @@
 	kind_t kind;
 	unsigned int runs;
 	bool limited; /* of the customer with a limit */
+	proc_t *to;   /* the edge that it was sent to */
 	ms_t sent_at;
 	bool said_not_run;
 	bool answered;
 } fate_t;
 
+/* What a part that ends servers has done. */
+typedef struct poison {
+	GRand *rand;
+	unsigned int callers; /* that send it */
+	unsigned int crashes; /* of servers */
+	ms_t known_at;	      /* it must be known from here on; 0 not yet */
+	unsigned int reached; /* requests with it that reached servers since */
+} poison_t;
+
 /* The operator's move of the plain servers to another version. */
 typedef struct move_s {
 	unsigned int orders;
@@ -199,6 +216,7 @@
 	caller_s_t callers[CALLERS_MAX];
 	unsigned int ncallers;
 	move_s_t move;
+	poison_t poison;
 	uint64_t version;     /* of the configuration */
 	GHashTable *fates;    /* fate_t by request id */
 	GArray *limited_sent; /* ms_t, when the limited customer's requests that
--- a/test/soak/fns.h
+++ b/test/soak/fns.h
@@ -22,6 +22,8 @@
 /* server.c */
 void server_start(server_t *v, soak_t *s, unsigned int index, bool stream);
 void server_crash(server_t *v);
+void server_tick(server_t *v, ms_t now);
+void server_fall(server_t *v, ms_t down, bool keeps_id);
 void server_leave(server_t *v);
 void server_return(server_t *v);
 void server_beat(server_t *v);
@@ -48,6 +50,12 @@
 	G_GNUC_PRINTF(3, 4);
 void soak_note(soak_t *s, const char *fmt, ...) G_GNUC_PRINTF(2, 3);
 
+/* poison.c */
+char *poison_parts(const caller_s_t *c);
+bool poison_in(const http_head_t *h);
+void poison_reached(soak_t *s, const fate_t *f);
+void poison_ends(server_t *v);
+
 /* move.c */
 void move_order(soak_t *s);
 void move_status(soak_t *s, const char *text);
--- a/test/soak/main.c
+++ b/test/soak/main.c
@@ -21,6 +21,7 @@
 	gint edges;
 	gint servers;
 	gint callers;
+	gint poison;
 	gboolean verbose;
 	char *dir;
 	char *daemon;
@@ -95,6 +96,8 @@
 
 	beat_all(s, now);
 	procs_tick(s, now);
+	for (unsigned int i = 0; i < s->nservers; i++)
+		server_tick(&s->servers[i], now);
 	if (!s->ended)
 		fault_tick(s, now);
 	for (unsigned int i = 0; i < s->ncallers && !s->ended; i++)
@@ -119,6 +122,8 @@
 		  "Backend servers, a third of them plain", "N" },
 		{ "callers", 0, 0, G_OPTION_ARG_INT, &opt.callers, "Callers",
 		  "N" },
+		{ "poison", 0, 0, G_OPTION_ARG_INT, &opt.poison,
+		  "Callers whose requests end servers", "N" },
 		{ "dir", 0, 0, G_OPTION_ARG_STRING, &opt.dir,
 		  "For settings and logs", "DIR" },
 		{ "daemon", 0, 0, G_OPTION_ARG_STRING, &opt.daemon,
@@ -144,6 +149,8 @@
 {
 	s->rand = g_rand_new_with_seed((guint32)opt.seed);
 	s->faults = g_rand_new_with_seed((guint32)opt.seed + 1);
+	s->poison.rand = g_rand_new_with_seed((guint32)opt.seed + 2);
+	s->poison.callers = (unsigned int)CLAMP(opt.poison, 0, CALLERS_MAX);
 	s->daemon = opt.daemon;
 	s->dir = opt.dir;
 	s->nedges = (unsigned int)CLAMP(opt.edges, 1, EDGES_MAX);
@@ -175,10 +182,11 @@
 static void report(const soak_t *s)
 {
 	printf("soak seed=%d faults=%u safe=%u/%u once=%u/%u stream=%u/%u "
-	       "calm=%u/%u violations=%u\n",
+	       "calm=%u/%u poison=%u/%u violations=%u\n",
 	       opt.seed, s->nfaults, s->good[KIND_SAFE], s->done[KIND_SAFE],
 	       s->good[KIND_ONCE], s->done[KIND_ONCE], s->good[KIND_STREAM],
-	       s->done[KIND_STREAM], s->calm_good, s->calm_done, s->violations);
+	       s->done[KIND_STREAM], s->calm_good, s->calm_done,
+	       s->poison.reached, s->poison.crashes, s->violations);
 }
 
 int main(int argc, char **argv)
--- a/test/soak/proc.c
+++ b/test/soak/proc.c
@@ -87,6 +87,7 @@
 	if (uv_spawn(&s->loop, &p->handle, &o))
 		g_error("cannot start %s", s->daemon);
 	p->running = true;
+	p->disturbed_at = clock_now();
 	p->starts++;
 	fclose(f);
 	g_free(log);
@@ -155,6 +156,8 @@
 	if (!p->running)
 		return;
 	p->stopping = p->stopping || number == SIGTERM;
+	if (number != SIGHUP)
+		p->disturbed_at = clock_now();
 	uv_process_kill(&p->handle, number);
 }
 
@@ -166,6 +169,7 @@
 
 		if (p->running && p->stopped_until && now >= p->stopped_until) {
 			p->stopped_until = 0;
+			p->disturbed_at = now;
 			uv_process_kill(&p->handle, SIGCONT);
 		}
 		if (!p->running && !s->ended && p->start_at &&
--- a/test/soak/server.c
+++ b/test/soak/server.c
@@ -3,6 +3,10 @@
 #include <string.h>
 #include "fns.h"
 
+enum {
+	LAPSE_MS = 3 * HEARTBEAT_MS, /* of an entry, after the last heartbeat */
+};
+
 static void run_next(server_t *v);
 
 static void on_job_closed(uv_handle_t *h)
@@ -131,6 +135,10 @@
 		job_end(j);
 		return;
 	}
+	if (j->poison && v->stream) {
+		poison_ends(v);
+		return;
+	}
 	if (!v->stream) {
 		answer_plain(j);
 		return;
@@ -237,7 +245,10 @@
 	j->at = v;
 	j->c = c;
 	j->id = str_dup(http_value(h, "X-Request-Id"));
+	j->poison = poison_in(h);
 	check_request(v, h, j->id);
+	if (j->poison)
+		poison_reached(v->s, fate_get(v->s, j->id));
 	if (list_len(&v->queued) >= QUEUE_MAX) {
 		char *fields = g_strdup_printf(
 			"X-Not-Executed: 1\r\nX-Request-Id: %s\r\n", j->id);
@@ -300,10 +311,16 @@
 {
 	char ip[32];
 
+	if (v->lapse_at && !v->keeps_id)
+		store_put(&v->s->store, "keyed.servers", v->id, NULL);
 	v->life++;
 	v->seq = 0;
 	v->leaving = false;
-	snprintf(v->id, sizeof(v->id), "i-%u-%u", v->index, v->life);
+	v->lapse_at = 0;
+	v->back_at = 0;
+	if (!v->keeps_id)
+		snprintf(v->id, sizeof(v->id), "i-%u-%u", v->index, v->life);
+	v->keeps_id = false;
 	snprintf(ip, sizeof(ip), "127.0.2.%u", v->index + 1);
 	v->at.owner = v;
 	v->at.request = on_request;
@@ -335,6 +352,29 @@
 	store_put(&v->s->store, "keyed.servers", v->id, NULL);
 }
 
+/* The server dies; its entry lapses later, and it starts again. */
+void server_fall(server_t *v, ms_t down, bool keeps_id)
+{
+	ms_t now = clock_now();
+
+	v->up = false;
+	listen_stop(&v->at, true);
+	v->lapse_at = now + LAPSE_MS;
+	v->back_at = now + down;
+	v->keeps_id = keeps_id;
+}
+
+/* Lets the entry of a server that died lapse, and starts it again. */
+void server_tick(server_t *v, ms_t now)
+{
+	if (v->lapse_at && now >= v->lapse_at) {
+		v->lapse_at = 0;
+		store_put(&v->s->store, "keyed.servers", v->id, NULL);
+	}
+	if (v->back_at && now >= v->back_at)
+		start(v);
+}
+
 /* The server says that it leaves. */
 void server_leave(server_t *v)
 {
--- a/test/soak/store.c
+++ b/test/soak/store.c
@@ -158,10 +158,10 @@
 	rec_t *r = g_new0(rec_t, 1);
 
 	r->key = g_strdup(key);
-	r->value = g_strdup(value);
+	r->value = value && value[0] ? g_strdup(value) : NULL;
 	r->number = t->recs->len;
 	g_ptr_array_add(t->recs, r);
-	if (value)
+	if (r->value)
 		g_hash_table_replace(t->newest, r->key, r);
 	else
 		g_hash_table_remove(t->newest, key);
@@ -288,6 +288,8 @@
 	list_t *pos;
 	list_t *tmp;
 
+	if (state != st->state)
+		st->changed_at = clock_now();
 	st->state = state;
 	if (state == STORE_BUSY)
 		return;
