--- a/lib/edge/dat.h
+++ b/lib/edge/dat.h
@@ -315,10 +315,6 @@
 	 */
 	void (*crash_seen)(void *ctx, const crash_report_t *c);
 	void (*part_answered)(void *ctx, prompt_part_t part);
-	/* Records that count no more: to be deleted from the store. */
-	void (*crash_expired)(void *ctx, const char *host,
-			      const crash_report_t *c);
-	void (*answer_expired)(void *ctx, prompt_part_t part);
 } edge_ops_t;
 
 #endif
--- a/lib/edge/fns.h
+++ b/lib/edge/fns.h
@@ -83,8 +83,7 @@
 
 /*
  * quarantine.c: what hosts report to each other, in the order in which the
- * store took it; number is the offset of the record. A crash without parts: its
- * record was deleted.
+ * store took it; number is the offset of the record.
  */
 void edge_crashes_listing(edge_t *e);
 void edge_crash_reported(edge_t *e, const char *host, const crash_report_t *c,
