--- a/lib/edge/fns.h
+++ b/lib/edge/fns.h
@@ -91,6 +91,12 @@
 void edge_part_answered(edge_t *e, prompt_part_t part, uint64_t number,
 			ms_t now);
 bool edge_crashes_pending(const edge_t *e, ms_t now);
+/*
+ * Calls drop for each record that is no longer needed, by the number with which
+ * it was given; the host of the lowest rank only. The same may be named again.
+ */
+void edge_crashes_expired(edge_t *e, void (*drop)(void *ctx, uint64_t number),
+			  void *ctx, ms_t now);
 
 /* queue.c */
 unsigned int edge_priority(const edge_route_t *r, const edge_customer_t *c);
