--- a/bench/edges/world.c
+++ b/bench/edges/world.c
@@ -118,11 +118,23 @@
 	(void)r;
 }
 
-static const edge_ops_t edge_ops = { on_send,	       on_refuse,
-				     on_note,	       on_ask,
-				     on_release,       on_quota_join,
-				     on_quota_leave,   on_quota_take,
-				     on_keeper_wanted, on_forget };
+static void on_crash_seen(void *ctx, const crash_report_t *c)
+{
+	(void)ctx;
+	(void)c;
+}
+
+static void on_part_answered(void *ctx, prompt_part_t part)
+{
+	(void)ctx;
+	(void)part;
+}
+
+static const edge_ops_t edge_ops = {
+	on_send,	  on_refuse,	 on_note,	 on_ask,
+	on_release,	  on_quota_join, on_quota_leave, on_quota_take,
+	on_keeper_wanted, on_forget,	 on_crash_seen,	 on_part_answered
+};
 
 /* A keeper's grant goes to the host of the request. */
 static void on_grant(void *ctx, uint64_t host, rid_t rid)
--- a/lib/base/code.c
+++ b/lib/base/code.c
@@ -34,6 +34,7 @@
 	{ CODE_NOT_LOADED, "not-loaded", 503 },
 	{ CODE_CALLER_GONE, "caller-gone", 499 },
 	{ CODE_QUOTA_UNKNOWN, "quota-unknown", 503 },
+	{ CODE_QUARANTINED, "quarantined", 503 },
 	{ CODE_PATH_LOST, "path-lost", 502 },
 	{ CODE_CUT, "cut", 502 },
 	{ CODE_EXPIRED_RUNNING, "expired-running", 504 },
--- a/lib/base/dat.h
+++ b/lib/base/dat.h
@@ -59,6 +59,7 @@
 	CODE_NOT_LOADED = 215,
 	CODE_CALLER_GONE = 216,
 	CODE_QUOTA_UNKNOWN = 217,
+	CODE_QUARANTINED = 218,
 
 	/* Requests that may have run: outcome unknown. */
 	CODE_PATH_LOST = 251,
--- a/lib/edge/dat.h
+++ b/lib/edge/dat.h
@@ -189,6 +189,10 @@
 	SLOT_REQUESTS_MAX = 8,
 };
 
+enum {
+	CRASH_PARTS_MAX = 64, /* parts in one report */
+};
+
 /* A part of a prompt that requests may share: the hash of its name. */
 typedef uint64_t prompt_part_t;
 
--- a/lib/edge/record.c
+++ b/lib/edge/record.c
@@ -1,4 +1,7 @@
-/* Format of a rollout decision in the store: one line of key=value pairs. */
+/*
+ * Formats of records in the store: a rollout decision is one line of key=value
+ * pairs, the suspect parts of a crash are hexadecimal numbers between commas.
+ */
 #include <inttypes.h>
 #include <stdlib.h>
 #include <string.h>
@@ -7,6 +10,8 @@
 enum {
 	PAIRS = 5,
 	SHARE_MAX = 1000, /* thousandths */
+	RADIX = 16,	  /* of parts */
+	DIGITS = 16,
 };
 
 /* Returns the text of a decision; the caller frees it. */
@@ -70,3 +75,53 @@
 	*out = s;
 	return CODE_OK;
 }
+
+/* Returns the text of a report's parts, in their order; the caller frees it. */
+char *crash_parts_format(const crash_report_t *c)
+{
+	GString *out = g_string_new(NULL);
+
+	for (size_t i = 0; i < c->nparts; i++)
+		g_string_append_printf(out, "%s%" PRIx64, i ? "," : "",
+				       c->parts[i]);
+	return g_string_free(out, FALSE);
+}
+
+static bool parse_part(const char *text, prompt_part_t *out)
+{
+	guint64 part;
+
+	if (strlen(text) > DIGITS ||
+	    !g_ascii_string_to_unsigned(text, RADIX, 0, G_MAXUINT64, &part,
+					NULL))
+		return false;
+	*out = part;
+	return true;
+}
+
+/*
+ * Appends a report's parts. CODE_BAD_RECORD: the text is malformed or has more
+ * than CRASH_PARTS_MAX parts; then nothing is appended.
+ */
+code_t crash_parts_parse(str_t text, GArray *parts)
+{
+	char *copy = str_dup(text);
+	char **word = g_strsplit(copy, ",", CRASH_PARTS_MAX + 1);
+	guint before = parts->len;
+	bool ok = g_strv_length(word) > 0 &&
+		  g_strv_length(word) <= CRASH_PARTS_MAX &&
+		  strlen(copy) == text.n;
+	prompt_part_t part;
+
+	for (char **w = word; ok && *w; w++) {
+		ok = parse_part(*w, &part);
+		if (ok)
+			g_array_append_val(parts, part);
+	}
+	g_strfreev(word);
+	g_free(copy);
+	if (ok)
+		return CODE_OK;
+	g_array_set_size(parts, before);
+	return CODE_BAD_RECORD;
+}
--- a/test/burst.c
+++ b/test/burst.c
@@ -98,9 +98,10 @@
 }
 
 static const edge_ops_t burst_ops = {
-	burst_send,	  burst_refuse,	     on_note,	     burst_request_slot,
-	burst_release,	  ignore_quota_join, on_quota_leave, ignore_quota_take,
-	on_keeper_wanted, ignore_forget,
+	burst_send,	    burst_refuse,      on_note,
+	burst_request_slot, burst_release,     ignore_quota_join,
+	on_quota_leave,	    ignore_quota_take, on_keeper_wanted,
+	ignore_forget,	    ignore_crash_seen, ignore_part_answered,
 };
 
 static void pass_grants(burst_t *b)
--- /dev/null
+++ b/test/quarantine.c
@@ -0,0 +1,508 @@
+/*
+ * Parts of prompts that crash servers: hosts that report crashes to each other,
+ * and servers that end when they begin to answer a request with such a part.
+ */
+#include <check.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include "world.h"
+
+enum {
+	HOSTS = 5,
+	SERVERS = 24,
+	SLOTS = 8,
+	STEP = 10,	    /* ms */
+	STORE_MS = 60,	    /* from a report until all hosts have it */
+	FIRST_MS = 60,	    /* of a request, from the send */
+	RUN_MS = 400,	    /* the same to its end */
+	RESTART_MS = 4000,  /* of a server */
+	PLAY_MS = 30000,    /* in which requests come */
+	POISON_FROM = 3000, /* ms */
+	POISON_EVERY = 300, /* ms between requests with the bad part */
+	STABLE_MS = 3000,   /* after the fifth crash */
+	CRASHES = 5,	    /* that may happen before anything is asked */
+	SENDS_MAX = 3,	    /* later than STABLE_MS after the fifth crash */
+	PARTS = 3,
+	ITEMS = 20000,
+	RESET_AT = 5000,
+	RESET_EVERY = 500,
+	RESETS = 10,
+};
+
+enum {
+	FIRST_PART = 0x10, /* four of them, of all requests */
+	POISON = 0xbad,
+	TWIN = 0xbae, /* comes with the bad part and alone */
+	RARE = 0x77,
+};
+
+/* What a part of the requests holds, and what happens to the hosts. */
+typedef struct play_case {
+	const char *name;
+	bool poison;
+	prompt_part_t twin; /* before the bad part; 0: none */
+	ms_t twin_every;    /* between sound requests with it; 0: none */
+	ms_t sound_every;   /* between sound requests of all hosts */
+	unsigned int attempts;
+	bool same_id;	    /* of a server's second life */
+	ms_t hosts_restart; /* all at once; 0: never */
+	bool resets;	    /* of half of all connections, again and again */
+	unsigned int crashes_max;
+} play_case_t;
+
+static const play_case_t play_cases[] = {
+	{ "five hosts, each sees one crash in five", true, 0, 0, 10, 1, false,
+	  0, false, 20 },
+	{ "the second life has the same id", true, 0, 0, 10, 1, true, 0, false,
+	  20 },
+	{ "attempts are repeated", true, 0, 0, 10, 3, false, 0, false, 20 },
+	{ "the hosts restart after it", true, 0, 0, 10, 1, false, 12000, false,
+	  20 },
+	{ "two parts, one alone is sound", true, TWIN, 400, 10, 1, false, 0,
+	  false, 20 },
+	{ "two parts, one alone is sound and rare", true, TWIN, 1700, 10, 1,
+	  false, 0, false, 20 },
+	{ "little sound traffic", true, 0, 0, 200, 1, false, 0, false, 20 },
+	{ "no bad part", false, 0, 0, 10, 1, false, 0, false, 0 },
+	{ "resets of half of all connections", false, TWIN, 400, 10, 1, false,
+	  0, true, 0 },
+};
+
+typedef struct play play_t;
+
+typedef struct host {
+	play_t *p;
+	char name[8];
+	edge_t *edge;
+	counters_t *counters;
+	size_t read; /* records */
+} host_t;
+
+typedef struct server {
+	char id[16];
+	int64_t started;
+	ms_t up_at; /* 0: it is up */
+} server_t;
+
+typedef struct item {
+	request_t r;
+	prompt_part_t parts[PARTS];
+	host_t *host;
+	unsigned int server;
+	bool poison;
+	bool twin;
+	bool at_server;
+	bool begun;
+	bool over;
+	bool was_refused;
+} item_t;
+
+/* A record of the store. */
+typedef struct record {
+	ms_t at;
+	char *host;
+	char *server;
+	int64_t started;
+	char *text;	    /* NULL: an answered part */
+	prompt_part_t part; /* answered */
+} record_t;
+
+/* What was counted. */
+typedef struct counts {
+	unsigned int crashes;
+	unsigned int reports;
+	unsigned int poison_late; /* sent later than allowed */
+	unsigned int sound;	  /* sound requests after the crashes */
+	unsigned int sound_begun;
+	unsigned int twins;
+	unsigned int twins_begun;
+	unsigned int refused; /* sound ones, as quarantined */
+} counts_t;
+
+struct play {
+	const play_case_t *c;
+	ms_t now;
+	ms_t fifth; /* crash; 0: not yet */
+	host_t hosts[HOSTS];
+	server_t servers[SERVERS];
+	GArray *records;
+	item_t *items;
+	unsigned int nitems;
+	GRand *rand;
+	counts_t counts;
+};
+
+static void play_send(void *ctx, request_t *r)
+{
+	host_t *h = ctx;
+	play_t *p = h->p;
+	item_t *i = (item_t *)r;
+
+	i->at_server = true;
+	i->begun = false;
+	i->server = (unsigned int)atoi(r->server->id + 1) % SERVERS;
+	if (i->poison && p->fifth && p->now > p->fifth + STABLE_MS)
+		p->counts.poison_late++;
+}
+
+static void play_refuse(void *ctx, request_t *r, code_t code, ms_t after)
+{
+	item_t *i = (item_t *)r;
+
+	i->over = true;
+	i->was_refused = code == CODE_QUARANTINED;
+}
+
+static void play_crash_seen(void *ctx, const crash_report_t *c)
+{
+	host_t *h = ctx;
+	record_t rec = { .at = h->p->now,
+			 .host = g_strdup(h->name),
+			 .server = g_strdup(c->server),
+			 .started = c->started_unix,
+			 .text = crash_parts_format(c) };
+
+	h->p->counts.reports++;
+	g_array_append_val(h->p->records, rec);
+}
+
+static void play_part_answered(void *ctx, prompt_part_t part)
+{
+	host_t *h = ctx;
+	record_t rec = { .at = h->p->now, .part = part };
+
+	g_array_append_val(h->p->records, rec);
+}
+
+static const edge_ops_t play_ops = { .send = play_send,
+				     .refuse = play_refuse,
+				     .note = on_note,
+				     .request_slot = ignore_request_slot,
+				     .release_slot = ignore_release_slot,
+				     .quota_join = ignore_quota_join,
+				     .quota_leave = on_quota_leave,
+				     .quota_take = ignore_quota_take,
+				     .keeper_wanted = on_keeper_wanted,
+				     .forget = ignore_forget,
+				     .crash_seen = play_crash_seen,
+				     .part_answered = play_part_answered };
+
+/* Lists a server that has started, at all hosts. */
+static void list_server(play_t *p, unsigned int n, const char *before)
+{
+	server_t *s = &p->servers[n];
+	backend_info_t info = { .id = s->id,
+				.service = svc,
+				.version = "v1",
+				.data_center = "a",
+				.started_unix = s->started,
+				.slots = SLOTS };
+
+	g_snprintf(info.addr.ip, sizeof(info.addr.ip), "10.0.0.%u", n + 1);
+	info.addr.port = 80;
+	for (int k = 0; k < HOSTS; k++) {
+		if (before && strcmp(before, s->id) != 0)
+			edge_server_gone(p->hosts[k].edge, before, p->now);
+		edge_server_put(p->hosts[k].edge, &info, p->now);
+	}
+}
+
+static void host_open(play_t *p, unsigned int n)
+{
+	edge_conf_t conf = { .inc = n + 1 + (uint64_t)p->now * HOSTS,
+			     .data_center = "a",
+			     .subset = SERVERS,
+			     .seed = n + 1,
+			     .retry_ratio = 1,
+			     .retry_window = 10 * MS };
+	host_t *h = &p->hosts[n];
+
+	g_snprintf(h->name, sizeof(h->name), "h%u", n);
+	conf.name = h->name;
+	h->p = p;
+	h->counters = counters_new();
+	h->edge = edge_new(&conf, &play_ops, h, h->counters);
+	h->read = 0;
+	edge_crashes_listing(h->edge);
+}
+
+static void host_close(host_t *h)
+{
+	for (unsigned int i = 0; i < h->p->nitems; i++) {
+		item_t *it = &h->p->items[i];
+
+		if (it->host != h || it->over)
+			continue;
+		edge_abandon(h->edge, &it->r, h->p->now);
+		it->over = true;
+		it->at_server = false;
+	}
+	edge_free(h->edge);
+	counters_free(h->counters);
+}
+
+/* Ends what runs at a server: its process has ended. */
+static void server_ends(play_t *p, unsigned int n)
+{
+	server_t *s = &p->servers[n];
+
+	p->counts.crashes++;
+	if (p->counts.crashes == CRASHES)
+		p->fifth = p->now;
+	s->up_at = p->now + RESTART_MS;
+	for (unsigned int i = 0; i < p->nitems; i++) {
+		item_t *it = &p->items[i];
+
+		if (!it->at_server || it->server != n ||
+		    it->r.sent_at >= p->now)
+			continue;
+		it->at_server = false;
+		if (edge_attempt_ended(it->host->edge, &it->r, ATTEMPT_LOST,
+				       false, p->now) == NEXT_ANSWER)
+			it->over = true;
+	}
+}
+
+static void server_starts(play_t *p, unsigned int n)
+{
+	server_t *s = &p->servers[n];
+	char before[sizeof(s->id)];
+
+	g_strlcpy(before, s->id, sizeof(before));
+	s->up_at = 0;
+	s->started = p->now;
+	if (!p->c->same_id)
+		g_snprintf(s->id, sizeof(s->id), "s%u",
+			   (unsigned int)p->now * SERVERS + n);
+	list_server(p, n, before);
+}
+
+static void end_item(item_t *i, attempt_result_t how)
+{
+	i->at_server = false;
+	if (edge_attempt_ended(i->host->edge, &i->r, how, false,
+			       i->host->p->now) == NEXT_ANSWER)
+		i->over = true;
+}
+
+/* What a server does with a request in this step. */
+static void run_item(play_t *p, item_t *i)
+{
+	ms_t ran = p->now - i->r.sent_at;
+
+	if (p->servers[i->server].up_at) {
+		if (ran >= STEP)
+			end_item(i, ATTEMPT_NOT_SENT);
+	} else if (ran >= FIRST_MS && i->poison) {
+		server_ends(p, i->server);
+	} else if (ran >= RUN_MS) {
+		end_item(i, ATTEMPT_ANSWERED);
+	} else if (ran >= FIRST_MS && !i->begun) {
+		i->begun = true;
+		edge_first_event(i->host->edge, &i->r, p->now);
+	} else if (i->begun) {
+		edge_event(i->host->edge, &i->r, p->now);
+	}
+}
+
+static edge_route_t play_route;
+
+static void submit(play_t *p, bool poison, bool twin)
+{
+	item_t *i = &p->items[p->nitems++];
+	unsigned int n = 0;
+
+	ck_assert_uint_le(p->nitems, ITEMS);
+	request_init(&i->r, &play_route, p->now);
+	i->host = &p->hosts[g_rand_int_range(p->rand, 0, HOSTS)];
+	i->poison = poison;
+	i->twin = twin;
+	i->parts[n++] = FIRST_PART + (prompt_part_t)p->nitems % 4;
+	if (twin || (poison && p->c->twin))
+		i->parts[n++] = p->c->twin;
+	if (poison)
+		i->parts[n++] = POISON;
+	i->r.parts = i->parts;
+	i->r.nparts = n;
+	edge_submit(i->host->edge, &i->r, p->now);
+}
+
+static void deliver(play_t *p, host_t *h)
+{
+	for (; h->read < p->records->len; h->read++) {
+		const record_t *rec =
+			&g_array_index(p->records, record_t, h->read);
+		GArray *parts;
+		crash_report_t c = { 0 };
+
+		if (rec->at + STORE_MS > p->now)
+			return;
+		if (!rec->text) {
+			edge_part_answered(h->edge, rec->part, h->read + 1,
+					   p->now);
+			continue;
+		}
+		parts = g_array_new(FALSE, FALSE, sizeof(prompt_part_t));
+		ck_assert_int_eq(crash_parts_parse(str_of(rec->text), parts),
+				 CODE_OK);
+		c.server = rec->server;
+		c.started_unix = rec->started;
+		c.parts = (const prompt_part_t *)parts->data;
+		c.nparts = parts->len;
+		edge_crash_reported(h->edge, rec->host, &c, h->read + 1,
+				    p->now);
+		g_array_free(parts, TRUE);
+	}
+}
+
+static void reset_half(play_t *p)
+{
+	for (unsigned int i = 0; i < p->nitems; i++) {
+		if (p->items[i].at_server && g_rand_boolean(p->rand))
+			end_item(&p->items[i], ATTEMPT_LOST);
+	}
+}
+
+static void restart_hosts(play_t *p)
+{
+	for (unsigned int k = 0; k < HOSTS; k++) {
+		host_close(&p->hosts[k]);
+		host_open(p, k);
+	}
+	for (unsigned int n = 0; n < SERVERS; n++) {
+		if (!p->servers[n].up_at)
+			list_server(p, n, NULL);
+	}
+}
+
+static void load(play_t *p)
+{
+	const play_case_t *c = p->c;
+
+	if (p->now >= PLAY_MS)
+		return;
+	if (p->now % c->sound_every == 0)
+		submit(p, false, false);
+	if (c->twin_every && p->now % c->twin_every == 0)
+		submit(p, false, true);
+	if (c->poison && p->now > POISON_FROM && p->now % POISON_EVERY == 0)
+		submit(p, true, false);
+	if (c->resets && p->now >= RESET_AT && p->now % RESET_EVERY == 0 &&
+	    p->now < RESET_AT + RESETS * RESET_EVERY)
+		reset_half(p);
+}
+
+static void step(play_t *p)
+{
+	if (p->c->hosts_restart && p->now == p->c->hosts_restart)
+		restart_hosts(p);
+	for (unsigned int n = 0; n < SERVERS; n++) {
+		if (p->servers[n].up_at && p->now >= p->servers[n].up_at)
+			server_starts(p, n);
+	}
+	for (unsigned int k = 0; k < HOSTS; k++)
+		deliver(p, &p->hosts[k]);
+	load(p);
+	for (unsigned int i = 0; i < p->nitems; i++) {
+		if (p->items[i].at_server)
+			run_item(p, &p->items[i]);
+	}
+	for (unsigned int k = 0; k < HOSTS; k++)
+		edge_tick(p->hosts[k].edge, p->now);
+}
+
+static void count_items(play_t *p)
+{
+	ms_t from = p->fifth ? p->fifth + 2 * STABLE_MS : 0;
+
+	for (unsigned int i = 0; i < p->nitems; i++) {
+		const item_t *it = &p->items[i];
+
+		if (it->poison)
+			continue;
+		p->counts.refused += it->was_refused;
+		if (it->r.arrived < from)
+			continue;
+		p->counts.sound++;
+		p->counts.sound_begun += it->r.ever_responded;
+		p->counts.twins += it->twin;
+		p->counts.twins_begun += it->twin && it->r.ever_responded;
+	}
+}
+
+static void record_clear(gpointer v)
+{
+	record_t *rec = v;
+
+	g_free(rec->host);
+	g_free(rec->server);
+	g_free(rec->text);
+}
+
+static counts_t play(const play_case_t *c)
+{
+	play_t p = { .c = c };
+
+	play_route = route;
+	play_route.attempts = c->attempts;
+	p.rand = g_rand_new_with_seed(1);
+	p.items = g_new0(item_t, ITEMS);
+	p.records = g_array_new(FALSE, FALSE, sizeof(record_t));
+	g_array_set_clear_func(p.records, record_clear);
+	for (unsigned int k = 0; k < HOSTS; k++)
+		host_open(&p, k);
+	for (unsigned int n = 0; n < SERVERS; n++) {
+		g_snprintf(p.servers[n].id, sizeof(p.servers[n].id), "s%u", n);
+		p.servers[n].started = 1;
+		list_server(&p, n, NULL);
+	}
+	for (p.now = STEP; p.now < PLAY_MS + 2 * MS; p.now += STEP)
+		step(&p);
+	count_items(&p);
+	for (unsigned int k = 0; k < HOSTS; k++)
+		host_close(&p.hosts[k]);
+	g_array_free(p.records, TRUE);
+	g_rand_free(p.rand);
+	g_free(p.items);
+	return p.counts;
+}
+
+START_TEST(crashes_of_one_part_stop_over_all_hosts)
+{
+	const play_case_t *c = &play_cases[_i];
+	counts_t n = play(c);
+
+	printf("%s: %u crashes, %u reports, %u late, sound %u of %u, twins %u "
+	       "of %u, refused %u\n",
+	       c->name, n.crashes, n.reports, n.poison_late, n.sound_begun,
+	       n.sound, n.twins_begun, n.twins, n.refused);
+	ck_assert_msg(n.poison_late <= SENDS_MAX, "%s: %u sent", c->name,
+		      n.poison_late);
+	ck_assert_msg(n.crashes <= c->crashes_max, "%s: %u crashes", c->name,
+		      n.crashes);
+	ck_assert_msg(n.sound_begun * 2 >= n.sound, "%s: %u of %u sound",
+		      c->name, n.sound_begun, n.sound);
+	ck_assert_msg(n.twins_begun * 2 >= n.twins, "%s: %u of %u twins",
+		      c->name, n.twins_begun, n.twins);
+	ck_assert_msg(c->poison || n.refused == 0, "%s: %u refused", c->name,
+		      n.refused);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *s = suite_create("quarantine");
+	TCase *t = tcase_create("quarantine");
+	SRunner *r = srunner_create(s);
+	int failed;
+
+	log_open(2, LOG_ERROR, false);
+	tcase_set_timeout(t, 120);
+	tcase_add_loop_test(t, crashes_of_one_part_stop_over_all_hosts, 0,
+			    G_N_ELEMENTS(play_cases));
+	suite_add_tcase(s, t);
+	srunner_run_all(r, CK_NORMAL);
+	failed = srunner_ntests_failed(r);
+	srunner_free(r);
+	return failed != 0;
+}
--- a/test/quota.c
+++ b/test/quota.c
@@ -440,9 +440,10 @@
 }
 
 static const edge_ops_t host_ops = {
-	host_send,	     host_refuse,  on_note,    ignore_request_slot,
-	ignore_release_slot, host_join,	   host_leave, host_take,
-	on_keeper_wanted,    ignore_forget
+	host_send,	     host_refuse,	  on_note,
+	ignore_request_slot, ignore_release_slot, host_join,
+	host_leave,	     host_take,		  on_keeper_wanted,
+	ignore_forget,	     ignore_crash_seen,	  ignore_part_answered
 };
 
 static void configure(host_t *h)
--- a/test/shift.c
+++ b/test/shift.c
@@ -151,7 +151,7 @@
 	play_send,	     play_refuse,	  on_note,
 	ignore_request_slot, ignore_release_slot, ignore_quota_join,
 	on_quota_leave,	     ignore_quota_take,	  on_keeper_wanted,
-	ignore_forget,
+	ignore_forget,	     ignore_crash_seen,	  ignore_part_answered,
 };
 
 static void on_decided(void *ctx, const char *service, const shift_step_t *s)
