Edge hosts give each other reports of servers that ended, through the store

Callers saw server after server end under requests with one part of a prompt, sent by all hosts: no host knew of the ends that the others saw. All hosts take the records from the topic, the writer too, directly or from a relay, so they agree on them, and a new process has them from its first listing.

--- a/cmd/chestnuthinged/topics.c
+++ b/cmd/chestnuthinged/topics.c
@@ -126,6 +126,8 @@
 		follow_feed(d->orders, n, now);
 	else if (str_eq(topic, str_of(adapter_topic_hosts())))
 		follow_feed(d->hosts, n, now);
+	else if (d->crashes && str_eq(topic, str_of(adapter_topic_crashes())))
+		crashes_feed(d->crashes, n, now);
 }
 
 /* Takes the address of another edge host. */
@@ -157,6 +159,13 @@
 	relay(ctx, adapter_topic_hosts(), &n);
 }
 
+static void on_crashes_read(void *ctx, const follow_news_t *n)
+{
+	relay(ctx, adapter_topic_crashes(), n);
+}
+
+const crashes_ops_t topics_crashes_ops = { on_crashes_read };
+
 static void ignore_listing(void *ctx)
 {
 	(void)ctx;
--- a/lib/forward/trace.c
+++ b/lib/forward/trace.c
@@ -43,7 +43,7 @@
 	GString *out = g_string_new(r->nparts ? NULL : "-");
 
 	for (size_t i = 0; i < MIN(r->nparts, PARTS_SHOWN); i++)
-		g_string_append_printf(out, "%s%016" PRIx64, i ? "," : "",
+		g_string_append_printf(out, "%s%" PRIx64, i ? "," : "",
 				       r->parts[i]);
 	return g_string_free(out, FALSE);
 }
