Quarantine of parts of prompts that crash servers

Each of five hosts sees one crash in five and takes it for the server's fault.

A part that explains three crashes which no other part explains is in quarantine for ten minutes; a whole answer after the reports clears it. Of parts that are always named together only the last in the prompt is taken, until a crash without it shows another.

--- a/lib/edge/edge.c
+++ b/lib/edge/edge.c
@@ -57,6 +57,8 @@
 		counter_get(counters, "edge_quota_strays_total", NULL);
 	hosts_init(e);
 	keepers_init(e);
+	e->crashes = crashes_new(counters);
+	e->quarantine = quarantine_new(counters);
 	e->counters = counters;
 	return e;
 }
@@ -80,6 +82,8 @@
 	g_hash_table_destroy(e->asking_by_rid);
 	hosts_clear(e);
 	keepers_clear(e);
+	crashes_free(e->crashes);
+	quarantine_free(e->quarantine);
 	g_rand_free(e->rand);
 	g_free(e);
 }
@@ -283,8 +287,10 @@
 	r->state = REQUEST_NEW;
 	r->rid.inc = e->conf.inc;
 	r->rid.seq = ++e->last_rid;
-	r->side = shift_pick(e, p, r);
 	budget_earn(p, now);
+	if (quarantine_refuse(e, r, now))
+		return;
+	r->side = shift_pick(e, p, r);
 	if (admission_too_late(p, r, now)) {
 		edge_log_step(e, r, now, "refused",
 			      "why=cannot_finish ahead=%u sent_lately=%.0f "
@@ -431,10 +437,14 @@
 		r->executions++;
 	if (how == ATTEMPT_ANSWERED)
 		estimate_add_stream(b, r, now);
+	if (how == ATTEMPT_ANSWERED && r->responded)
+		quarantine_answered(e, r, now);
+	crash_attempt_ended(e, r, how, now);
 	health_attempt_ended(e, b, how, now);
 	shift_count(r, how);
 	release_server(e, r, how == ATTEMPT_NOT_SENT, now);
-	retry = should_retry(e, r, how, resumable, now);
+	retry = !quarantine_holds(e, r, now) &&
+		should_retry(e, r, how, resumable, now);
 	if (how != ATTEMPT_ANSWERED)
 		edge_log_step(e, r, now, retry ? "retry" : "no_retry",
 			      "runs=%u attempts=%u dispatches=%u left_ms=%lld "
@@ -510,6 +520,8 @@
 	if (!e->ticked)
 		e->started = now;
 	e->ticked = true;
+	crash_tick(e, now);
+	quarantine_tick(e, now);
 	quota_tick(e, now);
 	g_hash_table_iter_init(&it, e->pools);
 	while (g_hash_table_iter_next(&it, NULL, &p)) {
--- a/lib/edge/priv.h
+++ b/lib/edge/priv.h
@@ -54,6 +54,9 @@
 	shift_t *shift;		  /* by the newest order; NULL: none */
 };
 
+typedef struct crashes crashes_t;
+typedef struct quarantine quarantine_t;
+
 struct edge {
 	edge_conf_t conf;
 	const edge_ops_t *ops;
@@ -89,6 +92,8 @@
 	unsigned int host_rank;	   /* of this host among the known ones */
 	ms_t started;		   /* time of the first tick */
 	bool ticked;
+	crashes_t *crashes;
+	quarantine_t *quarantine;
 	counters_t *counters;
 };
 
@@ -219,6 +224,22 @@
 void hosts_init(edge_t *e);
 void hosts_clear(edge_t *e);
 
+/* crash.c */
+crashes_t *crashes_new(counters_t *counters);
+void crashes_free(crashes_t *cs);
+void crash_attempt_ended(edge_t *e, const request_t *r, attempt_result_t how,
+			 ms_t now);
+bool crash_suspected(const edge_t *e);
+void crash_tick(edge_t *e, ms_t now);
+
+/* quarantine.c */
+quarantine_t *quarantine_new(counters_t *counters);
+void quarantine_free(quarantine_t *q);
+bool quarantine_holds(edge_t *e, const request_t *r, ms_t now);
+bool quarantine_refuse(edge_t *e, request_t *r, ms_t now);
+void quarantine_answered(edge_t *e, const request_t *r, ms_t now);
+void quarantine_tick(edge_t *e, ms_t now);
+
 /* budget.c */
 void budget_earn(pool_t *p, ms_t now);
 bool budget_spend(edge_t *e, pool_t *p, ms_t now);
--- a/lib/edge/quarantine.c
+++ b/lib/edge/quarantine.c
@@ -1,31 +1,681 @@
-/* Parts of prompts that crash servers: what hosts report to each other. */
+/*
+ * Quarantine of parts of prompts that crash servers, from what hosts report to
+ * each other. Which parts are in quarantine is a function of the set of records
+ * alone, so that all hosts that have read the same agree on it.
+ */
+#include <inttypes.h>
+#include <string.h>
 #include "edge/priv.h"
 
-/* A full listing of the reports begins: forgets those known. */
+enum {
+	/* Lives of servers that ended with a part */
+	CRASHES_MIN = 3,
+	QUARANTINE_MS = 10 * 60 * MS_PER_S,
+	QUARANTINE_MAX_MS = 4 * QUARANTINE_MS,
+	PENDING_MS = 30 * MS_PER_S, /* more crashes are likely for this long */
+	/* Records that are cleared are deleted once all hosts have read them */
+	KEEP_MS = 60 * MS_PER_S,
+	REPORTS_MAX = 1024,
+	ANSWERED_MAX = 4096,
+	ANSWER_AGAIN_MS =
+		2000,	   /* an answer that is not read back is told anew */
+	NAMES_BYTES = 160, /* of servers in a log line */
+};
+
+/* A host's report of a life of a server that ended. */
+typedef struct report {
+	char *key;  /* server, start and host */
+	char *life; /* server and start */
+	uint64_t number;
+	ms_t seen_at; /* by this process */
+	size_t nparts;
+	prompt_part_t parts[CRASH_PARTS_MAX];
+} report_t;
+
+/* The newest record of a whole answer to a request with a part. */
+typedef struct answered {
+	prompt_part_t part;
+	uint64_t number;
+	ms_t seen_at;
+} answered_t;
+
+/* A part that reports name, as this process knows it. */
+typedef struct suspected {
+	prompt_part_t part;
+	unsigned int crashes; /* lives that ended with it since an answer */
+	uint64_t newest;      /* of its reports */
+	ms_t newest_seen;
+	size_t place;	  /* in its newest report */
+	bool chosen;	  /* explains crashes that no other part explains */
+	uint64_t counted; /* newest report at the last start of its term */
+	ms_t until;	  /* end of the quarantine */
+	ms_t term;	  /* its length */
+	bool active;	  /* in quarantine at the last look */
+	ms_t told_at;	  /* that it was answered; 0: not */
+	/* While deriving */
+	unsigned int unexplained; /* lives */
+	const char *last_life;
+} suspected_t;
+
+struct quarantine {
+	GHashTable *reports;  /* report_t by key */
+	GHashTable *former;   /* the same before the last listing */
+	GHashTable *answered; /* answered_t by part */
+	GHashTable *parts;    /* suspected_t by part */
+	bool changed;	      /* records, since parts was derived */
+	unsigned int nactive;
+	counter_t *refused;
+	counter_t *gauge;
+	counter_t *left_out;
+};
+
+static void report_free(gpointer v)
+{
+	report_t *r = v;
+
+	g_free(r->key);
+	g_free(r->life);
+	g_free(r);
+}
+
+static GHashTable *reports_new(void)
+{
+	return g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+				     report_free);
+}
+
+/* Returns a quarantine without records. */
+quarantine_t *quarantine_new(counters_t *counters)
+{
+	quarantine_t *q = g_new0(quarantine_t, 1);
+
+	q->reports = reports_new();
+	q->former = reports_new();
+	q->answered = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
+					    g_free);
+	q->parts = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
+					 g_free);
+	q->refused = counter_get(counters, "edge_quarantined_total", NULL);
+	q->gauge = gauge_get(counters, "edge_parts_quarantined", NULL);
+	q->left_out =
+		counter_get(counters, "edge_crash_facts_left_out_total", NULL);
+	return q;
+}
+
+/* Frees the quarantine. */
+void quarantine_free(quarantine_t *q)
+{
+	g_hash_table_destroy(q->reports);
+	g_hash_table_destroy(q->former);
+	g_hash_table_destroy(q->answered);
+	g_hash_table_destroy(q->parts);
+	g_free(q);
+}
+
+/* Whether a part's report still counts: no later answer is known. */
+static bool counts(const quarantine_t *q, const report_t *r, prompt_part_t part)
+{
+	const answered_t *a = g_hash_table_lookup(q->answered, &part);
+
+	return !a || r->number > a->number;
+}
+
+static suspected_t *suspected_get(quarantine_t *q, prompt_part_t part)
+{
+	suspected_t *s = g_hash_table_lookup(q->parts, &part);
+
+	if (s)
+		return s;
+	s = g_new0(suspected_t, 1);
+	s->part = part;
+	s->term = QUARANTINE_MS;
+	g_hash_table_insert(q->parts, &s->part, s);
+	return s;
+}
+
+static gint by_life(gconstpointer a, gconstpointer b)
+{
+	const report_t *x = *(report_t *const *)a;
+	const report_t *y = *(report_t *const *)b;
+	int order = strcmp(x->life, y->life);
+
+	return order ? order : strcmp(x->key, y->key);
+}
+
+/* Returns all reports, those of one life beside each other. */
+static GPtrArray *sorted_reports(const quarantine_t *q)
+{
+	GPtrArray *all = g_ptr_array_new();
+	GHashTableIter it;
+	gpointer r;
+
+	g_hash_table_iter_init(&it, q->reports);
+	while (g_hash_table_iter_next(&it, NULL, &r))
+		g_ptr_array_add(all, r);
+	g_ptr_array_sort(all, by_life);
+	return all;
+}
+
+/* Counts one part of a report; names: no other part explains its life. */
+static void tally_part(quarantine_t *q, const report_t *r, size_t place,
+		       bool unexplained)
+{
+	suspected_t *s = suspected_get(q, r->parts[place]);
+	bool first = !s->last_life || strcmp(s->last_life, r->life) != 0;
+
+	s->crashes += first;
+	s->unexplained += first && unexplained;
+	s->last_life = r->life;
+	if (r->number <= s->newest)
+		return;
+	s->newest = r->number;
+	s->newest_seen = r->seen_at;
+	s->place = place;
+}
+
+static void tally(quarantine_t *q, const GPtrArray *all, GHashTable *explained)
+{
+	GHashTableIter it;
+	gpointer v;
+
+	g_hash_table_iter_init(&it, q->parts);
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		suspected_t *s = v;
+
+		s->crashes = 0;
+		s->unexplained = 0;
+		s->newest = 0;
+		s->last_life = NULL;
+	}
+	for (guint i = 0; i < all->len; i++) {
+		const report_t *r = all->pdata[i];
+		bool unexplained = !g_hash_table_contains(explained, r->life);
+
+		for (size_t k = 0; k < r->nparts; k++) {
+			if (counts(q, r, r->parts[k]))
+				tally_part(q, r, k, unexplained);
+		}
+	}
+}
+
+/* Whether a explains more crashes than b, or as many but is in fewer prompts.
+ */
+static bool explains_more(const suspected_t *a, const suspected_t *b)
+{
+	if (a->unexplained != b->unexplained)
+		return a->unexplained > b->unexplained;
+	if (a->place != b->place)
+		return a->place < b->place;
+	return a->part < b->part;
+}
+
+static suspected_t *best_explanation(const quarantine_t *q)
+{
+	suspected_t *best = NULL;
+	GHashTableIter it;
+	gpointer v;
+
+	g_hash_table_iter_init(&it, q->parts);
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		suspected_t *s = v;
+
+		if (!s->chosen && s->unexplained >= CRASHES_MIN &&
+		    (!best || explains_more(s, best)))
+			best = s;
+	}
+	return best;
+}
+
+static void explain(const quarantine_t *q, const GPtrArray *all,
+		    const suspected_t *s, GHashTable *explained)
+{
+	for (guint i = 0; i < all->len; i++) {
+		const report_t *r = all->pdata[i];
+
+		for (size_t k = 0; k < r->nparts; k++) {
+			if (r->parts[k] == s->part && counts(q, r, s->part))
+				g_hash_table_add(explained, r->life);
+		}
+	}
+}
+
+/*
+ * Chooses the parts that explain the crashes: always the one that most of those
+ * not explained yet have in common. A part that is only ever named beside a
+ * chosen one is not chosen.
+ */
+static void choose_parts(quarantine_t *q)
+{
+	GPtrArray *all = sorted_reports(q);
+	GHashTable *explained = g_hash_table_new(g_str_hash, g_str_equal);
+	GHashTableIter it;
+	suspected_t *s;
+	gpointer v;
+
+	g_hash_table_iter_init(&it, q->parts);
+	while (g_hash_table_iter_next(&it, NULL, &v))
+		((suspected_t *)v)->chosen = false;
+	tally(q, all, explained);
+	while ((s = best_explanation(q)) != NULL) {
+		s->chosen = true;
+		explain(q, all, s, explained);
+		tally(q, all, explained);
+	}
+	g_hash_table_destroy(explained);
+	g_ptr_array_free(all, TRUE);
+}
+
+/* Starts a term at a new crash; it is doubled if the last one had ended. */
+static void extend_term(suspected_t *s)
+{
+	if (s->newest <= s->counted)
+		return;
+	if (s->until && s->newest_seen >= s->until)
+		s->term = MIN(s->term * 2, QUARANTINE_MAX_MS);
+	s->counted = s->newest;
+	s->until = MAX(s->until, s->newest_seen + s->term);
+}
+
+/* Returns the lives that ended with a part, for the log; the caller frees it.
+ */
+static char *lives_of(const quarantine_t *q, prompt_part_t part)
+{
+	GString *out = g_string_new(NULL);
+	GPtrArray *all = sorted_reports(q);
+
+	for (guint i = 0; i < all->len && out->len < NAMES_BYTES; i++) {
+		const report_t *r = all->pdata[i];
+
+		for (size_t k = 0; k < r->nparts; k++) {
+			if (r->parts[k] == part && counts(q, r, part))
+				g_string_append_printf(out, "%s%s",
+						       out->len ? "," : "",
+						       r->key);
+		}
+	}
+	g_ptr_array_free(all, TRUE);
+	return g_string_free(out, FALSE);
+}
+
+static void log_quarantined(const quarantine_t *q, const suspected_t *s,
+			    ms_t now)
+{
+	char *lives = lives_of(q, s->part);
+
+	log_line(LOG_WARN, "part_quarantined",
+		 "part=%" PRIx64 " crashes=%u for_ms=%lld reports=%s", s->part,
+		 s->crashes, (long long)(s->until - now), lives);
+	g_free(lives);
+}
+
+/* Sets whether a part is in quarantine now, and logs a change. */
+static void settle_part(quarantine_t *q, suspected_t *s, ms_t now)
+{
+	bool active;
+
+	if (s->chosen)
+		extend_term(s);
+	active = s->chosen && now < s->until;
+	if (active && !s->active)
+		log_quarantined(q, s, now);
+	else if (!active && s->active)
+		log_line(LOG_INFO, "part_released",
+			 "part=%" PRIx64 " crashes=%u why=%s", s->part,
+			 s->crashes,
+			 s->chosen	  ? "expired"
+			 : s->crashes > 0 ? "explained"
+					  : "answered");
+	s->active = active;
+	q->nactive += active;
+}
+
+/* Whether nothing is left to know of a part. */
+static bool is_forgotten(const suspected_t *s, ms_t now)
+{
+	return s->crashes == 0 && now >= s->until + QUARANTINE_MAX_MS;
+}
+
+/* Derives from the records which parts are in quarantine. */
+static void refresh(quarantine_t *q, ms_t now)
+{
+	GHashTableIter it;
+	gpointer v;
+
+	if (q->changed)
+		choose_parts(q);
+	q->changed = false;
+	q->nactive = 0;
+	g_hash_table_iter_init(&it, q->parts);
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		settle_part(q, v, now);
+		if (is_forgotten(v, now))
+			g_hash_table_iter_remove(&it);
+	}
+	q->gauge->value = q->nactive;
+}
+
+/*
+ * A full listing of the reports begins: forgets those known, except when this
+ * process first saw them.
+ */
 void edge_crashes_listing(edge_t *e)
 {
+	quarantine_t *q = e->quarantine;
+
+	g_hash_table_destroy(q->former);
+	q->former = q->reports;
+	q->reports = reports_new();
+	g_hash_table_remove_all(q->answered);
+	q->changed = true;
 }
 
-/* A host's report of a server that ended. */
+/* Makes room for one more report: the oldest is left out. */
+static void bound_reports(quarantine_t *q)
+{
+	report_t *oldest = NULL;
+	GHashTableIter it;
+	gpointer v;
+
+	if (g_hash_table_size(q->reports) <= REPORTS_MAX)
+		return;
+	g_hash_table_iter_init(&it, q->reports);
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		report_t *r = v;
+
+		if (!oldest || r->number < oldest->number)
+			oldest = r;
+	}
+	q->left_out->value++;
+	log_line(LOG_WARN, "report_left_out", "report=%s number=%" PRIu64,
+		 oldest->key, oldest->number);
+	g_hash_table_remove(q->reports, oldest->key);
+}
+
+static ms_t first_seen(const quarantine_t *q, const report_t *r, ms_t now)
+{
+	const report_t *f = g_hash_table_lookup(q->former, r->key);
+
+	return f && f->number == r->number ? f->seen_at : now;
+}
+
+static void log_report(const report_t *r, const char *host,
+		       const crash_report_t *c)
+{
+	char *text = crash_parts_format(c);
+
+	log_line(LOG_INFO, "part_suspected",
+		 "server=%s started=%lld host=%s number=%" PRIu64 " parts=%s",
+		 c->server, (long long)c->started_unix, host, r->number, text);
+	g_free(text);
+}
+
+/*
+ * A host's report of a server that ended. One with an older number than the
+ * report known of that host and life is ignored. Without parts: the record was
+ * deleted.
+ */
 void edge_crash_reported(edge_t *e, const char *host, const crash_report_t *c,
 			 uint64_t number, ms_t now)
 {
+	quarantine_t *q = e->quarantine;
+	char *life = g_strdup_printf("%s.%lld", c->server,
+				     (long long)c->started_unix);
+	char *key = g_strdup_printf("%s/%s", life, host);
+	const report_t *known = g_hash_table_lookup(q->reports, key);
+	report_t *r;
+
+	if (known && known->number >= number) {
+		g_free(key);
+		g_free(life);
+		return;
+	}
+	r = g_new0(report_t, 1);
+	r->key = key;
+	r->life = life;
+	r->number = number;
+	r->seen_at = first_seen(q, r, now);
+	r->nparts = MIN(c->nparts, CRASH_PARTS_MAX);
+	q->changed = true;
+	if (r->nparts == 0) {
+		g_hash_table_remove(q->reports, key);
+		report_free(r);
+		return;
+	}
+	q->left_out->value += c->nparts - r->nparts;
+	memcpy(r->parts, c->parts, r->nparts * sizeof(*r->parts));
+	log_report(r, host, c);
+	g_hash_table_replace(q->reports, r->key, r);
+	bound_reports(q);
+}
+
+static void bound_answered(quarantine_t *q)
+{
+	answered_t *oldest = NULL;
+	GHashTableIter it;
+	gpointer v;
+
+	if (g_hash_table_size(q->answered) <= ANSWERED_MAX)
+		return;
+	g_hash_table_iter_init(&it, q->answered);
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		answered_t *a = v;
+
+		if (!oldest || a->number < oldest->number)
+			oldest = a;
+	}
+	q->left_out->value++;
+	log_line(LOG_WARN, "answer_left_out",
+		 "part=%" PRIx64 " number=%" PRIu64, oldest->part,
+		 oldest->number);
+	g_hash_table_remove(q->answered, &oldest->part);
 }
 
-/* Some host has had a whole answer to a request with the part. */
+/*
+ * Some host has had a whole answer to a request with the part: reports with a
+ * lower number no longer name it.
+ */
 void edge_part_answered(edge_t *e, prompt_part_t part, uint64_t number,
 			ms_t now)
 {
+	quarantine_t *q = e->quarantine;
+	answered_t *a = g_hash_table_lookup(q->answered, &part);
+
+	if (a && a->number >= number)
+		return;
+	if (!a) {
+		a = g_new0(answered_t, 1);
+		a->part = part;
+		g_hash_table_insert(q->answered, &a->part, a);
+	}
+	a->number = number;
+	a->seen_at = now;
+	q->changed = true;
+	log_line(LOG_INFO, "part_cleared", "part=%" PRIx64 " number=%" PRIu64,
+		 part, number);
+	bound_answered(q);
+}
+
+/* Whether a part of a report still counts. */
+static bool is_live(const quarantine_t *q, const report_t *r)
+{
+	for (size_t i = 0; i < r->nparts; i++) {
+		if (counts(q, r, r->parts[i]))
+			return true;
+	}
+	return false;
 }
 
 /* Whether reports of crashes are to be expected soon. */
 bool edge_crashes_pending(const edge_t *e, ms_t now)
 {
+	const quarantine_t *q = e->quarantine;
+	GHashTableIter it;
+	gpointer v;
+
+	if (crash_suspected(e))
+		return true;
+	g_hash_table_iter_init(&it, q->reports);
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		const report_t *r = v;
+
+		if (now - r->seen_at < PENDING_MS && is_live(q, r))
+			return true;
+	}
+	return false;
+}
+
+/* Whether a part of the report is in quarantine. */
+static bool is_needed(const quarantine_t *q, const report_t *r)
+{
+	for (size_t i = 0; i < r->nparts; i++) {
+		const suspected_t *s =
+			g_hash_table_lookup(q->parts, &r->parts[i]);
+
+		if (s && s->active && counts(q, r, r->parts[i]))
+			return true;
+	}
 	return false;
 }
 
-/* Names the records that are no longer needed. */
+/* Whether an older report still names a part that was answered. */
+static bool clears_some(const quarantine_t *q, const answered_t *a)
+{
+	GHashTableIter it;
+	gpointer v;
+
+	g_hash_table_iter_init(&it, q->reports);
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		const report_t *r = v;
+
+		for (size_t i = 0; i < r->nparts; i++) {
+			if (r->parts[i] == a->part && r->number < a->number)
+				return true;
+		}
+	}
+	return false;
+}
+
+/*
+ * Calls drop for each record that is no longer needed, by its number: reports
+ * that are cleared or older than the longest quarantine, then answers to parts
+ * that no older report names. Only the host of the lowest rank names any.
+ */
 void edge_crashes_expired(edge_t *e, void (*drop)(void *ctx, uint64_t number),
 			  void *ctx, ms_t now)
 {
+	quarantine_t *q = e->quarantine;
+	GHashTableIter it;
+	gpointer v;
+
+	if (!e->hosts_known || e->host_rank != 0)
+		return;
+	refresh(q, now);
+	g_hash_table_iter_init(&it, q->reports);
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		const report_t *r = v;
+		ms_t keep = is_live(q, r) ? QUARANTINE_MAX_MS : KEEP_MS;
+
+		if (now - r->seen_at >= keep && !is_needed(q, r))
+			drop(ctx, r->number);
+	}
+	g_hash_table_iter_init(&it, q->answered);
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		const answered_t *a = v;
+
+		if (now - a->seen_at >= KEEP_MS && !clears_some(q, a))
+			drop(ctx, a->number);
+	}
+}
+
+/* Returns the request's part that is in quarantine, or NULL. */
+static const suspected_t *quarantined_part(quarantine_t *q, const request_t *r,
+					   ms_t now)
+{
+	if (q->changed)
+		refresh(q, now);
+	if (q->nactive == 0)
+		return NULL;
+	for (size_t i = 0; i < r->nparts; i++) {
+		const suspected_t *s =
+			g_hash_table_lookup(q->parts, &r->parts[i]);
+
+		if (s && s->active && now < s->until)
+			return s;
+	}
+	return NULL;
+}
+
+/* Whether the request must not be sent. */
+bool quarantine_holds(edge_t *e, const request_t *r, ms_t now)
+{
+	return quarantined_part(e->quarantine, r, now) != NULL;
+}
+
+/*
+ * Refuses a request that is in no queue if it has a part in quarantine. Returns
+ * whether it did.
+ */
+bool quarantine_refuse(edge_t *e, request_t *r, ms_t now)
+{
+	const suspected_t *s = quarantined_part(e->quarantine, r, now);
+
+	if (!s)
+		return false;
+	e->quarantine->refused->value++;
+	edge_log_step(e, r, now, "refused",
+		      "why=quarantined part=%" PRIx64
+		      " crashes=%u left_ms=%lld",
+		      s->part, s->crashes, (long long)(s->until - now));
+	r->state = REQUEST_ENDED;
+	e->ops->refuse(e->ctx, r, CODE_QUARANTINED, s->until - now);
+	return true;
+}
+
+/* A request was answered whole: tells all hosts of parts that reports name. */
+void quarantine_answered(edge_t *e, const request_t *r, ms_t now)
+{
+	quarantine_t *q = e->quarantine;
+
+	if (q->changed)
+		refresh(q, now);
+	for (size_t i = 0; i < r->nparts; i++) {
+		suspected_t *s = g_hash_table_lookup(q->parts, &r->parts[i]);
+
+		if (!s || s->crashes == 0 ||
+		    (s->told_at && now - s->told_at < ANSWER_AGAIN_MS))
+			continue;
+		s->told_at = now;
+		if (e->ops->part_answered)
+			e->ops->part_answered(e->ctx, s->part);
+	}
+}
+
+/* Refuses the requests of a queue that have a part in quarantine. */
+static void refuse_waiting(edge_t *e, GHashTable *waiting, ms_t now,
+			   void (*take_out)(edge_t *e, request_t *r))
+{
+	GPtrArray *all = g_ptr_array_new();
+	GHashTableIter it;
+	gpointer v;
+
+	g_hash_table_iter_init(&it, waiting);
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		if (quarantine_holds(e, v, now))
+			g_ptr_array_add(all, v);
+	}
+	for (guint i = 0; i < all->len; i++) {
+		take_out(e, all->pdata[i]);
+		quarantine_refuse(e, all->pdata[i], now);
+	}
+	g_ptr_array_free(all, TRUE);
+}
+
+/* To be called every few tens of ms. */
+void quarantine_tick(edge_t *e, ms_t now)
+{
+	refresh(e->quarantine, now);
+	if (e->quarantine->nactive == 0)
+		return;
+	refuse_waiting(e, e->asking_by_rid, now, quota_forget);
+	refuse_waiting(e, e->waiting, now, queue_remove);
 }
--- a/lib/edge/slots.c
+++ b/lib/edge/slots.c
@@ -276,7 +276,8 @@
 
 	if (!b)
 		return false;
-	if (!health_usable(b, now) || !shift_allows(r, b, now)) {
+	if (!health_usable(b, now) || !shift_allows(r, b, now) ||
+	    quarantine_holds(e, r, now)) {
 		forget_one(r, b);
 		b->slot_requests--;
 		return false;
