Crash reports: the process's part is crashd; deletions reach the edge

lib/edge has the type crashes_t; the file that connects it with the store is named like quotad and rolloutd. A deleted report is passed on to the edge without parts. Lines that lib/edge writes as well are gone.

--- a/cmd/chestnuthinged/crashes.c
+++ b/cmd/chestnuthinged/crashd.c
@@ -7,7 +7,7 @@
  */
 #include <inttypes.h>
 #include <string.h>
-#include "crashes.h"
+#include "crashd.h"
 #include "net/fns.h"
 
 enum {
@@ -33,10 +33,10 @@
 #define KEY_ANSWERED   "answered/"
 #define VALUE_ANSWERED "1"
 
-struct crashes {
+struct crashd {
 	edge_t *edge;
 	append_t *append;
-	const crashes_ops_t *ops;
+	const crashd_ops_t *ops;
 	void *ctx;
 	char *host;
 	follow_t *follow;
@@ -50,12 +50,11 @@
 	ms_t drop_at;
 	unsigned int drops; /* in the present pass */
 	uint64_t end;	    /* offset at which the next deletion is put */
-	counter_t *seen;
 	counter_t *omitted;
 };
 
 /* Forgets the record that a key had. */
-static void forget_key(crashes_t *c, const char *key)
+static void forget_key(crashd_t *c, const char *key)
 {
 	const uint64_t *of = g_hash_table_lookup(c->numbers, key);
 	uint64_t number;
@@ -68,7 +67,7 @@
 }
 
 /* Remembers a record's key, to delete the record later. */
-static void remember_key(crashes_t *c, const char *key, uint64_t number)
+static void remember_key(crashd_t *c, const char *key, uint64_t number)
 {
 	char *name;
 	uint64_t *n;
@@ -107,7 +106,8 @@
 	return true;
 }
 
-static bool take_report(crashes_t *c, const char *key, str_t value,
+/* Takes a report; without a value its record was deleted. */
+static bool take_report(crashd_t *c, const char *key, str_t value,
 			uint64_t number)
 {
 	GArray *parts = g_array_new(FALSE, FALSE, sizeof(prompt_part_t));
@@ -115,16 +115,11 @@
 	crash_report_t r = { 0 };
 	const char *host;
 	bool ok = parse_report_key(copy, &r, &host) &&
-		  crash_parts_parse(value, parts) == CODE_OK;
+		  (value.n == 0 || crash_parts_parse(value, parts) == CODE_OK);
 
 	if (ok) {
 		r.parts = (const prompt_part_t *)(void *)parts->data;
 		r.nparts = parts->len;
-		log_line(LOG_INFO, "crash_reported",
-			 "server=%s started=%" PRId64 " host=%s number=%" PRIu64
-			 " parts=%.*s",
-			 r.server, r.started_unix, host, number, (int)value.n,
-			 value.p);
 		edge_crash_reported(c->edge, host, &r, number, clock_now());
 	}
 	g_free(copy);
@@ -132,15 +127,13 @@
 	return ok;
 }
 
-static bool take_answered(crashes_t *c, const char *text, uint64_t number)
+static bool take_answered(crashd_t *c, const char *text, uint64_t number)
 {
 	guint64 part;
 
 	if (!g_ascii_string_to_unsigned(text, RADIX, 0, G_MAXUINT64, &part,
 					NULL))
 		return false;
-	log_line(LOG_INFO, "part_answered", "part=%s number=%" PRIu64, text,
-		 number);
 	edge_part_answered(c->edge, part, number, clock_now());
 	return true;
 }
@@ -148,17 +141,16 @@
 /* Takes a record; an empty value deletes the key's. */
 static void on_record(void *ctx, str_t key, str_t value, uint64_t number)
 {
-	crashes_t *c = ctx;
+	crashd_t *c = ctx;
 	char *name = str_dup(key);
 	bool ok = true;
 
 	follow_news_add(c->news, number, key, value);
 	forget_key(c, name);
-	if (value.n > 0)
-		ok = g_str_has_prefix(name, KEY_ANSWERED)
-			     ? take_answered(c, name + strlen(KEY_ANSWERED),
-					     number)
-			     : take_report(c, name, value, number);
+	if (!g_str_has_prefix(name, KEY_ANSWERED))
+		ok = take_report(c, name, value, number);
+	else if (value.n > 0)
+		ok = take_answered(c, name + strlen(KEY_ANSWERED), number);
 	if (value.n > 0 && ok)
 		remember_key(c, name, number);
 	if (!ok)
@@ -168,7 +160,7 @@
 
 static void on_listing(void *ctx)
 {
-	crashes_t *c = ctx;
+	crashd_t *c = ctx;
 
 	g_hash_table_remove_all(c->numbers);
 	g_hash_table_remove_all(c->keys);
@@ -177,7 +169,7 @@
 
 static void on_listed(void *ctx)
 {
-	crashes_t *c = ctx;
+	crashd_t *c = ctx;
 
 	c->listed = true;
 	g_byte_array_set_size(c->news, 0);
@@ -191,7 +183,7 @@
 
 static void on_read(void *ctx, uint64_t from, uint64_t to)
 {
-	crashes_t *c = ctx;
+	crashd_t *c = ctx;
 	follow_news_t n = { .from = from,
 			    .to = to,
 			    .complete = true,
@@ -206,11 +198,11 @@
 					 ignore_reachable, on_read };
 
 /* Makes the reader; host is this host's name. */
-crashes_t *crashes_new(uv_loop_t *loop, const addr_t *store, const char *host,
-		       edge_t *edge, append_t *append, const crashes_ops_t *ops,
-		       void *ctx, counters_t *counters)
+crashd_t *crashd_new(uv_loop_t *loop, const addr_t *store, const char *host,
+		     edge_t *edge, append_t *append, const crashd_ops_t *ops,
+		     void *ctx, counters_t *counters)
 {
-	crashes_t *c = g_new0(crashes_t, 1);
+	crashd_t *c = g_new0(crashd_t, 1);
 	follow_conf_t conf = { .store = *store,
 			       .topic = adapter_topic_crashes(),
 			       .wait = WAIT_MS,
@@ -226,7 +218,6 @@
 					g_free);
 	c->numbers = g_hash_table_new(g_str_hash, g_str_equal);
 	c->news = g_byte_array_new();
-	c->seen = counter_get(counters, "edge_server_crashes_total", NULL);
 	c->omitted =
 		counter_get(counters, "edge_crash_records_omitted_total", NULL);
 	c->follow = follow_new(loop, &conf, &follow_ops, c, counters);
@@ -234,16 +225,13 @@
 }
 
 /* Writes a report of a server that ended. */
-void crashes_seen(crashes_t *c, const crash_report_t *r)
+void crashd_seen(crashd_t *c, const crash_report_t *r)
 {
 	char *key = g_strdup_printf("%s.%" PRId64 "/%s", r->server,
 				    r->started_unix, c->host);
 	char *text = crash_parts_format(r);
 
-	c->seen->value++;
 	c->own_until = clock_now() + OWN_REPORT_MS;
-	log_line(LOG_WARN, "crash", "server=%s started=%" PRId64 " parts=%s",
-		 r->server, r->started_unix, text);
 	if (strlen(key) <= KEY_BYTES_MAX)
 		append_put(c->append, adapter_topic_crashes(), key, text, NULL);
 	else
@@ -253,7 +241,7 @@
 }
 
 /* Writes that a request with the part is answered. */
-void crashes_part_answered(crashes_t *c, prompt_part_t part)
+void crashd_part_answered(crashd_t *c, prompt_part_t part)
 {
 	char *key = g_strdup_printf(KEY_ANSWERED "%" PRIx64, part);
 
@@ -263,7 +251,7 @@
 }
 
 /* A relay has read the topic. */
-void crashes_feed(crashes_t *c, const follow_news_t *n, ms_t now)
+void crashd_feed(crashd_t *c, const follow_news_t *n, ms_t now)
 {
 	follow_feed(c->follow, n, now);
 	g_byte_array_set_size(c->news, 0);
@@ -273,13 +261,13 @@
  * Whether the reports were listed, or the store has had the time for it: a
  * store that does not answer keeps no host out of service.
  */
-bool crashes_known(const crashes_t *c, ms_t now)
+bool crashd_known(const crashd_t *c, ms_t now)
 {
 	return c->listed || (c->started && now - c->started >= LISTING_MAX_MS);
 }
 
 /* Reads often while reports are pending. */
-static void set_polling(crashes_t *c, ms_t now)
+static void set_polling(crashd_t *c, ms_t now)
 {
 	bool pending = now < c->own_until || edge_crashes_pending(c->edge, now);
 
@@ -298,7 +286,7 @@
 /* Deletes a record, unless the topic has grown beyond what was read. */
 static void drop(void *ctx, uint64_t number)
 {
-	crashes_t *c = ctx;
+	crashd_t *c = ctx;
 	const char *key = g_hash_table_lookup(c->keys, &number);
 	append_cond_t cond = { .end_offset = c->end };
 
@@ -312,7 +300,7 @@
 }
 
 /* Reads the topic when it is time, and deletes what is no longer needed. */
-void crashes_tick(crashes_t *c, ms_t now)
+void crashd_tick(crashd_t *c, ms_t now)
 {
 	if (!c->started)
 		c->started = now;
@@ -326,7 +314,7 @@
 }
 
 /* Frees the reader. */
-void crashes_free(crashes_t *c)
+void crashd_free(crashd_t *c)
 {
 	follow_free(c->follow);
 	g_hash_table_destroy(c->numbers);
--- a/cmd/chestnuthinged/edged.c
+++ b/cmd/chestnuthinged/edged.c
@@ -100,7 +100,7 @@
 	edged_t *d = ctx;
 
 	if (d->crashes)
-		crashes_seen(d->crashes, c);
+		crashd_seen(d->crashes, c);
 }
 
 static void on_part_answered(void *ctx, prompt_part_t part)
@@ -108,7 +108,7 @@
 	edged_t *d = ctx;
 
 	if (d->crashes)
-		crashes_part_answered(d->crashes, part);
+		crashd_part_answered(d->crashes, part);
 }
 
 static const edge_ops_t edge_ops = {
@@ -157,7 +157,7 @@
 		g_string_append(out, "no configuration\n");
 	else if (!d->servers_known)
 		g_string_append(out, "servers not listed\n");
-	else if (!crashes_known(d->crashes, clock_now()))
+	else if (!crashd_known(d->crashes, clock_now()))
 		g_string_append(out, "crash reports not listed\n");
 	else
 		return 200;
@@ -190,7 +190,7 @@
 	pages_close(d->pages);
 	pages_close(d->metrics);
 	append_free(d->append);
-	crashes_free(d->crashes);
+	crashd_free(d->crashes);
 	rolloutd_free(d->rollouts);
 	d->crashes = NULL;
 	d->rollouts = NULL; /* messages of hosts may come until the loop ends */
@@ -267,7 +267,7 @@
 	d->last_tick = now;
 	reload_settings(d, now);
 	topics_tick(d, now);
-	crashes_tick(d->crashes, now);
+	crashd_tick(d->crashes, now);
 	append_tick(d->append, now);
 	peering_tick(d->peering, now);
 	rolloutd_tick(d->rollouts,
@@ -321,9 +321,8 @@
 		append_new(&d->loop, &set->store, &append_ops, d, d->counters);
 	d->rollouts = rolloutd_new(&d->loop, &set->store, d->edge, d->append,
 				   set->canary_share, d->counters);
-	d->crashes =
-		crashes_new(&d->loop, &set->store, set->name, d->edge,
-			    d->append, &topics_crashes_ops, d, d->counters);
+	d->crashes = crashd_new(&d->loop, &set->store, set->name, d->edge,
+				d->append, &topics_crashes_ops, d, d->counters);
 	d->peering = peering_new(&d->loop, d->edge, set, d->inc, &peering_ops,
 				 d, d->counters);
 }
--- a/cmd/chestnuthinged/edged_priv.h
+++ b/cmd/chestnuthinged/edged_priv.h
@@ -3,7 +3,7 @@
 #define EDGED_PRIV_H
 
 #include "adapter.h"
-#include "crashes.h"
+#include "crashd.h"
 #include "peering.h"
 #include "reload.h"
 #include "rolloutd.h"
@@ -28,7 +28,7 @@
 	follow_t *hosts;
 	append_t *append;
 	rolloutd_t *rollouts;
-	crashes_t *crashes;
+	crashd_t *crashes;
 	peering_t *peering;
 	GByteArray *server_news; /* records that others have to know */
 	GString *config_text;	 /* of the configuration in force */
@@ -46,7 +46,7 @@
 } edged_t;
 
 /* topics.c */
-extern const crashes_ops_t topics_crashes_ops;
+extern const crashd_ops_t topics_crashes_ops;
 void topics_follow(edged_t *d);
 void topics_reconf(edged_t *d);
 void topics_tick(edged_t *d, ms_t now);
--- a/cmd/chestnuthinged/topics.c
+++ b/cmd/chestnuthinged/topics.c
@@ -127,7 +127,7 @@
 	else if (str_eq(topic, str_of(adapter_topic_hosts())))
 		follow_feed(d->hosts, n, now);
 	else if (d->crashes && str_eq(topic, str_of(adapter_topic_crashes())))
-		crashes_feed(d->crashes, n, now);
+		crashd_feed(d->crashes, n, now);
 }
 
 /* Takes the address of another edge host. */
@@ -164,7 +164,7 @@
 	relay(ctx, adapter_topic_crashes(), n);
 }
 
-const crashes_ops_t topics_crashes_ops = { on_crashes_read };
+const crashd_ops_t topics_crashes_ops = { on_crashes_read };
 
 static void ignore_listing(void *ctx)
 {
