Quarantine: parts that no crash tells apart are held together only

Of two parts that were always named together, the last in the prompt was put in quarantine.

The parts that the same crashes have in common are one group now, and a request is refused if it has all of them. One with some of them is sent: its answer clears these, its crash clears the others.

--- a/lib/edge/crash.c
+++ b/lib/edge/crash.c
@@ -2,7 +2,6 @@
  * Noticing that a server crashed, and which parts of prompts may be the cause:
  * those of the requests that waited for their first event there.
  */
-#include <string.h>
 #include "edge/priv.h"
 
 enum {
@@ -27,14 +26,9 @@
 	int64_t started_unix;
 	ms_t at;
 	unsigned int requests; /* that waited for their first event */
-	GArray *suspects;      /* suspect_t */
+	GArray *suspects;      /* prompt_part_t */
 } loss_t;
 
-typedef struct suspect {
-	prompt_part_t part;
-	size_t behind; /* parts that come after it in the prompt */
-} suspect_t;
-
 struct crashes {
 	list_t losses; /* loss_t, the oldest first */
 	unsigned int nlosses;
@@ -86,15 +80,13 @@
 	return at && now - *at < SOUND_MS;
 }
 
-static void add_suspect(loss_t *l, prompt_part_t part, size_t behind)
+static void add_suspect(loss_t *l, prompt_part_t part)
 {
-	suspect_t s = { part, behind };
-
 	for (guint i = 0; i < l->suspects->len; i++) {
-		if (g_array_index(l->suspects, suspect_t, i).part == part)
+		if (g_array_index(l->suspects, prompt_part_t, i) == part)
 			return;
 	}
-	g_array_append_val(l->suspects, s);
+	g_array_append_val(l->suspects, part);
 }
 
 /* Whether the answer has not begun, or only just. */
@@ -109,7 +101,7 @@
 	l->requests++;
 	for (size_t i = 0; i < r->nparts; i++) {
 		if (!is_sound(cs, r->parts[i], now))
-			add_suspect(l, r->parts[i], r->nparts - 1 - i);
+			add_suspect(l, r->parts[i]);
 	}
 }
 
@@ -124,9 +116,11 @@
 	return NULL;
 }
 
-/* Starts to look at a server that lost a request. */
-static void add_loss(crashes_t *cs, const backend_t *b, ms_t now)
+/* Starts to look at a server that lost a request, which is the first suspect.
+ */
+static void add_loss(crashes_t *cs, const request_t *lost, ms_t now)
 {
+	const backend_t *b = lost->server;
 	loss_t *l;
 
 	if (cs->nlosses >= LOSSES_MAX) {
@@ -140,42 +134,30 @@
 	l->serial = b->serial;
 	l->started_unix = b->started_unix;
 	l->at = now;
-	l->suspects = g_array_new(FALSE, FALSE, sizeof(suspect_t));
+	l->suspects = g_array_new(FALSE, FALSE, sizeof(prompt_part_t));
+	add_suspects(cs, l, lost, now);
 	for (const list_t *p = b->requests.next; p != &b->requests;
 	     p = p->next) {
 		const request_t *r = list_entry(p, request_t, server_link);
 
-		if (is_beginning(r, now))
+		if (r != lost && is_beginning(r, now))
 			add_suspects(cs, l, r, now);
 	}
 	list_add_tail(&cs->losses, &l->link);
 	cs->nlosses++;
 }
 
-/* The last parts of a prompt first: the earlier ones are in more prompts. */
-static gint by_depth(gconstpointer a, gconstpointer b)
-{
-	const suspect_t *x = a;
-	const suspect_t *y = b;
-
-	if (x->behind != y->behind)
-		return x->behind < y->behind ? -1 : 1;
-	return x->part < y->part ? -1 : x->part > y->part;
-}
-
 /* Reports a crash to all hosts, unless there is no part to suspect. */
 static void report(edge_t *e, loss_t *l, const char *evidence, ms_t now)
 {
-	prompt_part_t parts[CRASH_PARTS_MAX];
-	crash_report_t c = { .server = l->server,
-			     .started_unix = l->started_unix,
-			     .parts = parts };
+	crash_report_t c = {
+		.server = l->server,
+		.started_unix = l->started_unix,
+		.parts = (const prompt_part_t *)l->suspects->data,
+		.nparts = MIN(l->suspects->len, CRASH_PARTS_MAX),
+	};
 	char *text;
 
-	g_array_sort(l->suspects, by_depth);
-	for (guint i = 0; i < l->suspects->len && i < CRASH_PARTS_MAX; i++)
-		parts[c.nparts++] =
-			g_array_index(l->suspects, suspect_t, i).part;
 	e->crashes->seen->value++;
 	e->crashes->left_out->value += l->suspects->len - c.nparts;
 	text = crash_parts_format(&c);
@@ -259,7 +241,7 @@
 		loss_free(cs, l);
 	} else if (broken_off(how) && !l && r->nparts > 0 &&
 		   is_beginning(r, now) && !edge_stalled(e, r, now)) {
-		add_loss(cs, b, now);
+		add_loss(cs, r, now);
 	}
 }
 
--- a/lib/edge/quarantine.c
+++ b/lib/edge/quarantine.c
@@ -15,7 +15,7 @@
 	PENDING_MS = 30 * MS_PER_S, /* more crashes are likely for this long */
 	/* Records that are cleared are deleted once all hosts have read them */
 	KEEP_MS = 60 * MS_PER_S,
-	REPORTS_MAX = 1024,
+	REPORTS_MAX = 512,
 	ANSWERED_MAX = 4096,
 	ANSWER_AGAIN_MS =
 		2000,	   /* an answer that is not read back is told anew */
@@ -45,15 +45,15 @@
 	unsigned int crashes; /* lives that ended with it since an answer */
 	uint64_t newest;      /* of its reports */
 	ms_t newest_seen;
-	size_t place;	  /* in its newest report */
-	bool chosen;	  /* explains crashes that no other part explains */
+	/* Of prompt_part_t: what explains its crashes, with it; NULL: none */
+	GArray *group;
 	uint64_t counted; /* newest report at the last start of its term */
 	ms_t until;	  /* end of the quarantine */
 	ms_t term;	  /* its length */
 	bool active;	  /* in quarantine at the last look */
 	ms_t told_at;	  /* that it was answered; 0: not */
-	/* While deriving */
-	unsigned int unexplained; /* lives */
+	/* While deriving: lives that no group explains */
+	unsigned int unexplained;
 	const char *last_life;
 } suspected_t;
 
@@ -78,6 +78,15 @@
 	g_free(r);
 }
 
+static void suspected_free(gpointer v)
+{
+	suspected_t *s = v;
+
+	if (s->group)
+		g_array_unref(s->group);
+	g_free(s);
+}
+
 static GHashTable *reports_new(void)
 {
 	return g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
@@ -94,7 +103,7 @@
 	q->answered = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
 					    g_free);
 	q->parts = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
-					 g_free);
+					 suspected_free);
 	q->refused = counter_get(counters, "edge_quarantined_total", NULL);
 	q->gauge = gauge_get(counters, "edge_parts_quarantined", NULL);
 	q->left_out =
@@ -156,11 +165,14 @@
 	return all;
 }
 
-/* Counts one part of a report; names: no other part explains its life. */
-static void tally_part(quarantine_t *q, const report_t *r, size_t place,
+/*
+ * Counts a life of a server for one part of a report. unexplained: no group
+ * explains it yet.
+ */
+static void tally_part(quarantine_t *q, const report_t *r, prompt_part_t part,
 		       bool unexplained)
 {
-	suspected_t *s = suspected_get(q, r->parts[place]);
+	suspected_t *s = suspected_get(q, part);
 	bool first = !s->last_life || strcmp(s->last_life, r->life) != 0;
 
 	s->crashes += first;
@@ -170,7 +182,6 @@
 		return;
 	s->newest = r->number;
 	s->newest_seen = r->seen_at;
-	s->place = place;
 }
 
 static void tally(quarantine_t *q, const GPtrArray *all, GHashTable *explained)
@@ -193,25 +204,68 @@
 
 		for (size_t k = 0; k < r->nparts; k++) {
 			if (counts(q, r, r->parts[k]))
-				tally_part(q, r, k, unexplained);
+				tally_part(q, r, r->parts[k], unexplained);
 		}
 	}
 }
 
-/* Whether a explains more crashes than b, or as many but is in fewer prompts.
- */
-static bool explains_more(const suspected_t *a, const suspected_t *b)
+/* Returns the most lives that a part has which no group explains. */
+static unsigned int most_unexplained(const quarantine_t *q)
+{
+	unsigned int most = 0;
+	GHashTableIter it;
+	gpointer v;
+
+	g_hash_table_iter_init(&it, q->parts);
+	while (g_hash_table_iter_next(&it, NULL, &v))
+		most = MAX(most, ((suspected_t *)v)->unexplained);
+	return most;
+}
+
+static bool names(const quarantine_t *q, const report_t *r, prompt_part_t part)
 {
-	if (a->unexplained != b->unexplained)
-		return a->unexplained > b->unexplained;
-	if (a->place != b->place)
-		return a->place < b->place;
-	return a->part < b->part;
+	for (size_t i = 0; i < r->nparts; i++) {
+		if (r->parts[i] == part)
+			return counts(q, r, part);
+	}
+	return false;
 }
 
-static suspected_t *best_explanation(const quarantine_t *q)
+/* Returns the set of unexplained lives that ended with a part. */
+static GHashTable *lives_with(const quarantine_t *q, const GPtrArray *all,
+			      GHashTable *explained, prompt_part_t part)
+{
+	GHashTable *lives = g_hash_table_new(g_str_hash, g_str_equal);
+
+	for (guint i = 0; i < all->len; i++) {
+		const report_t *r = all->pdata[i];
+
+		if (names(q, r, part) &&
+		    !g_hash_table_contains(explained, r->life))
+			g_hash_table_add(lives, r->life);
+	}
+	return lives;
+}
+
+static bool same_lives(GHashTable *a, GHashTable *b)
 {
-	suspected_t *best = NULL;
+	GHashTableIter it;
+	gpointer life;
+
+	if (g_hash_table_size(a) != g_hash_table_size(b))
+		return false;
+	g_hash_table_iter_init(&it, a);
+	while (g_hash_table_iter_next(&it, &life, NULL)) {
+		if (!g_hash_table_contains(b, life))
+			return false;
+	}
+	return true;
+}
+
+/* Of the parts with that many lives, returns the one with the lowest value. */
+static suspected_t *first_with(const quarantine_t *q, unsigned int lives)
+{
+	suspected_t *first = NULL;
 	GHashTableIter it;
 	gpointer v;
 
@@ -219,46 +273,71 @@
 	while (g_hash_table_iter_next(&it, NULL, &v)) {
 		suspected_t *s = v;
 
-		if (!s->chosen && s->unexplained >= CRASHES_MIN &&
-		    (!best || explains_more(s, best)))
-			best = s;
+		if (s->unexplained == lives &&
+		    (!first || s->part < first->part))
+			first = s;
 	}
-	return best;
+	return first;
 }
 
-static void explain(const quarantine_t *q, const GPtrArray *all,
-		    const suspected_t *s, GHashTable *explained)
+/*
+ * Makes the group of a part: all that ended the same lives, so that nothing
+ * tells which of them is the cause. Its lives are explained from then on.
+ */
+static void make_group(quarantine_t *q, const GPtrArray *all,
+		       GHashTable *explained, const suspected_t *first)
 {
-	for (guint i = 0; i < all->len; i++) {
-		const report_t *r = all->pdata[i];
+	GArray *group = g_array_new(FALSE, FALSE, sizeof(prompt_part_t));
+	GHashTable *lives = lives_with(q, all, explained, first->part);
+	GHashTableIter it;
+	gpointer v;
 
-		for (size_t k = 0; k < r->nparts; k++) {
-			if (r->parts[k] == s->part && counts(q, r, s->part))
-				g_hash_table_add(explained, r->life);
+	g_hash_table_iter_init(&it, q->parts);
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		suspected_t *s = v;
+		GHashTable *own;
+
+		if (s->unexplained != first->unexplained)
+			continue;
+		own = lives_with(q, all, explained, s->part);
+		if (same_lives(own, lives)) {
+			s->group = g_array_ref(group);
+			g_array_append_val(group, s->part);
 		}
+		g_hash_table_destroy(own);
 	}
+	g_array_unref(group);
+	g_hash_table_iter_init(&it, lives);
+	while (g_hash_table_iter_next(&it, &v, NULL))
+		g_hash_table_add(explained, v);
+	g_hash_table_destroy(lives);
+}
+
+static void drop_groups(quarantine_t *q)
+{
+	GHashTableIter it;
+	gpointer v;
+
+	g_hash_table_iter_init(&it, q->parts);
+	while (g_hash_table_iter_next(&it, NULL, &v))
+		g_clear_pointer(&((suspected_t *)v)->group, g_array_unref);
 }
 
 /*
- * Chooses the parts that explain the crashes: always the one that most of those
- * not explained yet have in common. A part that is only ever named beside a
- * chosen one is not chosen.
+ * Chooses the parts that explain the crashes: always those that most of the
+ * lives not explained yet have in common. A part that is only ever named beside
+ * a chosen one with more lives is not chosen.
  */
 static void choose_parts(quarantine_t *q)
 {
 	GPtrArray *all = sorted_reports(q);
 	GHashTable *explained = g_hash_table_new(g_str_hash, g_str_equal);
-	GHashTableIter it;
-	suspected_t *s;
-	gpointer v;
+	unsigned int most;
 
-	g_hash_table_iter_init(&it, q->parts);
-	while (g_hash_table_iter_next(&it, NULL, &v))
-		((suspected_t *)v)->chosen = false;
+	drop_groups(q);
 	tally(q, all, explained);
-	while ((s = best_explanation(q)) != NULL) {
-		s->chosen = true;
-		explain(q, all, s, explained);
+	while ((most = most_unexplained(q)) >= CRASHES_MIN) {
+		make_group(q, all, explained, first_with(q, most));
 		tally(q, all, explained);
 	}
 	g_hash_table_destroy(explained);
@@ -286,12 +365,9 @@
 	for (guint i = 0; i < all->len && out->len < NAMES_BYTES; i++) {
 		const report_t *r = all->pdata[i];
 
-		for (size_t k = 0; k < r->nparts; k++) {
-			if (r->parts[k] == part && counts(q, r, part))
-				g_string_append_printf(out, "%s%s",
-						       out->len ? "," : "",
-						       r->key);
-		}
+		if (names(q, r, part))
+			g_string_append_printf(out, "%s%s", out->len ? "," : "",
+					       r->key);
 	}
 	g_ptr_array_free(all, TRUE);
 	return g_string_free(out, FALSE);
@@ -303,28 +379,33 @@
 	char *lives = lives_of(q, s->part);
 
 	log_line(LOG_WARN, "part_quarantined",
-		 "part=%" PRIx64 " crashes=%u for_ms=%lld reports=%s", s->part,
-		 s->crashes, (long long)(s->until - now), lives);
+		 "part=%" PRIx64 " crashes=%u beside=%u for_ms=%lld reports=%s",
+		 s->part, s->crashes, s->group->len - 1,
+		 (long long)(s->until - now), lives);
 	g_free(lives);
 }
 
+static const char *why_released(const suspected_t *s)
+{
+	if (s->group)
+		return "expired";
+	return s->crashes > 0 ? "another_part" : "answered";
+}
+
 /* Sets whether a part is in quarantine now, and logs a change. */
 static void settle_part(quarantine_t *q, suspected_t *s, ms_t now)
 {
 	bool active;
 
-	if (s->chosen)
+	if (s->group)
 		extend_term(s);
-	active = s->chosen && now < s->until;
+	active = s->group && now < s->until;
 	if (active && !s->active)
 		log_quarantined(q, s, now);
 	else if (!active && s->active)
 		log_line(LOG_INFO, "part_released",
 			 "part=%" PRIx64 " crashes=%u why=%s", s->part,
-			 s->crashes,
-			 s->chosen	  ? "expired"
-			 : s->crashes > 0 ? "explained"
-					  : "answered");
+			 s->crashes, why_released(s));
 	s->active = active;
 	q->nactive += active;
 }
@@ -332,7 +413,8 @@
 /* Whether nothing is left to know of a part. */
 static bool is_forgotten(const suspected_t *s, ms_t now)
 {
-	return s->crashes == 0 && now >= s->until + QUARANTINE_MAX_MS;
+	return s->crashes == 0 &&
+	       (s->until == 0 || now >= s->until + QUARANTINE_MAX_MS);
 }
 
 /* Derives from the records which parts are in quarantine. */
@@ -385,6 +467,7 @@
 		if (!oldest || r->number < oldest->number)
 			oldest = r;
 	}
+	g_assert(oldest);
 	q->left_out->value++;
 	log_line(LOG_WARN, "report_left_out", "report=%s number=%" PRIu64,
 		 oldest->key, oldest->number);
@@ -463,6 +546,7 @@
 		if (!oldest || a->number < oldest->number)
 			oldest = a;
 	}
+	g_assert(oldest);
 	q->left_out->value++;
 	log_line(LOG_WARN, "answer_left_out",
 		 "part=%" PRIx64 " number=%" PRIu64, oldest->part,
@@ -587,7 +671,33 @@
 	}
 }
 
-/* Returns the request's part that is in quarantine, or NULL. */
+static bool has_part(const request_t *r, prompt_part_t part)
+{
+	for (size_t i = 0; i < r->nparts; i++) {
+		if (r->parts[i] == part)
+			return true;
+	}
+	return false;
+}
+
+/* Whether the request has all parts of a group, and all are in quarantine. */
+static bool has_group(const quarantine_t *q, const request_t *r,
+		      const GArray *group, ms_t now)
+{
+	for (guint i = 0; i < group->len; i++) {
+		prompt_part_t part = g_array_index(group, prompt_part_t, i);
+		const suspected_t *s = g_hash_table_lookup(q->parts, &part);
+
+		if (!s->active || now >= s->until || !has_part(r, part))
+			return false;
+	}
+	return true;
+}
+
+/*
+ * Returns a part of the request that is in quarantine, or NULL. Of parts that
+ * no crash tells apart, the request must have all.
+ */
 static const suspected_t *quarantined_part(quarantine_t *q, const request_t *r,
 					   ms_t now)
 {
@@ -599,7 +709,7 @@
 		const suspected_t *s =
 			g_hash_table_lookup(q->parts, &r->parts[i]);
 
-		if (s && s->active && now < s->until)
+		if (s && s->active && has_group(q, r, s->group, now))
 			return s;
 	}
 	return NULL;
