Quarantine: a request given up by this host tells nothing of its server

An attempt that seems stalled is closed by the host and ends as lost. It was taken for a sign of a crash: the check came after the attempt had been counted, when a stall no longer shows.

test/suspects has the tables for one host: 26 sequences of events at a server, 45 sequences of records, waiting and resumed requests, bounds, deletion, malformed texts. Before: 'stalled, given up by this host' reported a crash; the other 107 checks passed. After: all 108 pass.

--- a/lib/edge/edge.c
+++ b/lib/edge/edge.c
@@ -429,6 +429,7 @@
 	backend_t *b = r->server;
 	bool retry;
 
+	crash_attempt_ended(e, r, how, now);
 	b->last_byte_at = how == ATTEMPT_LOST || how == ATTEMPT_NOT_SENT
 				  ? b->last_byte_at
 				  : now;
@@ -439,7 +440,6 @@
 		estimate_add_stream(b, r, now);
 	if (how == ATTEMPT_ANSWERED && r->responded)
 		quarantine_answered(e, r, now);
-	crash_attempt_ended(e, r, how, now);
 	health_attempt_ended(e, b, how, now);
 	shift_count(r, how);
 	release_server(e, r, how == ATTEMPT_NOT_SENT, now);
