--- a/cmd/chestnuthinge/losses.c
+++ b/cmd/chestnuthinge/losses.c
@@ -21,6 +21,7 @@
 typedef enum cause {
 	CAUSE_QUOTA,	   /* its customer was over its limit */
 	CAUSE_QUOTA_LOST,  /* no quota server answered */
+	CAUSE_QUARANTINED, /* a part of its prompt crashes servers */
 	CAUSE_REFUSED,	   /* on arrival: its wait would be too long */
 	CAUSE_QUEUED,	   /* waited past its deadline, not sent */
 	CAUSE_NO_SERVER,   /* none could be reached or took it */
@@ -35,9 +36,9 @@
 } cause_t;
 
 static const char *const cause_names[CAUSES] = {
-	"over-limit", "quota-unknown", "refused",     "queued",
-	"no-server",  "server-lost",   "failed",      "slow",
-	"late",	      "stopping",      "caller-gone", "left-out",
+	"over-limit", "quota-unknown", "quarantined", "refused", "queued",
+	"no-server",  "server-lost",   "failed",      "slow",	 "late",
+	"stopping",   "caller-gone",   "left-out",
 };
 
 /* The beginning of an outcome in request_end, and its cause. */
@@ -47,6 +48,7 @@
 } causes[] = {
 	{ "over-limit", CAUSE_QUOTA },
 	{ "quota-unknown", CAUSE_QUOTA_LOST },
+	{ "quarantined", CAUSE_QUARANTINED },
 	{ "cannot-finish", CAUSE_REFUSED },
 	{ "expired-waiting", CAUSE_QUEUED },
 	{ "time is up, not sent", CAUSE_QUEUED },
--- a/test/fault/losses.sh
+++ b/test/fault/losses.sh
@@ -45,11 +45,13 @@
 	ended 3 m r1 "no server took it" 503 -1
 	ended 3 n r1 stopping 503 -1
 	ended 3 o r1 expired-waiting 503 -1
+	ended 3 p r1 quarantined 503 -1
 } >"$t/edge-2.log"
 
 cat >"$t/want" <<-EOF
 	all over-limit 2
 	all quota-unknown 1
+	all quarantined 1
 	all refused 1
 	all queued 2
 	all no-server 1
@@ -78,4 +80,4 @@
 	"$bin/chestnuthinge" losses $bad >"$t/err" 2>&1
 	[ $? -eq 2 ] || fail "losses $bad: not refused"
 done
-echo "losses: 12 causes, by route and time; bad arguments refused"
+echo "losses: 13 causes, by route and time; bad arguments refused"
