Quarantine: a stream that ends without an event may have been cut

An answer without a length ends with its connection. Where a server ends after the head of such a stream, the attempt counts as answered, and its crash went unnoticed. It is looked at like a lost one now: a report follows only if nothing shows that the server lives.

--- a/lib/edge/crash.c
+++ b/lib/edge/crash.c
@@ -217,10 +217,14 @@
 	}
 }
 
-/* An answer that ends with its connection may seem malformed when it is cut. */
-static bool broken_off(attempt_result_t how)
+/*
+ * Whether the answer may have been cut. One that ends with its connection then
+ * seems malformed or, without an event, whole.
+ */
+static bool broken_off(const request_t *r, attempt_result_t how)
 {
-	return how == ATTEMPT_LOST || how == ATTEMPT_BAD_ANSWER;
+	return how == ATTEMPT_LOST || how == ATTEMPT_BAD_ANSWER ||
+	       (how == ATTEMPT_ANSWERED && r->route->stream && !r->responded);
 }
 
 /*
@@ -239,7 +243,7 @@
 	} else if (how == ATTEMPT_NOT_SENT && l && now > l->at) {
 		report(e, l, "refused", now);
 		loss_free(cs, l);
-	} else if (broken_off(how) && !l && r->nparts > 0 &&
+	} else if (broken_off(r, how) && !l && r->nparts > 0 &&
 		   is_beginning(r, now) && !edge_stalled(e, r, now)) {
 		add_loss(cs, r, now);
 	}
--- a/test/suspects.c
+++ b/test/suspects.c
@@ -323,19 +323,32 @@
 	{ "sound long ago", "1:p +50 f1 w1 +10000 2:pq +50 !2 +150", "pq" },
 	{ "whole without a byte", "1:p +50 w1 2:pq +50 !2 +150", "pq" },
 	{ "two lives", "1:p +50 !1 X +150 2:q +50 !2 +150", "p q" },
-	{ "stalled, given up by this host", "1:p +500 !1 +150", "" },
 };
 
-START_TEST(crashes_are_noticed)
+/* The same on other routes. */
+typedef struct route_case {
+	unsigned int attempts;
+	bool stream;
+	events_case_t c;
+} route_case_t;
+
+static const route_case_t route_cases[] = {
+	{ 2, false, { "stalled, given up here", "1:p +500 !1 +150", "" } },
+	{ 1, true, { "a stream", "1:p +50 f1 w1 +150", "" } },
+	{ 1, true, { "without an event", "1:p +50 w1 +150", "p" } },
+	{ 1, true, { "another is open", "1:p 2:q +50 w1 +150", "" } },
+};
+
+static void check_events(const events_case_t *c, unsigned int attempts,
+			 bool stream)
 {
-	const events_case_t *c = &events_cases[_i];
 	edge_route_t saved = route;
 	edge_ops_t lab_ops;
 	lab_t l;
 
 	lab_open(&l, &lab_ops);
-	if (!strstr(c->name, "stalled"))
-		route.attempts = 1;
+	route.attempts = attempts;
+	route.stream = stream;
 	put_server(&l.w, "s", "10.0.0.1", 9, false, 1, l.now);
 	run_words(&l, c->events, take_event);
 	ck_assert_msg(strcmp(l.reports->str, c->reports) == 0, "%s: %s",
@@ -343,6 +356,19 @@
 	route = saved;
 	lab_close(&l);
 }
+
+START_TEST(crashes_are_noticed)
+{
+	check_events(&events_cases[_i], 1, false);
+}
+END_TEST
+
+START_TEST(crashes_are_noticed_by_route)
+{
+	const route_case_t *c = &route_cases[_i];
+
+	check_events(&c->c, c->attempts, c->stream);
+}
 END_TEST
 
 /* Whole answers are told for parts that reports name, once at a time. */
@@ -671,6 +697,8 @@
 			    G_N_ELEMENTS(records_cases));
 	tcase_add_loop_test(t, crashes_are_noticed, 0,
 			    G_N_ELEMENTS(events_cases));
+	tcase_add_loop_test(t, crashes_are_noticed_by_route, 0,
+			    G_N_ELEMENTS(route_cases));
 	tcase_add_test(t, answers_are_told_for_reported_parts_only);
 	tcase_add_loop_test(t, a_waiting_request_is_refused, 0, WAITS);
 	tcase_add_test(t, a_refused_request_costs_no_quota);
