Test: a follower reads anew when its poll or its silence may last too long

follow_end_wait and follow_set_news_max, used while reports of crashes are pending. The test's store takes as many connections as a case allows; those before allow one, as they did.

--- a/test/relays.c
+++ b/test/relays.c
@@ -13,6 +13,7 @@
 	HOSTS_MAX = 400,
 	CONNECTIONS_MAX = 4, /* of a host that is no relay, to other hosts */
 	SMALL_FLEET = 8,     /* hosts that all read the store */
+	CONNS_MAX = 2,	     /* that a follower opens to the store */
 };
 
 static void name_of(char *out, size_t n, unsigned int i)
@@ -148,8 +149,9 @@
 typedef struct store {
 	uv_loop_t loop;
 	uv_tcp_t listener;
-	uv_tcp_t conn;
-	bool connected;
+	uv_tcp_t conns[CONNS_MAX];
+	int nconns;
+	int conns_allowed;
 	addr_t at;
 	int listings;
 	int reads;
@@ -208,12 +210,12 @@
 	g_free(w);
 }
 
-static void reply(store_t *s, const char *text)
+static void reply(uv_stream_t *conn, const char *text)
 {
 	uv_write_t *w = g_malloc0(sizeof(*w));
 	uv_buf_t buf = uv_buf_init((char *)text, strlen(text));
 
-	uv_write(w, (uv_stream_t *)&s->conn, &buf, 1, on_written);
+	uv_write(w, conn, &buf, 1, on_written);
 }
 
 static void on_bytes(uv_stream_t *conn, ssize_t n, const uv_buf_t *buf)
@@ -230,7 +232,7 @@
 		return;
 	if (g_strstr_len(buf->base, n, "log-newest")) {
 		s->listings++;
-		reply(s, listing);
+		reply(conn, listing);
 	} else {
 		s->reads++;
 	}
@@ -239,14 +241,15 @@
 static void on_connection(uv_stream_t *listener, int status)
 {
 	store_t *s = listener->data;
+	uv_tcp_t *conn = &s->conns[s->nconns];
 
 	ck_assert_int_eq(status, 0);
-	ck_assert(!s->connected);
-	uv_tcp_init(&s->loop, &s->conn);
-	s->conn.data = s;
-	uv_accept(listener, (uv_stream_t *)&s->conn);
-	uv_read_start((uv_stream_t *)&s->conn, on_alloc, on_bytes);
-	s->connected = true;
+	ck_assert_int_lt(s->nconns, s->conns_allowed);
+	uv_tcp_init(&s->loop, conn);
+	conn->data = s;
+	uv_accept(listener, (uv_stream_t *)conn);
+	uv_read_start((uv_stream_t *)conn, on_alloc, on_bytes);
+	s->nconns++;
 }
 
 static void store_open(store_t *s)
@@ -276,6 +279,7 @@
 			       .news_max = 500 };
 
 	store_open(&t->store);
+	t->store.conns_allowed = 1;
 	conf.store = t->store.at;
 	t->counters = counters_new();
 	t->records = g_string_new(NULL);
@@ -291,7 +295,8 @@
 static void told_close(told_t *t)
 {
 	follow_free(t->follow);
-	uv_close((uv_handle_t *)&t->store.conn, NULL);
+	for (int i = 0; i < t->store.nconns; i++)
+		uv_close((uv_handle_t *)&t->store.conns[i], NULL);
 	uv_close((uv_handle_t *)&t->store.listener, NULL);
 	uv_run(&t->store.loop, UV_RUN_DEFAULT);
 	uv_loop_close(&t->store.loop);
@@ -458,6 +463,57 @@
 }
 END_TEST
 
+/* A shorter bound on silence holds for a read that was put off already. */
+START_TEST(test_news_bound_shortened)
+{
+	told_t *t = told_open();
+	follow_news_t n = { .from = 10, .to = 10, .complete = true };
+	ms_t now = clock_now();
+
+	follow_feed(t->follow, &n, now);
+	follow_set_news_max(t->follow, 100, now);
+	settle(t, now + 99);
+	ck_assert_int_eq(t->store.reads, 0);
+	settle(t, now + 101);
+	ck_assert_int_eq(t->store.reads, 1);
+	told_close(t);
+}
+END_TEST
+
+/* A read that may be held open for too long is made anew on a new path. */
+typedef struct end_wait_case {
+	const char *name;
+	ms_t wait; /* set while a read with 1000 ms is in progress */
+	int reads;
+} end_wait_case_t;
+
+static const end_wait_case_t end_waits[] = {
+	{ "shorter", 200, 2 },
+	{ "the same", 1000, 1 },
+	{ "longer", 5000, 1 },
+};
+
+START_TEST(test_end_wait)
+{
+	const end_wait_case_t *c = &end_waits[_i];
+	told_t *t = told_open();
+	ms_t now = clock_now();
+
+	t->store.conns_allowed = c->reads;
+	follow_read_now(t->follow, now);
+	settle(t, now);
+	ck_assert_int_eq(t->store.reads, 1);
+	follow_set_wait(t->follow, c->wait);
+	follow_end_wait(t->follow, now);
+	for (int i = 0; i < 20; i++)
+		settle(t, now);
+	ck_assert_msg(t->store.reads == c->reads, "%s: %d", c->name,
+		      t->store.reads);
+	ck_assert(t->up);
+	told_close(t);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("relays");
@@ -473,6 +529,8 @@
 	tcase_add_loop_test(t, test_relay_is_up, 0, 50);
 	tcase_add_loop_test(t, test_news, 0, G_N_ELEMENTS(news_cases));
 	tcase_add_test(t, test_news_end);
+	tcase_add_test(t, test_news_bound_shortened);
+	tcase_add_loop_test(t, test_end_wait, 0, G_N_ELEMENTS(end_waits));
 	tcase_add_loop_test(t, test_in_time, 0, 6);
 	srunner_run_all(r, CK_NORMAL);
 	failed = srunner_ntests_failed(r);
