bench: edges before engines that one part of prompts crashes

Eight edges, 24 engines, three bad requests a second, with and without the reports that hosts give each other; bounds from the stated target (five crashes, what comes within 3 s, three more; three sent later; half of the sound requests begin).

--- a/bench/edges/dat.h
+++ b/bench/edges/dat.h
@@ -11,7 +11,9 @@
 
 enum {
 	KINDS = 3,
-	WAY_MS = 1, /* of a message between two hosts, one way */
+	WAY_MS = 1,	/* of a message between two hosts, one way */
+	STORE_MS = 100, /* from a host through the store to all */
+	POISON = 0xbad, /* a part of prompts that crashes engines */
 };
 
 /* A kind of request, as the sheet of kockarna-hinge has it. */
@@ -44,6 +46,8 @@
 	double load;	     /* 1: what the engines carry */
 	ms_t span;	     /* in which requests come */
 	unsigned int seed;
+	double poison_per_s; /* requests with the part that crashes engines */
+	bool reports;	     /* hosts read each other's reports of crashes */
 } play_t;
 
 /* What callers of a kind got. */
@@ -55,6 +59,11 @@
 
 typedef struct result {
 	got_t kinds[KINDS];
+	unsigned int crashes;
+	unsigned int poison_late; /* bad requests sent later than 3 s after the
+				     fifth crash */
+	unsigned int sound;	  /* others, from 6 s after it */
+	unsigned int sound_begun; /* at the first attempt */
 } result_t;
 
 /* A request and its caller's view. */
@@ -68,6 +77,9 @@
 	ms_t first_at;	     /* 0 none */
 	bool whole;
 	bool over;
+	bool poison;
+	bool at_engine;
+	prompt_part_t parts[3];
 } item_t;
 
 /* A message on its way, or a report of loads. */
@@ -86,14 +98,28 @@
 	engine_t *engine;
 	keeper_t *keeper;
 	unsigned int reported; /* load */
+	bool crashes;	       /* at the end of this ms */
+	ms_t up_at;	       /* it has crashed until then; 0: it is up */
+	ms_t started;
 } seat_t;
 
 typedef struct host {
+	struct world *w;
 	char name[16];
 	edge_t *edge;
 	unsigned int turn;
+	guint read; /* of the records */
 } host_t;
 
+/* A record of the store: a report of a crash, or an answered part. */
+typedef struct record {
+	ms_t at;
+	const char *host; /* NULL: answered */
+	char *server;
+	int64_t started;
+	GArray *parts; /* of prompt_part_t */
+} record_t;
+
 typedef struct world {
 	play_t play;
 	ms_t now;
@@ -103,6 +129,9 @@
 	GQueue notes; /* note_t, in order of time */
 	GPtrArray *items;
 	counters_t *counters;
+	GArray *records; /* record_t */
+	result_t result;
+	ms_t last_crash; /* of the first five */
 } world_t;
 
 #endif
--- a/bench/edges/load.c
+++ b/bench/edges/load.c
@@ -7,6 +7,7 @@
 	BURST_SPAN = 2500,    /* ms */
 	BURSTING_PART = 5,    /* one in so many hosts, with uneven callers */
 	OUTPUT_MAX = 1200,    /* tokens */
+	DOCUMENTS = 40,	      /* that prompts share */
 };
 
 static const double burst = 1.8;  /* times the mean rate */
@@ -91,7 +92,17 @@
 	return (unsigned int)g_rand_int_range(w->rand, 0, (gint32)hosts);
 }
 
-static void make(world_t *w, unsigned int kind, bool in_burst)
+/* Prompts begin with a part of their kind, then one of some documents. */
+static void add_parts(item_t *i, unsigned int document)
+{
+	i->parts[i->r.nparts++] = 1 + i->kind;
+	i->parts[i->r.nparts++] = 0x100 + document;
+	if (i->poison)
+		i->parts[i->r.nparts++] = POISON;
+	i->r.parts = i->parts;
+}
+
+static void make(world_t *w, unsigned int kind, bool poison, bool in_burst)
 {
 	item_t *i = g_new0(item_t, 1);
 	const kind_t *k = &kinds[kind];
@@ -107,7 +118,9 @@
 	i->r.first_event_by = w->now + k->target;
 	i->r.prompt = k->prompt;
 	i->r.output = i->output * draw(w->rand, 1, hint_off);
+	i->poison = poison;
 	i->number = w->items->len;
+	add_parts(i, i->number % DOCUMENTS);
 	g_ptr_array_add(w->items, i);
 	world_take(w, i);
 }
@@ -127,6 +140,12 @@
 	for (double p = exp(-mean), n = 1; u > p && p > 0; n++) {
 		u -= p;
 		p *= mean / n;
-		make(w, draw_kind(w->rand), in_burst);
+		make(w, draw_kind(w->rand), false, in_burst);
 	}
 }
+
+/* Has a request with the bad part come. */
+void load_poison(world_t *w)
+{
+	make(w, 0, true, false);
+}
--- a/bench/edges/main.c
+++ b/bench/edges/main.c
@@ -139,6 +139,66 @@
 	}
 }
 
+enum {
+	POISON_PER_S = 3,
+	/* Five, what comes in the next 3 s, and three more */
+	CRASHES_MAX = 5 + 3 * POISON_PER_S + 3,
+	POISON_LATE_MAX = 3,
+};
+
+static const double poison_loads[] = { 0.5, 0.85 };
+/* Of the sound requests that begin where none are bad. */
+static const double sound_part = 0.5;
+
+static void bound_most(const char *name, double load, double value,
+		       double target)
+{
+	printf("bound %s-at-%.2f %.2f %.2f %s\n", name, load, value, target,
+	       value <= target ? "ok" : "MISSED");
+}
+
+static result_t play_poison(double load, double per_s, bool reports)
+{
+	play_t play = { .way = WAY_KEEPERS,
+			.hosts = HOSTS,
+			.engines = ENGINES,
+			.subset = SUBSET,
+			.load = load,
+			.span = SPAN_MS,
+			.seed = SEED,
+			.poison_per_s = per_s,
+			.reports = reports };
+	result_t r = world_play(&play);
+
+	printf("%4.2f %4.1f %3s %5u %5u %6.2f %6.2f\n", load, per_s,
+	       reports ? "yes" : "no", r.crashes, r.poison_late,
+	       percent(r.sound_begun, r.sound), goodput(&r));
+	fflush(stdout);
+	return r;
+}
+
+/* What one part of prompts that crashes engines costs. */
+static void print_poison(void)
+{
+	printf("load, bad a second, reports, crashes, sent late, sound begun, "
+	       "in time\n");
+	for (size_t i = 0; i < G_N_ELEMENTS(poison_loads); i++) {
+		double load = poison_loads[i];
+		result_t none = play_poison(load, 0, true);
+		result_t r;
+
+		play_poison(load, POISON_PER_S, false);
+		r = play_poison(load, POISON_PER_S, true);
+		bound_most("edges-poison-crashes", load, r.crashes,
+			   CRASHES_MAX);
+		bound_most("edges-poison-sent-late", load, r.poison_late,
+			   POISON_LATE_MAX);
+		bound("edges-poison-sound-begun-percent", load,
+		      percent(r.sound_begun, r.sound),
+		      percent(none.sound_begun, none.sound) * sound_part);
+	}
+}
+
 int main(int argc, char **argv)
 {
 	static double plotted[WAYS][16];
@@ -166,6 +226,7 @@
 			print_bounds(loads[i], r);
 	}
 	print_subsets();
+	print_poison();
 	if (argc > 2)
 		plot_write(argv[2], loads, G_N_ELEMENTS(loads), plotted);
 	return EXIT_SUCCESS;
--- /dev/null
+++ b/bench/edges/poison.c
@@ -0,0 +1,156 @@
+/* Requests that crash the engine that begins to answer them. */
+#include <math.h>
+#include "fns.h"
+
+enum {
+	POISON_FROM_MS = 5000,
+	RESTART_MS = 4000, /* of an engine */
+	CRASHES = 5,	   /* after which the rule counts */
+	STABLE_MS = 3000,
+};
+
+/* Prepares the store's records. */
+void poison_open(world_t *w)
+{
+	w->records = g_array_new(FALSE, TRUE, sizeof(record_t));
+}
+
+/* Frees the store's records. */
+void poison_close(world_t *w)
+{
+	for (guint i = 0; i < w->records->len; i++) {
+		record_t *rec = &g_array_index(w->records, record_t, i);
+
+		g_free(rec->server);
+		g_array_free(rec->parts, TRUE);
+	}
+	g_array_free(w->records, TRUE);
+}
+
+static void add_record(world_t *w, record_t rec, const prompt_part_t *parts,
+		       size_t n)
+{
+	rec.at = w->now;
+	rec.parts = g_array_new(FALSE, FALSE, sizeof(prompt_part_t));
+	g_array_append_vals(rec.parts, parts, (guint)n);
+	g_array_append_val(w->records, rec);
+}
+
+/* A host reports a crash. */
+void poison_seen(world_t *w, const host_t *h, const crash_report_t *c)
+{
+	add_record(w,
+		   (record_t){ .host = h->name,
+			       .server = g_strdup(c->server),
+			       .started = c->started_unix },
+		   c->parts, c->nparts);
+}
+
+/* A host reports that requests with a part are answered. */
+void poison_answered(world_t *w, prompt_part_t part)
+{
+	add_record(w, (record_t){ .host = NULL }, &part, 1);
+}
+
+/* Counts a request that is sent to an engine. */
+void poison_sent(world_t *w, const item_t *i)
+{
+	w->result.poison_late += i->poison && w->result.crashes >= CRASHES &&
+				 w->now > w->last_crash + STABLE_MS;
+}
+
+/* Has the bad requests of this ms come, at equal intervals. */
+void poison_come(world_t *w)
+{
+	double every = MS_PER_S / MAX(w->play.poison_per_s, 1e-9);
+
+	if (w->now < POISON_FROM_MS || w->now >= w->play.span)
+		return;
+	if (floor((double)w->now / every) !=
+	    floor((double)(w->now - 1) / every))
+		load_poison(w);
+}
+
+static void crash(world_t *w, seat_t *s)
+{
+	s->crashes = false;
+	s->up_at = w->now + RESTART_MS;
+	w->result.crashes++;
+	if (w->result.crashes <= CRASHES)
+		w->last_crash = w->now;
+	engine_clear(s->engine);
+	for (guint k = 0; k < w->items->len; k++) {
+		item_t *i = w->items->pdata[k];
+
+		if (!i->at_engine || i->engine != s->number)
+			continue;
+		i->at_engine = false;
+		if (edge_attempt_ended(w->hosts[i->host].edge, &i->r,
+				       ATTEMPT_LOST, false,
+				       w->now) == NEXT_ANSWER)
+			i->over = true;
+	}
+}
+
+static void restart(world_t *w, seat_t *s)
+{
+	s->up_at = 0;
+	s->started = w->now;
+	for (unsigned int i = 0; i < w->play.hosts; i++)
+		world_list_engine(w, w->hosts[i].edge, s->number);
+}
+
+static void deliver(world_t *w, host_t *h)
+{
+	for (; h->read < w->records->len; h->read++) {
+		const record_t *rec =
+			&g_array_index(w->records, record_t, h->read);
+		const prompt_part_t *parts =
+			(const prompt_part_t *)rec->parts->data;
+		crash_report_t c = { .server = rec->server,
+				     .started_unix = rec->started,
+				     .parts = parts,
+				     .nparts = rec->parts->len };
+
+		if (rec->at + STORE_MS > w->now)
+			return;
+		if (rec->host)
+			edge_crash_reported(h->edge, rec->host, &c, h->read + 1,
+					    w->now);
+		else
+			edge_part_answered(h->edge, parts[0], h->read + 1,
+					   w->now);
+	}
+}
+
+/* Crashes and restarts engines; hosts read the records. */
+void poison_step(world_t *w)
+{
+	for (unsigned int i = 0; i < w->play.engines; i++) {
+		seat_t *s = &w->seats[i];
+
+		if (s->crashes)
+			crash(w, s);
+		else if (s->up_at && w->now >= s->up_at)
+			restart(w, s);
+	}
+	for (unsigned int i = 0; i < w->play.hosts && w->play.reports; i++)
+		deliver(w, &w->hosts[i]);
+}
+
+/* Counts the sound requests that came after the crashes. */
+void poison_count(world_t *w)
+{
+	ms_t from = w->last_crash ? w->last_crash + (ms_t)2 * STABLE_MS
+				  : POISON_FROM_MS;
+
+	for (guint k = 0; k < w->items->len; k++) {
+		const item_t *i = w->items->pdata[k];
+
+		if (i->poison || i->r.arrived < from)
+			continue;
+		w->result.sound++;
+		w->result.sound_begun +=
+			i->first_at != 0 && i->r.executions <= 1;
+	}
+}
--- a/bench/edges/world.c
+++ b/bench/edges/world.c
@@ -35,8 +35,9 @@
 
 static void on_send(void *ctx, request_t *r)
 {
-	world_t *w = ctx;
+	world_t *w = ((host_t *)ctx)->w;
 
+	poison_sent(w, (item_t *)r);
 	post(w, (note_t){ .what = NOTE_SEND,
 			  .item = (item_t *)r,
 			  .engine = engine_of(r->server) });
@@ -69,19 +70,19 @@
 			       .target = in_time,
 			       .deadline = r->deadline - now };
 
-	post(ctx, (note_t){ .what = NOTE_ASK,
-			    .item = (item_t *)r,
-			    .engine = engine_of(b),
-			    .ask = a });
+	post(((host_t *)ctx)->w, (note_t){ .what = NOTE_ASK,
+					   .item = (item_t *)r,
+					   .engine = engine_of(b),
+					   .ask = a });
 }
 
 static void on_release(void *ctx, uint64_t keeper, const request_t *r,
 		       bool unreached)
 {
 	(void)unreached;
-	post(ctx, (note_t){ .what = NOTE_RELEASE,
-			    .engine = (unsigned int)keeper - 1,
-			    .ask = { .rid = r->rid } });
+	post(((host_t *)ctx)->w, (note_t){ .what = NOTE_RELEASE,
+					   .engine = (unsigned int)keeper - 1,
+					   .ask = { .rid = r->rid } });
 }
 
 static void on_keeper_wanted(void *ctx, const addr_t *server, bool wanted)
@@ -120,14 +121,14 @@
 
 static void on_crash_seen(void *ctx, const crash_report_t *c)
 {
-	(void)ctx;
-	(void)c;
+	const host_t *h = ctx;
+
+	poison_seen(h->w, h, c);
 }
 
 static void on_part_answered(void *ctx, prompt_part_t part)
 {
-	(void)ctx;
-	(void)part;
+	poison_answered(((host_t *)ctx)->w, part);
 }
 
 static const edge_ops_t edge_ops = {
@@ -192,6 +193,10 @@
 	world_t *w = ctx;
 	item_t *i = w->items->pdata[j->number];
 
+	if (i->poison) {
+		w->seats[i->engine].crashes = true;
+		return;
+	}
 	i->first_at = w->now;
 	if (!at_once(w) && !i->over)
 		edge_first_event(w->hosts[i->host].edge, &i->r, w->now);
@@ -203,7 +208,7 @@
 	item_t *i = w->items->pdata[j->number];
 
 	(void)data;
-	if (!at_once(w) && !i->over && j->made > 1)
+	if (!at_once(w) && !i->over && !i->poison && j->made > 1)
 		edge_event(w->hosts[i->host].edge, &i->r, w->now);
 }
 
@@ -212,8 +217,9 @@
 	world_t *w = ctx;
 	item_t *i = w->items->pdata[j->number];
 
-	if (i->over)
+	if (i->over || i->poison)
 		return;
+	i->at_engine = false;
 	i->over = true;
 	i->whole = true;
 	if (at_once(w))
@@ -233,7 +239,15 @@
 
 	if (i->over)
 		return;
+	if (w->seats[engine].up_at) {
+		if (edge_attempt_ended(w->hosts[i->host].edge, &i->r,
+				       ATTEMPT_NOT_SENT, false,
+				       w->now) == NEXT_ANSWER)
+			i->over = true;
+		return;
+	}
 	i->engine = engine;
+	i->at_engine = true;
 	g_snprintf(body, sizeof(body), "%u %.0f %.0f 0 0", i->number,
 		   i->r.prompt, MAX(i->output, 1));
 	engine_add(w->seats[engine].engine, i->r.rid, body, w->now);
@@ -281,6 +295,7 @@
 		if (i->over || w->now < i->r.deadline)
 			continue;
 		i->over = true;
+		i->at_engine = false;
 		engine_cancel(w->seats[i->engine].engine, i->r.rid);
 		if (!at_once(w))
 			edge_abandon(w->hosts[i->host].edge, &i->r, w->now);
@@ -301,24 +316,24 @@
 	expire(w);
 }
 
-static void list_engines(world_t *w, edge_t *e)
+/* Lists an engine's newest life at a host. */
+void world_list_engine(world_t *w, edge_t *e, unsigned int number)
 {
-	for (unsigned int i = 0; i < w->play.engines; i++) {
-		char id[16];
-		backend_info_t info = { .id = id,
-					.service = service,
-					.version = "v1",
-					.data_center = "a",
-					.slots = load_engine(i)->batch };
-
-		g_snprintf(id, sizeof(id), "%u", i);
-		g_snprintf(info.addr.ip, sizeof(info.addr.ip), "10.0.%u.%u",
-			   i / 256, i % 256);
-		info.addr.port = 80;
-		edge_server_put(e, &info, 0);
-		if (w->play.way == WAY_KEEPERS)
-			edge_keeper_state(e, info.addr.ip, i + 1);
-	}
+	char id[16];
+	backend_info_t info = { .id = id,
+				.service = service,
+				.version = "v1",
+				.data_center = "a",
+				.started_unix = w->seats[number].started,
+				.slots = load_engine(number)->batch };
+
+	g_snprintf(id, sizeof(id), "%u", number);
+	g_snprintf(info.addr.ip, sizeof(info.addr.ip), "10.0.%u.%u",
+		   number / 256, number % 256);
+	info.addr.port = 80;
+	edge_server_put(e, &info, w->now);
+	if (w->play.way == WAY_KEEPERS)
+		edge_keeper_state(e, info.addr.ip, number + 1);
 }
 
 static void open_world(world_t *w)
@@ -339,8 +354,11 @@
 
 		g_snprintf(w->hosts[i].name, sizeof(w->hosts[i].name), "h%u",
 			   i);
-		w->hosts[i].edge = edge_new(&conf, &edge_ops, w, w->counters);
-		list_engines(w, w->hosts[i].edge);
+		w->hosts[i].w = w;
+		w->hosts[i].edge =
+			edge_new(&conf, &edge_ops, &w->hosts[i], w->counters);
+		for (unsigned int k = 0; k < w->play.engines; k++)
+			world_list_engine(w, w->hosts[i].edge, k);
 		for (unsigned int k = 0; k < w->play.hosts; k++) {
 			char name[16];
 
@@ -359,6 +377,7 @@
 		keeper_free(w->seats[i].keeper);
 		engine_free(w->seats[i].engine);
 	}
+	poison_close(w);
 	g_queue_clear_full(&w->notes, g_free);
 	g_ptr_array_unref(w->items);
 	counters_free(w->counters);
@@ -367,14 +386,19 @@
 	g_free(w->seats);
 }
 
-static result_t count(const world_t *w)
+static result_t count(world_t *w)
 {
-	result_t res = { 0 };
+	result_t res;
+
+	poison_count(w);
+	res = w->result;
 
 	for (guint k = 0; k < w->items->len; k++) {
 		const item_t *i = w->items->pdata[k];
 		got_t *g = &res.kinds[i->kind];
 
+		if (i->poison)
+			continue;
 		g->asked++;
 		g->whole += i->whole;
 		g->in_time += i->whole && i->first_at <= i->r.first_event_by;
@@ -412,15 +436,18 @@
 	w.rand = g_rand_new_with_seed(play->seed);
 	w.items = g_ptr_array_new_with_free_func(g_free);
 	w.counters = counters_new();
+	poison_open(&w);
 	open_world(&w);
 	for (w.now = 1; w.now < play->span + TAIL_MS; w.now++) {
 		load_come(&w, per_s);
+		poison_come(&w);
 		deliver(&w);
 		for (unsigned int i = 0; i < play->engines; i++) {
 			while (engine_next(w.seats[i].engine) >= 0 &&
 			       engine_next(w.seats[i].engine) <= w.now)
 				engine_step(w.seats[i].engine);
 		}
+		poison_step(&w);
 		if (w.now % TICK_MS == 0)
 			tick(&w);
 	}
