--- a/lib/edge/edge.c
+++ b/lib/edge/edge.c
@@ -535,7 +535,7 @@
 	keepers_tick(e, now);
 }
 
-/* Appends one line per server, for operators. */
+/* Appends one line per server and part in quarantine, for operators. */
 void edge_print(const edge_t *e, GString *out, ms_t now)
 {
 	GHashTableIter it;
@@ -555,4 +555,5 @@
 			estimate_first_event(b->pool, b, 1000), b->gap_ms,
 			b->chosen, (unsigned long long)b->keeper);
 	}
+	quarantine_print(e, out, now);
 }
--- a/lib/edge/priv.h
+++ b/lib/edge/priv.h
@@ -239,6 +239,7 @@
 bool quarantine_refuse(edge_t *e, request_t *r, ms_t now);
 void quarantine_answered(edge_t *e, const request_t *r, ms_t now);
 void quarantine_tick(edge_t *e, ms_t now);
+void quarantine_print(const edge_t *e, GString *out, ms_t now);
 
 /* budget.c */
 void budget_earn(pool_t *p, ms_t now);
--- a/lib/edge/quarantine.c
+++ b/lib/edge/quarantine.c
@@ -789,3 +789,23 @@
 	refuse_waiting(e, e->asking_by_rid, now, quota_forget);
 	refuse_waiting(e, e->waiting, now, queue_remove);
 }
+
+/* Appends one line per part that was in quarantine at the last tick. */
+void quarantine_print(const edge_t *e, GString *out, ms_t now)
+{
+	GHashTableIter it;
+	gpointer v;
+
+	g_hash_table_iter_init(&it, e->quarantine->parts);
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		const suspected_t *s = v;
+
+		if (s->active)
+			g_string_append_printf(
+				out,
+				"quarantined=%" PRIx64
+				" crashes=%u beside=%u left_ms=%lld\n",
+				s->part, s->crashes, s->group->len - 1,
+				(long long)(s->until - now));
+	}
+}
--- a/test/suspects.c
+++ b/test/suspects.c
@@ -491,6 +491,26 @@
 }
 END_TEST
 
+START_TEST(the_status_names_parts_in_quarantine)
+{
+	GString *out = g_string_new(NULL);
+	edge_ops_t lab_ops;
+	lab_t l;
+
+	lab_open(&l, &lab_ops);
+	run_words(&l, THREE " d1h:q +1", take_record);
+	edge_print(l.w.edge, out, l.now);
+	ck_assert_str_eq(out->str,
+			 "quarantined=70 crashes=3 beside=0 left_ms=599000\n");
+	run_words(&l, "=p +1", take_record);
+	g_string_truncate(out, 0);
+	edge_print(l.w.edge, out, l.now);
+	ck_assert_str_eq(out->str, "");
+	g_string_free(out, TRUE);
+	lab_close(&l);
+}
+END_TEST
+
 /* More reports and answers than are kept: the newest decide, all is counted. */
 START_TEST(tables_are_bounded)
 {
@@ -703,6 +723,7 @@
 	tcase_add_loop_test(t, a_waiting_request_is_refused, 0, WAITS);
 	tcase_add_test(t, a_refused_request_costs_no_quota);
 	tcase_add_test(t, a_stream_is_not_resumed_with_a_held_part);
+	tcase_add_test(t, the_status_names_parts_in_quarantine);
 	tcase_add_test(t, tables_are_bounded);
 	tcase_add_loop_test(t, records_are_deleted_by_the_first_host, 0,
 			    G_N_ELEMENTS(expired_cases));
