--- a/lib/edge/edge.c
+++ b/lib/edge/edge.c
@@ -427,6 +427,7 @@
 {
 	pool_t *p = r->pool;
 	backend_t *b = r->server;
+	bool held;
 	bool retry;
 
 	crash_attempt_ended(e, r, how, now);
@@ -443,16 +444,16 @@
 	health_attempt_ended(e, b, how, now);
 	shift_count(r, how);
 	release_server(e, r, how == ATTEMPT_NOT_SENT, now);
-	retry = !quarantine_holds(e, r, now) &&
-		should_retry(e, r, how, resumable, now);
+	held = quarantine_holds(e, r, now);
+	retry = !held && should_retry(e, r, how, resumable, now);
 	if (how != ATTEMPT_ANSWERED)
 		edge_log_step(e, r, now, retry ? "retry" : "no_retry",
 			      "runs=%u attempts=%u dispatches=%u left_ms=%lld "
-			      "retries=%.0f requests=%.0f",
+			      "retries=%.0f requests=%.0f quarantined=%d",
 			      r->executions, r->route->attempts, r->dispatches,
 			      (long long)(r->deadline - now),
 			      window_sum(&p->retries, now),
-			      window_sum(&p->arrivals, now));
+			      window_sum(&p->arrivals, now), held);
 	if (retry) {
 		r->side = SHIFT_OLD;
 		enqueue(e, r, now);
