--- a/lib/edge/crash.c
+++ b/lib/edge/crash.c
@@ -116,8 +116,7 @@
 	return NULL;
 }
 
-/* Starts to look at a server that lost a request, which is the first suspect.
- */
+/* Starts to look at the server of a lost request, the first suspect. */
 static void add_loss(crashes_t *cs, const request_t *lost, ms_t now)
 {
 	const backend_t *b = lost->server;
--- a/lib/edge/quarantine.c
+++ b/lib/edge/quarantine.c
@@ -17,8 +17,8 @@
 	KEEP_MS = 60 * MS_PER_S,
 	REPORTS_MAX = 512,
 	ANSWERED_MAX = 4096,
-	ANSWER_AGAIN_MS =
-		2000,	   /* an answer that is not read back is told anew */
+	/* An answer that is not read back is told anew */
+	ANSWER_AGAIN_MS = 2000,
 	NAMES_BYTES = 160, /* of servers in a log line */
 };
 
@@ -355,8 +355,7 @@
 	s->until = MAX(s->until, s->newest_seen + s->term);
 }
 
-/* Returns the lives that ended with a part, for the log; the caller frees it.
- */
+/* Returns the reports that name a part as text; the caller frees it. */
 static char *lives_of(const quarantine_t *q, prompt_part_t part)
 {
 	GString *out = g_string_new(NULL);
