--- a/cmd/chestnuthinged/edged_priv.h
+++ b/cmd/chestnuthinged/edged_priv.h
@@ -3,6 +3,7 @@
 #define EDGED_PRIV_H
 
 #include "adapter.h"
+#include "crashd.h"
 #include "peering.h"
 #include "reload.h"
 #include "rolloutd.h"
@@ -29,6 +30,7 @@
 	follow_t *hosts;
 	append_t *append;
 	rolloutd_t *rollouts;
+	crashd_t *crashes;
 	peering_t *peering;
 	GByteArray *server_news; /* records that others have to know */
 	configs_t *configs;
@@ -43,6 +45,7 @@
 } edged_t;
 
 /* topics.c */
+extern const crashd_ops_t topics_crashes_ops;
 void topics_follow(edged_t *d);
 void topics_reconf(edged_t *d);
 void topics_tick(edged_t *d, ms_t now);
--- a/test/fault/soak.sh
+++ b/test/fault/soak.sh
@@ -1,6 +1,7 @@
 #!/bin/bash
 # A short run of the soak for each of a few fixed seeds, and for each seed that
-# ever failed (test/soak/seeds), with so many edges. No promise may be broken.
+# ever failed (test/soak/seeds), with so many edges and callers whose requests
+# end servers. No promise may be broken.
 # Usage: soak.sh [BUILD [LIST [OPTION...]]]; options go to the soak.
 set -u
 bin=${1:-build/rel}
@@ -9,11 +10,12 @@
 t=$(mktemp -d "${TMPDIR:-/tmp}/soak.XXXXXX")
 trap 'rm -rf "$t"' EXIT
 code=0
-while read -r seed seconds edges why; do
+while read -r seed seconds edges poison why; do
 	case $seed in '' | '#'*) continue ;; esac
 	mkdir -p "$t/$seed"
 	if ! "$bin/soak" --seed "$seed" --seconds "$seconds" --edges "$edges" \
-		--dir "$t/$seed" --daemon "$bin/chestnuthinged" "$@" >"$t/$seed/out" 2>&1; then
+		--poison "$poison" --dir "$t/$seed" \
+		--daemon "$bin/chestnuthinged" "$@" >"$t/$seed/out" 2>&1; then
 		cat "$t/$seed/out"
 		echo "FAILED: seed $seed ($why)"
 		code=1
--- a/test/soak/dat.h
+++ b/test/soak/dat.h
@@ -86,6 +86,7 @@
 typedef struct store {
 	listen_t at;
 	GHashTable *topics;
+	ms_t changed_at; /* its state */
 	store_state_t state;
 } store_t;
 
@@ -104,6 +105,9 @@
 	list_t jobs;
 	bool up;
 	bool leaving;
+	ms_t lapse_at;	  /* its entry lapses after a crash; 0 not */
+	ms_t back_at;	  /* it starts again after a crash; 0 not */
+	bool keeps_id;	  /* it starts again with the id that it had */
 	bool mute;	  /* runs, but answers nothing */
 	ms_t pause_until; /* sends nothing before; goes on then */
 	double cut;	  /* share of answers that are reset midway */
@@ -121,6 +125,7 @@
 	char *id;
 	unsigned int next; /* event to send */
 	bool started;
+	bool poison; /* has the part that ends servers */
 	bool counted;
 	ms_t gone_at; /* its connection closed; 0 not */
 } job_t;
@@ -144,6 +149,7 @@
 	ms_t term_at;	    /* when; 0 not */
 	ms_t stopped_until; /* SIGSTOP was sent; 0 not */
 	ms_t start_at;	    /* to be started again; 0 not */
+	ms_t disturbed_at;  /* last start, end, pause or wake */
 	addr_t callers;
 	addr_t ready;
 	unsigned int starts;
@@ -161,6 +167,7 @@
 	GString *body;
 	GString *stamp;
 	bool limited; /* of the customer with a limit */
+	bool poison;  /* sends the part that ends servers */
 	bool quits;   /* leaves before the answer */
 	bool waiting;
 	ms_t sent_at;
@@ -175,11 +182,21 @@
 	unsigned int running;
 	ms_t worked_until; /* when the last run ended */
 	bool limited;	   /* of the customer with a limit */
+	proc_t *to;	   /* the edge that it was sent to */
 	ms_t sent_at;
 	bool said_not_run;
 	bool answered;
 } fate_t;
 
+/* What a part that ends servers has done. */
+typedef struct poison {
+	GRand *rand;
+	unsigned int callers; /* that send it */
+	unsigned int crashes; /* of servers */
+	ms_t known_at;	      /* it must be known from here on; 0 not yet */
+	unsigned int reached; /* requests with it that reached servers since */
+} poison_t;
+
 /* The operator's move of the plain servers to another version. */
 typedef struct move_s {
 	unsigned int orders;
@@ -206,6 +223,7 @@
 	caller_s_t callers[CALLERS_MAX];
 	unsigned int ncallers;
 	move_s_t move;
+	poison_t poison;
 	uint64_t version;     /* of the configuration */
 	GHashTable *fates;    /* fate_t by request id */
 	GArray *limited_sent; /* ms_t, when the limited customer's requests that
--- a/test/soak/proc.c
+++ b/test/soak/proc.c
@@ -92,6 +92,7 @@
 	if (uv_spawn(&s->loop, &p->handle, &o))
 		g_error("cannot start %s", s->daemon);
 	p->running = true;
+	p->disturbed_at = clock_now();
 	p->starts++;
 	fclose(f);
 	g_free(log);
@@ -162,6 +163,8 @@
 	if (number == SIGTERM && !p->stopping)
 		p->term_at = clock_now();
 	p->stopping = p->stopping || number == SIGTERM;
+	if (number != SIGHUP)
+		p->disturbed_at = clock_now();
 	uv_process_kill(&p->handle, number);
 }
 
@@ -173,6 +176,7 @@
 
 		if (p->running && p->stopped_until && now >= p->stopped_until) {
 			p->stopped_until = 0;
+			p->disturbed_at = now;
 			uv_process_kill(&p->handle, SIGCONT);
 		}
 		if (!p->running && !s->ended && p->start_at &&
