--- a/cmd/chestnuthinged/main.c
+++ b/cmd/chestnuthinged/main.c
@@ -1,4 +1,5 @@
 /* Command line of the daemon. */
+#include <signal.h>
 #include <stdlib.h>
 #include <unistd.h>
 #include "edged.h"
@@ -80,8 +81,11 @@
 static int run_edge(const options_t *o)
 {
 	GError *err = NULL;
-	edge_settings_t *set = edge_settings_load(o->conf, &err);
+	edge_settings_t *set;
 
+	/* Its default ends the process; settings that are read now are new. */
+	signal(SIGHUP, SIG_IGN);
+	set = edge_settings_load(o->conf, &err);
 	if (!set)
 		return fail(err);
 	if (o->check) {
--- a/test/fault/settings.sh
+++ b/test/fault/settings.sh
@@ -44,7 +44,22 @@
 	mv "$t/new" "$t/edge.ini"
 }
 
+# SIGHUP while the settings are read for the first time: the pipe's other end
+# opens once the process has come so far.
 settings info 1000 dc-1
+mkfifo "$t/first.ini"
+"$bin/chestnuthinged" --edge -c "$t/first.ini" >"$t/log" 2>&1 &
+pid=$!
+exec 3>"$t/first.ini"
+kill -HUP $pid
+rm "$t/first.ini"
+cp "$t/edge.ini" "$t/first.ini"
+cat "$t/edge.ini" >&3
+exec 3>&-
+wait_for event=start
+kill -9 $pid
+wait $pid 2>/dev/null
+
 "$bin/chestnuthinged" --edge -c "$t/edge.ini" >"$t/log" 2>&1 &
 pid=$!
 wait_for event=start
