Callers: a request whose caller has left while its server connects is not sent

Cause, as far as seen: the caller was looked at when the connection was begun, not when it stood; if its end lies unread then, the request goes out first.

The caller is looked at once more before a request that waited for its connection is sent.

test/ticker test_not_sent_once_caller_left_while_connecting: the server got 86 bytes before, three times of three; nothing after, three of three. hconn, stop and idle pass, three times each.

--- a/lib/forward/fns.h
+++ b/lib/forward/fns.h
@@ -34,6 +34,7 @@
 ms_t hconn_connect_start(const hconn_t *c);
 bool hconn_reusable(const hconn_t *c);
 bool hconn_sent_any(const hconn_t *c);
+void hconn_set_may_send(hconn_t *c, bool (*may_send)(void *ctx));
 bool hconn_unread(const hconn_t *c);
 void hconn_pause(hconn_t *c, bool pause);
 void hconn_close(hconn_t *c);
--- a/lib/forward/hconn.c
+++ b/lib/forward/hconn.c
@@ -22,7 +22,8 @@
 	http_reader_t in;
 	const hconn_ops_t *ops;
 	void *ctx;
-	ms_t connect_start; /* when connecting began */
+	bool (*may_send)(void *ctx); /* asked once connected; NULL: always */
+	ms_t connect_start;	     /* when connecting began */
 	bool connected;
 	bool closed;
 	bool busy;	  /* a request was sent, its answer is not complete */
@@ -144,6 +145,8 @@
 	}
 	c->connected = true;
 	uv_read_start((uv_stream_t *)&c->tcp, on_alloc, on_read);
+	if (c->may_send && !c->may_send(c->ctx))
+		return;
 	if (c->unsent && c->unsent->len > 0) {
 		writer_put(&c->out, c->unsent->data, c->unsent->len);
 		g_byte_array_set_size(c->unsent, 0);
@@ -199,6 +202,15 @@
 	c->ctx = ctx;
 }
 
+/*
+ * Sets what is asked before a request that waits for the connection is sent. If
+ * it returns false, the request is not sent and the caller has to close.
+ */
+void hconn_set_may_send(hconn_t *c, bool (*may_send)(void *ctx))
+{
+	c->may_send = may_send;
+}
+
 /* Returns the context that the callbacks get. */
 void *hconn_ctx(const hconn_t *c)
 {
--- a/lib/forward/server_conn.c
+++ b/lib/forward/server_conn.c
@@ -144,6 +144,14 @@
 	return NULL;
 }
 
+/* The caller may have left while the connection was being made. */
+static bool may_send(void *ctx)
+{
+	server_conn_t *c = ctx;
+
+	return !c->x || !caller_left(c->x->caller);
+}
+
 static server_conn_t *open_conn(forward_t *f, backend_t *b)
 {
 	server_conn_t *c = g_new0(server_conn_t, 1);
@@ -154,8 +162,10 @@
 	c->idle_timeout = IDLE_MAX_MS;
 	c->conn = hconn_open(f->loop, &b->addr, &ops, c);
 	f->connects->value++;
-	if (c->conn)
+	if (c->conn) {
+		hconn_set_may_send(c->conn, may_send);
 		return c;
+	}
 	g_free(c);
 	return NULL;
 }
--- a/test/ticker.c
+++ b/test/ticker.c
@@ -23,7 +23,8 @@
 	uv_loop_t loop;
 	ticker_t ticker;
 	forward_t *f;
-	addr_t at;  /* of the host */
+	addr_t at; /* of the host */
+	addr_t server_at;
 	int server; /* listens */
 	int caller;
 	char got[TEXT_MAX];
@@ -147,6 +148,7 @@
 	ck_assert_int_eq(forward_listen(h->f), CODE_OK);
 	configure(h, retry, timeout);
 	h->server = listen_any(&info.addr);
+	h->server_at = info.addr;
 	edge_server_put(h->w.edge, &info, clock_now());
 	ticker_start(&h->ticker, &h->loop, TICK_MS, h->w.counters, "edge",
 		     on_tick, h);
@@ -156,7 +158,8 @@
 
 static void host_close(host_t *h)
 {
-	close(h->caller);
+	if (h->caller >= 0)
+		close(h->caller);
 	close(h->server);
 	ticker_stop(&h->ticker);
 	forward_close(h->f);
@@ -311,6 +314,49 @@
 }
 END_TEST
 
+/* Accepts without running the loop: it is busy meanwhile. */
+static int accept_busy(const host_t *h)
+{
+	ms_t until = clock_now() + WAIT_MS;
+	int fd = -1;
+
+	while (fd < 0 && clock_now() < until) {
+		g_usleep(500);
+		fd = accept4(h->server, NULL, NULL, SOCK_NONBLOCK);
+	}
+	ck_assert_int_ge(fd, 0);
+	return fd;
+}
+
+/* A caller's end lies unread when the connection to its server stands. */
+START_TEST(test_not_sent_once_caller_left_while_connecting)
+{
+	host_t h;
+	int ahead[2]; /* fill the server's backlog */
+	int taken[2];
+	int fd;
+
+	host_open(&h, RETRY_NEVER, WAIT_MS);
+	for (int i = 0; i < 2; i++)
+		ahead[i] = connect_to(&h.server_at);
+	say(h.caller, "GET / HTTP/1.1\r\nHost: x\r\nX-Request-Id: q\r\n\r\n");
+	run_for(&h, 2L * TICK_MS);
+	for (int i = 0; i < 2; i++)
+		taken[i] = accept_busy(&h);
+	fd = accept_busy(&h);
+	close(h.caller);
+	h.caller = -1;
+	run_for(&h, 2L * TICK_MS);
+	ck_assert_int_le(read(fd, h.got, sizeof(h.got)), 0);
+	close(fd);
+	for (int i = 0; i < 2; i++) {
+		close(ahead[i]);
+		close(taken[i]);
+	}
+	host_close(&h);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("ticker");
@@ -323,6 +369,7 @@
 	tcase_add_test(t, test_request_unread_at_header_timeout);
 	tcase_add_test(t, test_answer_unread_at_deadline);
 	tcase_add_test(t, test_answer_unread_is_not_silence);
+	tcase_add_test(t, test_not_sent_once_caller_left_while_connecting);
 	tcase_add_loop_test(t, test_not_sent_on_once_caller_left, 0,
 			    G_N_ELEMENTS(end_cases));
 	srunner_run_all(r, CK_NORMAL);
