--- a/lib/edge/quarantine.c
+++ b/lib/edge/quarantine.c
@@ -10,6 +10,9 @@
 enum {
 	/* Lives of servers that ended with a part */
 	CRASHES_MIN = 3,
+	/* One in so many lives that ended meanwhile: servers that end together
+	   leave many lives that have little in common */
+	CRASHES_SHARE = 3,
 	QUARANTINE_MS = 10 * 60 * MS_PER_S,
 	QUARANTINE_MAX_MS = 4 * QUARANTINE_MS,
 	PENDING_MS = 30 * MS_PER_S, /* more crashes are likely for this long */
@@ -209,17 +212,14 @@
 	}
 }
 
-/* Returns the most lives that a part has which no group explains. */
-static unsigned int most_unexplained(const quarantine_t *q)
+/* Whether a part of a report still counts. */
+static bool is_live(const quarantine_t *q, const report_t *r)
 {
-	unsigned int most = 0;
-	GHashTableIter it;
-	gpointer v;
-
-	g_hash_table_iter_init(&it, q->parts);
-	while (g_hash_table_iter_next(&it, NULL, &v))
-		most = MAX(most, ((suspected_t *)v)->unexplained);
-	return most;
+	for (size_t i = 0; i < r->nparts; i++) {
+		if (counts(q, r, r->parts[i]))
+			return true;
+	}
+	return false;
 }
 
 static bool names(const quarantine_t *q, const report_t *r, prompt_part_t part)
@@ -247,6 +247,73 @@
 	return lives;
 }
 
+/* The first and the last report of the unexplained lives that name a part. */
+static void span_of(const quarantine_t *q, const GPtrArray *all,
+		    GHashTable *explained, prompt_part_t part, uint64_t *from,
+		    uint64_t *to)
+{
+	*from = G_MAXUINT64;
+	*to = 0;
+	for (guint i = 0; i < all->len; i++) {
+		const report_t *r = all->pdata[i];
+
+		if (!names(q, r, part) ||
+		    g_hash_table_contains(explained, r->life))
+			continue;
+		*from = MIN(*from, r->number);
+		*to = MAX(*to, r->number);
+	}
+}
+
+/*
+ * Whether a part has enough of the unexplained lives that were reported from
+ * the first to the last of its own.
+ */
+static bool has_share(const quarantine_t *q, const GPtrArray *all,
+		      GHashTable *explained, const suspected_t *s)
+{
+	GHashTable *lives = g_hash_table_new(g_str_hash, g_str_equal);
+	unsigned int n;
+	uint64_t from;
+	uint64_t to;
+
+	span_of(q, all, explained, s->part, &from, &to);
+	for (guint i = 0; i < all->len; i++) {
+		const report_t *r = all->pdata[i];
+
+		if (r->number >= from && r->number <= to &&
+		    !g_hash_table_contains(explained, r->life))
+			g_hash_table_add(lives, r->life);
+	}
+	n = g_hash_table_size(lives);
+	g_hash_table_destroy(lives);
+	return s->unexplained * CRASHES_SHARE >= n;
+}
+
+/*
+ * Returns the most lives that a part has which no group explains, of the parts
+ * that have enough of them; the others are passed over.
+ */
+static unsigned int most_unexplained(const quarantine_t *q,
+				     const GPtrArray *all,
+				     GHashTable *explained)
+{
+	unsigned int most = 0;
+	GHashTableIter it;
+	gpointer v;
+
+	g_hash_table_iter_init(&it, q->parts);
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		suspected_t *s = v;
+
+		if (s->unexplained < CRASHES_MIN ||
+		    !has_share(q, all, explained, s))
+			s->unexplained = 0;
+		most = MAX(most, s->unexplained);
+	}
+	return most;
+}
+
 static bool same_lives(GHashTable *a, GHashTable *b)
 {
 	GHashTableIter it;
@@ -336,7 +403,7 @@
 
 	drop_groups(q);
 	tally(q, all, explained);
-	while ((most = most_unexplained(q)) >= CRASHES_MIN) {
+	while ((most = most_unexplained(q, all, explained)) > 0) {
 		make_group(q, all, explained, first_with(q, most));
 		tally(q, all, explained);
 	}
@@ -578,16 +645,6 @@
 	bound_answered(q);
 }
 
-/* Whether a part of a report still counts. */
-static bool is_live(const quarantine_t *q, const report_t *r)
-{
-	for (size_t i = 0; i < r->nparts; i++) {
-		if (counts(q, r, r->parts[i]))
-			return true;
-	}
-	return false;
-}
-
 /* Whether reports of crashes are to be expected soon. */
 bool edge_crashes_pending(const edge_t *e, ms_t now)
 {
