--- a/lib/forward/caller.c
+++ b/lib/forward/caller.c
@@ -14,6 +14,9 @@
 	DEFAULT_IDLE_MS = 15000,
 };
 
+/* Of the idle timeout, that a caller may leave the connection idle. */
+static const double idle_share = 0.8;
+
 static char read_buffer[READ_SIZE];
 
 static void on_closed(uv_handle_t *h)
@@ -74,6 +77,10 @@
 	if (c->shutdown_sent || c->closed)
 		return;
 	c->shutdown_sent = true;
+	if (writer_queued(&c->out) == 0) {
+		tcp_end(&c->tcp);
+		return;
+	}
 	req = g_new0(uv_shutdown_t, 1);
 	if (uv_shutdown(req, (uv_stream_t *)&c->tcp, on_shutdown))
 		g_free(req);
@@ -106,6 +113,28 @@
 		caller_wake(c);
 }
 
+static const edge_limits_t *limits(const caller_t *c)
+{
+	static const edge_limits_t defaults = { DEFAULT_HEADER_MAX,
+						DEFAULT_BODY_MAX,
+						DEFAULT_HEADER_MS,
+						DEFAULT_IDLE_MS };
+	desired_t *d = edge_desired(c->forward->edge);
+
+	return d ? &d->limits : &defaults;
+}
+
+/*
+ * Returns how long the caller may leave the connection idle after the answer
+ * that is being made, for it to be told. The connection is kept for longer, by
+ * what the answer and the next request may take on their way.
+ */
+ms_t caller_keep_for(caller_t *c)
+{
+	c->idle_timeout = limits(c)->idle_timeout;
+	return (ms_t)((double)c->idle_timeout * idle_share);
+}
+
 /*
  * Answers without a server. The request in progress must be over; its exchange
  * is freed by the code that calls this.
@@ -119,24 +148,14 @@
 		!c->answering || c->forward->draining || (x && x->close_after);
 	str_t id = x && x->id ? str_of(x->id) : (str_t){ "", 0 };
 
-	c->forward->codec->write_local_reply(status, retry_after, id, text,
-					     close, out);
+	c->forward->codec->write_local_reply(
+		status, retry_after, id, text,
+		close ? 0 : MAX(caller_keep_for(c), 1), out);
 	caller_write(c, out);
 	g_byte_array_free(out, TRUE);
 	caller_done(c, !close);
 }
 
-static const edge_limits_t *limits(const caller_t *c)
-{
-	static const edge_limits_t defaults = { DEFAULT_HEADER_MAX,
-						DEFAULT_BODY_MAX,
-						DEFAULT_HEADER_MS,
-						DEFAULT_IDLE_MS };
-	desired_t *d = edge_desired(c->forward->edge);
-
-	return d ? &d->limits : &defaults;
-}
-
 /* Rejects a request that is malformed, too large or too slow to arrive. */
 static void reject_request(caller_t *c, int status, const char *text)
 {
@@ -164,6 +183,7 @@
 		return false;
 	}
 	c->x = exchange_new(c, h);
+	c->nrequests++;
 	if (expect.n > 0 && http_name_is(expect, "100-continue"))
 		writer_put(&c->out, "HTTP/1.1 100 Continue\r\n\r\n", 25);
 	return false;
@@ -249,9 +269,11 @@
 		return;
 	if (c->closing) {
 		c->forward->unread_at_close->value++;
-		log_line(LOG_INFO, "read_after_close",
-			 "bytes=%zd closed_for_ms=%lld", n,
-			 (long long)(clock_now() - c->since));
+		log_line(
+			LOG_INFO, "read_after_close",
+			"bytes=%zd closed_for_ms=%lld idle_ms=%lld requests=%u",
+			n, (long long)(clock_now() - c->since),
+			(long long)c->idle_for, c->nrequests);
 		return;
 	}
 	if (!c->answering && c->pending->len == 0) {
@@ -337,6 +359,8 @@
 void caller_tick(caller_t *c, ms_t now)
 {
 	const edge_limits_t *lim = limits(c);
+	ms_t idle_timeout =
+		c->idle_timeout ? c->idle_timeout : lim->idle_timeout;
 	ms_t age = now - c->since;
 	bool reading = c->x || !http_reader_idle(&c->in);
 
@@ -349,7 +373,9 @@
 		return;
 	if (reading && age > lim->header_timeout)
 		reject_request(c, 408, "request not complete in time");
-	else if (!reading && age > lim->idle_timeout &&
-		 tcp_unread(&c->tcp) != TCP_UNREAD_BYTES)
+	else if (!reading && age > idle_timeout &&
+		 tcp_unread(&c->tcp) != TCP_UNREAD_BYTES) {
+		c->idle_for = age;
 		begin_close(c, now);
+	}
 }
