Callers: a stopping host closes no connection before an answer has said so

Callers saw: on a kept connection to a host that was stopping, the request after a stream got no answer; the host had read it.

Cause: a stream, or an answer whose head was read before the signal, bears no "Connection: close", but its connection was shut down after it. A caller that goes on at once sends its next request across that end; the host read it (read_after_close), dropped it and closed a second later. Ruled out: the idle timeout (15 s, the connections were in use).

Change: the head that is sent decides. A connection whose last answer did not say so stays open, as idle ones do, and its next answer ends it.

--- a/lib/forward/exchange.c
+++ b/lib/forward/exchange.c
@@ -295,7 +295,8 @@
 			continue;
 		http_put_field(out, f->name, f->value);
 	}
-	if (x->forward->draining || x->close_after)
+	x->says_close = x->forward->draining || x->close_after;
+	if (x->says_close)
 		http_put(out, "Connection: close\r\n");
 	else
 		http_put_keep_alive(out, caller_keep_for(x->caller));
@@ -464,7 +465,7 @@
 
 static void finish(exchange_t *x)
 {
-	bool keep = !x->close_after && !x->forward->draining;
+	bool keep = !x->says_close;
 
 	send_answer(x);
 	log_request_end(x, "answered", x->status, clock_now());
--- a/lib/forward/forward.c
+++ b/lib/forward/forward.c
@@ -110,10 +110,10 @@
 }
 
 /*
- * Begins the shutdown: each connection is closed after its next answer. Idle
- * connections and the listener stay open until forward_close, since a request
- * may be on its way: after drain_accept_time such a request is refused as not
- * run.
+ * Begins the shutdown: each connection is closed after the next answer whose
+ * head says so. Idle connections and the listener stay open until
+ * forward_close, since a request may be on its way: after drain_accept_time
+ * such a request is refused as not run.
  */
 void forward_drain(forward_t *f, ms_t now)
 {
--- a/lib/forward/priv.h
+++ b/lib/forward/priv.h
@@ -74,6 +74,7 @@
 	bool wrong_server; /* it comes from another server */
 	bool bad_answer;   /* not signed, too long, or not a stream of events */
 	bool streaming;
+	bool says_close;   /* the answer's head ends the connection */
 	bool answer_begun; /* bytes of an answer went to the caller */
 	bool has_last_event;
 	uint64_t last_event_id; /* of the last event passed to the caller */
--- a/test/soak/caller.c
+++ b/test/soak/caller.c
@@ -108,7 +108,8 @@
 /*
  * A connection ended without a whole answer. Around a planned stop that is
  * allowed only if the request was neither passed on nor read, or if it was sent
- * early and a server is still at work on it late in the grace.
+ * early and a server is still at work on it late in the grace. A stopping
+ * daemon does not close a connection before it has announced that in an answer.
  */
 static void check_lost(caller_s_t *c, ms_t now)
 {
@@ -121,6 +122,11 @@
 	    now > term + c->s->grace + AFTER_GRACE_MS ||
 	    now >= c->sent_at + c->s->timeout)
 		return;
+	if (f->runs == 0 && c->on_conn > 1 && c->sent_at > term && now < late)
+		violation(c->s, "unannounced",
+			  "%s sent to %s %lld ms after SIGTERM on a connection "
+			  "that was to be kept",
+			  c->id, c->to->name, (long long)(c->sent_at - term));
 	if (f->runs == 0 && now - c->sent_at <= LOST_SLACK_MS)
 		return;
 	if (worked >= late && c->sent_at <= term + LATE_SENT_MS)
