Stop: requests that wait are answered when the grace ends, and not sent any more

Callers saw: a request that waited for a slot when the host's grace ended got no answer. A server could get it in that very moment and run it for nobody.

Cause: forward_close ended the requests caller by caller, without an answer. Each slot that became free went to the next request that waited. Ruled out for requests that the host takes late: they are refused from 2.7 s on.

Change: those that wait are ended first, then those at a server; all that were read whole and whose answer has not begun get one: 503 if no byte of them was sent, else 502.

--- a/lib/forward/exchange.c
+++ b/lib/forward/exchange.c
@@ -526,15 +526,50 @@
 		fail(x, how, now);
 }
 
-/* Ends a request whose deadline has passed. */
-static void expire(exchange_t *x, ms_t now)
+/* Whether no byte of the request went to a server, in any attempt. */
+static bool is_unsent(const exchange_t *x)
 {
-	bool unsent = x->conn && hconn_connecting(x->conn->conn) &&
-		      x->req.executions == 0;
+	return x->req.executions == 0 &&
+	       (!x->conn || hconn_connecting(x->conn->conn));
+}
 
+static void leave_edge(exchange_t *x, ms_t now)
+{
 	if (x->conn)
 		server_conn_close(x->conn);
-	edge_abandon(x->forward->edge, &x->req, now);
+	if (x->req.pool)
+		edge_abandon(x->forward->edge, &x->req, now);
+}
+
+/* Whether the request is at a server. */
+bool exchange_running(const exchange_t *x)
+{
+	return x->req.state == REQUEST_RUNNING;
+}
+
+/*
+ * Ends an exchange whose request was read whole, at the end of the shutdown:
+ * with an answer unless one has begun.
+ */
+void exchange_stop(exchange_t *x, ms_t now)
+{
+	bool unsent = is_unsent(x);
+
+	leave_edge(x, now);
+	if (x->answer_begun)
+		cut(x, "stopping");
+	else if (unsent)
+		local_reply(x, 503, STOPPING_RETRY_MS, "stopping");
+	else
+		local_reply(x, 502, 0, "stopping, the answer not awaited");
+}
+
+/* Ends a request whose deadline has passed. */
+static void expire(exchange_t *x, ms_t now)
+{
+	bool unsent = is_unsent(x);
+
+	leave_edge(x, now);
 	if (x->answer_begun)
 		cut(x, "time is up");
 	else if (unsent)
--- a/lib/forward/forward.c
+++ b/lib/forward/forward.c
@@ -157,13 +157,33 @@
 	}
 }
 
-/* Cancels the requests in progress and closes everything. */
+/* Ends the requests that were read whole and are at a server, or are not. */
+static void stop_exchanges(forward_t *f, bool running, ms_t now)
+{
+	list_t *pos;
+	list_t *tmp;
+
+	list_for_each_safe(pos, tmp, &f->callers)
+	{
+		caller_t *c = list_entry(pos, caller_t, link);
+
+		if (c->x && c->answering && exchange_running(c->x) == running)
+			exchange_stop(c->x, now);
+	}
+}
+
+/*
+ * Ends the requests in progress and closes everything. Those that wait go
+ * first: the slots of others would be given to them.
+ */
 void forward_close(forward_t *f)
 {
 	ms_t now = clock_now();
 	list_t *pos;
 	list_t *tmp;
 
+	stop_exchanges(f, false, now);
+	stop_exchanges(f, true, now);
 	list_for_each_safe(pos, tmp, &f->callers)
 	{
 		caller_t *c = list_entry(pos, caller_t, link);
--- a/test/stop.c
+++ b/test/stop.c
@@ -1,7 +1,8 @@
 /*
  * Requests around the stop and the start of a host. Planned stop: a connection
  * that is idle when requests are no longer accepted stays open, so that a
- * request that was on its way is answered 503, not run. Start: a request that
+ * request that was on its way is answered 503, not run; at the end of the grace
+ * so are requests that wait. Start: a request that
  * comes before the first configuration waits a little for it.
  */
 #include <check.h>
@@ -58,6 +59,7 @@
 	world_t w;
 	uv_loop_t loop;
 	forward_t *f;
+	addr_t callers;
 	hconn_t *conn;
 	got_t got;
 } host_t;
@@ -85,29 +87,48 @@
 	h->f = forward_new(&h->loop, &conf, h->w.edge, &adapter_codec,
 			   h->w.counters);
 	ck_assert_int_eq(forward_listen(h->f), CODE_OK);
+	h->callers = conf.listen_addr;
 	h->conn = hconn_open(&h->loop, &conf.listen_addr, &caller_ops, &h->got);
 	while (hconn_connecting(h->conn) || forward_idle(h->f))
 		uv_run(&h->loop, UV_RUN_ONCE);
 }
 
-static void host_request(host_t *h)
+static void send_request(hconn_t *to)
 {
 	GByteArray *out = g_byte_array_new();
 
 	http_put(out, "GET / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
-	hconn_send(h->conn, out, NULL);
+	hconn_send(to, out, NULL);
 	g_byte_array_free(out, TRUE);
 }
 
-static void host_close(host_t *h)
+static void host_request(host_t *h)
+{
+	send_request(h->conn);
+}
+
+/* Runs the loop until the host has read so many requests. */
+static void host_await(host_t *h, uint64_t requests)
+{
+	while (counter_get(h->w.counters, "edge_requests_total", NULL)->value <
+	       requests)
+		uv_run(&h->loop, UV_RUN_ONCE);
+}
+
+static void host_free(host_t *h)
 {
-	forward_close(h->f);
-	uv_run(&h->loop, UV_RUN_DEFAULT);
 	forward_free(h->f);
 	uv_loop_close(&h->loop);
 	world_clear(&h->w);
 }
 
+static void host_close(host_t *h)
+{
+	forward_close(h->f);
+	uv_run(&h->loop, UV_RUN_DEFAULT);
+	host_free(h);
+}
+
 START_TEST(test_idle_at_stop)
 {
 	host_t h;
@@ -145,9 +166,7 @@
 
 	host_open(&h);
 	host_request(&h);
-	while (counter_get(h.w.counters, "edge_requests_total", NULL)->value ==
-	       0)
-		uv_run(&h.loop, UV_RUN_ONCE);
+	host_await(&h, 1);
 	forward_tick(h.f, now);
 	ck_assert(!h.got.ended);
 	if (c->configured)
@@ -164,6 +183,43 @@
 }
 END_TEST
 
+static const char one_route[] =
+	"{\"version\":1,\"routes\":[{\"name\":\"r\",\"host\":\"x\","
+	"\"path_prefix\":\"/\",\"kind\":\"safe\",\"timeout_ms\":60000,"
+	"\"service\":\"pool\"}],\"services\":[{\"name\":\"pool\"}]}";
+
+/* A waiting request is not sent with the slot of one that is being ended. */
+START_TEST(test_waiting_at_end_of_grace)
+{
+	desired_t *d = NULL;
+	const char *why = NULL;
+	got_t got = { 0 };
+	hconn_t *second;
+	host_t h;
+
+	host_open(&h);
+	ck_assert_int_eq(adapter_parse_config(str_of(one_route), &d, &why),
+			 CODE_OK);
+	edge_configure(h.w.edge, d);
+	put_server(&h.w, "s", "10.0.0.1", 1, false, 1, 0);
+	host_request(&h);
+	host_await(&h, 1);
+	second = hconn_open(&h.loop, &h.callers, &caller_ops, &got);
+	send_request(second);
+	host_await(&h, 2);
+	ck_assert_uint_eq(h.w.sent, 1);
+	forward_drain(h.f, clock_now());
+	forward_close(h.f);
+	uv_run(&h.loop, UV_RUN_DEFAULT);
+	ck_assert_uint_eq(h.w.sent, 1);
+	ck_assert(h.got.ended);
+	ck_assert_int_eq(h.got.status, 503);
+	ck_assert(got.ended);
+	ck_assert_int_eq(got.status, 503);
+	host_free(&h);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("stop");
@@ -174,6 +230,7 @@
 	log_open(2, LOG_ERROR, false);
 	suite_add_tcase(s, t);
 	tcase_add_test(t, test_idle_at_stop);
+	tcase_add_test(t, test_waiting_at_end_of_grace);
 	tcase_add_loop_test(t, test_before_config, 0,
 			    G_N_ELEMENTS(early_cases));
 	srunner_run_all(r, CK_NORMAL);
