--- a/cmd/chestnuthinged/edged.c
+++ b/cmd/chestnuthinged/edged.c
@@ -95,11 +95,27 @@
 	peering_keeper(d->peering, server, wanted);
 }
 
-static const edge_ops_t edge_ops = { on_send,	       on_refuse,
-				     on_note,	       on_slot_request,
-				     on_release,       on_quota_join,
-				     on_quota_leave,   on_quota_take,
-				     on_keeper_wanted, on_forget };
+static void on_crash_seen(void *ctx, const crash_report_t *c)
+{
+	edged_t *d = ctx;
+
+	if (d->crashes)
+		crashd_seen(d->crashes, c);
+}
+
+static void on_part_answered(void *ctx, prompt_part_t part)
+{
+	edged_t *d = ctx;
+
+	if (d->crashes)
+		crashd_part_answered(d->crashes, part);
+}
+
+static const edge_ops_t edge_ops = {
+	on_send,	  on_refuse,	 on_note,	 on_slot_request,
+	on_release,	  on_quota_join, on_quota_leave, on_quota_take,
+	on_keeper_wanted, on_forget,	 on_crash_seen,	 on_part_answered
+};
 
 static void on_rollout_count(void *ctx, uint64_t host, const char *service,
 			     uint64_t order, const char *cell, uint64_t value)
@@ -154,6 +170,8 @@
 		g_string_append(out, "no configuration\n");
 	else if (!d->servers_known)
 		g_string_append(out, "servers not listed\n");
+	else if (!crashd_known(d->crashes, clock_now()))
+		g_string_append(out, "crash reports not listed\n");
 	else
 		return 200;
 	return 503;
@@ -185,7 +203,9 @@
 	pages_close(d->pages);
 	pages_close(d->metrics);
 	append_free(d->append);
+	crashd_free(d->crashes);
 	rolloutd_free(d->rollouts);
+	d->crashes = NULL;
 	d->rollouts = NULL; /* messages of hosts may come until the loop ends */
 	peering_close(d->peering);
 	configs_close(d->configs);
@@ -193,7 +213,7 @@
 
 static void end(edged_t *d)
 {
-	uv_close((uv_handle_t *)&d->tick, NULL);
+	ticker_stop(&d->ticker);
 	uv_close((uv_handle_t *)&d->term, NULL);
 	uv_close((uv_handle_t *)&d->intr, NULL);
 	uv_close((uv_handle_t *)&d->hup, NULL);
@@ -251,16 +271,13 @@
 	rolloutd_set_canary_share(d->rollouts, d->set->canary_share);
 }
 
-static void on_tick(uv_timer_t *t)
+static void on_tick(void *ctx, ms_t now)
 {
-	edged_t *d = t->data;
-	ms_t now = clock_now();
+	edged_t *d = ctx;
 
-	if (d->last_tick)
-		hist_add(d->tick_gap_ms, now - d->last_tick);
-	d->last_tick = now;
 	reload_settings(d, now);
 	topics_tick(d, now);
+	crashd_tick(d->crashes, now);
 	append_tick(d->append, now);
 	peering_tick(d->peering, now);
 	rolloutd_tick(d->rollouts,
@@ -315,6 +332,8 @@
 		append_new(&d->loop, &set->store, &append_ops, d, d->counters);
 	d->rollouts = rolloutd_new(&d->loop, &set->store, d->edge, d->append,
 				   set->canary_share, d->counters);
+	d->crashes = crashd_new(&d->loop, &set->store, set->name, d->edge,
+				d->append, &topics_crashes_ops, d, d->counters);
 	d->peering = peering_new(&d->loop, d->edge, set, d->inc, &peering_ops,
 				 d, d->counters);
 }
@@ -351,7 +370,6 @@
 	pages_free(d->pages);
 	pages_free(d->metrics);
 	uv_loop_close(&d->loop);
-	hist_free(d->tick_gap_ms);
 	counters_free(d->counters);
 	reload_free(d->reload);
 	edge_settings_free(d->set);
@@ -374,7 +392,6 @@
 		counter_get(d->counters, "edge_bad_records_total", NULL);
 	/* Configurations are decoded one at a time. */
 	g_setenv("UV_THREADPOOL_SIZE", "1", FALSE);
-	d->tick_gap_ms = hist_new(d->counters, "edge_tick_gap_ms", NULL);
 	signal(SIGPIPE, SIG_IGN);
 	uv_loop_init(&d->loop);
 	make_edge(d);
@@ -384,9 +401,8 @@
 		return false;
 	}
 	topics_follow(d);
-	uv_timer_init(&d->loop, &d->tick);
-	d->tick.data = d;
-	uv_timer_start(&d->tick, on_tick, 0, TICK_MS);
+	ticker_start(&d->ticker, &d->loop, TICK_MS, d->counters, "edge",
+		     on_tick, d);
 	start_signal(d, &d->term, SIGTERM);
 	start_signal(d, &d->intr, SIGINT);
 	start_signal(d, &d->hup, SIGHUP);
--- a/cmd/chestnuthinged/edged_priv.h
+++ b/cmd/chestnuthinged/edged_priv.h
@@ -3,6 +3,7 @@
 #define EDGED_PRIV_H
 
 #include "adapter.h"
+#include "crashd.h"
 #include "peering.h"
 #include "reload.h"
 #include "rolloutd.h"
@@ -11,7 +12,7 @@
 
 typedef struct edged {
 	uv_loop_t loop;
-	uv_timer_t tick;
+	ticker_t ticker;
 	uv_signal_t term;
 	uv_signal_t intr;
 	uv_signal_t hup;
@@ -29,6 +30,7 @@
 	follow_t *hosts;
 	append_t *append;
 	rolloutd_t *rollouts;
+	crashd_t *crashes;
 	peering_t *peering;
 	GByteArray *server_news; /* records that others have to know */
 	configs_t *configs;
@@ -40,12 +42,10 @@
 	bool stopping;
 	ms_t stop_at;
 	counter_t *bad_records;
-	ms_t last_tick;
-	hist_t *tick_gap_ms; /* between two ticks: the longest turns of the
-				loop */
 } edged_t;
 
 /* topics.c */
+extern const crashd_ops_t topics_crashes_ops;
 void topics_follow(edged_t *d);
 void topics_reconf(edged_t *d);
 void topics_tick(edged_t *d, ms_t now);
--- a/lib/base/dat.h
+++ b/lib/base/dat.h
@@ -59,6 +59,7 @@
 	CODE_NOT_LOADED = 215,
 	CODE_CALLER_GONE = 216,
 	CODE_QUOTA_UNKNOWN = 217,
+	CODE_QUARANTINED = 218,
 
 	/* Requests that may have run: outcome unknown. */
 	CODE_PATH_LOST = 251,
@@ -175,4 +176,11 @@
 	TIER_LOWEST = 3,
 };
 
+/* Decides which ticks of a timer run; see tick_runs. */
+typedef struct tick {
+	ms_t period;
+	ms_t last;    /* when the last one came, run or skipped, or the start */
+	bool skipped; /* the last one was */
+} tick_t;
+
 #endif
--- a/lib/forward/priv.h
+++ b/lib/forward/priv.h
@@ -111,6 +111,7 @@
 	counter_t *stray_answers;
 	counter_t *unread_at_close; /* reads from callers after the shutdown */
 	hist_t *answer_ms;	    /* of whole answers of servers */
+	counter_t *parts_omitted;   /* of prompts, not kept */
 	counter_t *omitted;   /* failed requests whose trace was not logged */
 	int64_t trace_second; /* of the two counts that follow */
 	unsigned int traces;  /* of failed requests, logged or not */
@@ -125,6 +126,7 @@
 void caller_done(caller_t *c, bool keep);
 void caller_cut(caller_t *c);
 void caller_wake(caller_t *c);
+bool caller_left(caller_t *c);
 void caller_close(caller_t *c);
 void caller_tick(caller_t *c, ms_t now);
 ms_t caller_keep_for(caller_t *c);
@@ -146,6 +148,7 @@
 void trace_add(exchange_t *x, ms_t now, const char *step, const char *fmt, ...)
 	G_GNUC_PRINTF(4, 5);
 bool trace_should_log(exchange_t *x, bool failed, ms_t now);
+char *trace_parts(const exchange_t *x);
 void trace_log(const exchange_t *x);
 void trace_clear(exchange_t *x);
 
--- a/lib/net/dat.h
+++ b/lib/net/dat.h
@@ -18,9 +18,10 @@
 
 /* What the next read of a connection finds. */
 typedef enum tcp_unread {
-	TCP_UNREAD_NONE, /* nothing, or an error */
+	TCP_UNREAD_NONE,
 	TCP_UNREAD_BYTES,
-	TCP_UNREAD_END, /* the other end closed it in order */
+	TCP_UNREAD_END,	  /* the other end closed it in order */
+	TCP_UNREAD_ERROR, /* reset, or another error */
 } tcp_unread_t;
 
 typedef struct peers peers_t;
@@ -94,4 +95,14 @@
 	void (*end)(void *ctx, code_t code);
 } httpc_ops_t;
 
+/* A process's periodic work. */
+typedef struct ticker {
+	uv_timer_t timer;
+	tick_t tick;
+	void (*fn)(void *ctx, ms_t now);
+	void *ctx;
+	hist_t *gap_ms; /* between two ticks: the longest turns of the loop */
+	counter_t *skipped;
+} ticker_t;
+
 #endif
--- a/test/soak/proc.c
+++ b/test/soak/proc.c
@@ -11,6 +11,10 @@
 
 static const char key[] = "000102030405060708090a0b0c0d0e0f";
 
+static const char many_retries[] = "retry_ratio = 0.2\nretry_slack = 20\n";
+/* So that they run out. */
+static const char few_retries[] = "retry_ratio = 0.005\n";
+
 static void write_ini(proc_t *p, const char *text)
 {
 	GError *err = NULL;
@@ -26,10 +30,11 @@
 		"[process]\nname = %s\ndata_center = dc-1\n"
 		"[listen]\ncallers = %s:%u\nready = %s:%u\npeers = %s:%u\n"
 		"[fleet]\nkey = %s\n[store]\naddress = %s:%u\n"
-		"[bounds]\ngrace_s = %d\nretry_ratio = 0.2\nretry_slack = 20\n",
+		"[bounds]\ngrace_s = %d\n%s",
 		p->name, p->callers.ip, p->callers.port, p->ready.ip,
 		p->ready.port, peers, s->port, key, s->store.at.addr.ip,
-		s->store.at.addr.port, (int)(s->grace / MS_PER_S));
+		s->store.at.addr.port, (int)(s->grace / MS_PER_S),
+		s->pauses_only ? few_retries : many_retries);
 
 	write_ini(p, text);
 	g_free(text);
@@ -87,6 +92,7 @@
 	if (uv_spawn(&s->loop, &p->handle, &o))
 		g_error("cannot start %s", s->daemon);
 	p->running = true;
+	p->disturbed_at = clock_now();
 	p->starts++;
 	fclose(f);
 	g_free(log);
@@ -157,6 +163,8 @@
 	if (number == SIGTERM && !p->stopping)
 		p->term_at = clock_now();
 	p->stopping = p->stopping || number == SIGTERM;
+	if (number != SIGHUP)
+		p->disturbed_at = clock_now();
 	uv_process_kill(&p->handle, number);
 }
 
@@ -168,6 +176,7 @@
 
 		if (p->running && p->stopped_until && now >= p->stopped_until) {
 			p->stopped_until = 0;
+			p->disturbed_at = now;
 			uv_process_kill(&p->handle, SIGCONT);
 		}
 		if (!p->running && !s->ended && p->start_at &&
