--- a/lib/forward/forward.c
+++ b/lib/forward/forward.c
@@ -112,10 +112,10 @@
 }
 
 /*
- * Begins the shutdown: each connection is closed after its next answer. Idle
- * connections and the listener stay open until forward_close, since a request
- * may be on its way: after drain_accept_time such a request is refused as not
- * run.
+ * Begins the shutdown: each connection is closed after the next answer whose
+ * head says so. Idle connections and the listener stay open until
+ * forward_close, since a request may be on its way: after drain_accept_time
+ * such a request is refused as not run.
  */
 void forward_drain(forward_t *f, ms_t now)
 {
@@ -159,13 +159,33 @@
 	}
 }
 
-/* Cancels the requests in progress and closes everything. */
+/* Ends the requests that were read whole and are at a server, or are not. */
+static void stop_exchanges(forward_t *f, bool running, ms_t now)
+{
+	list_t *pos;
+	list_t *tmp;
+
+	list_for_each_safe(pos, tmp, &f->callers)
+	{
+		caller_t *c = list_entry(pos, caller_t, link);
+
+		if (c->x && c->answering && exchange_running(c->x) == running)
+			exchange_stop(c->x, now);
+	}
+}
+
+/*
+ * Ends the requests in progress and closes everything. Those that wait go
+ * first: the slots of others would be given to them.
+ */
 void forward_close(forward_t *f)
 {
 	ms_t now = clock_now();
 	list_t *pos;
 	list_t *tmp;
 
+	stop_exchanges(f, false, now);
+	stop_exchanges(f, true, now);
 	list_for_each_safe(pos, tmp, &f->callers)
 	{
 		caller_t *c = list_entry(pos, caller_t, link);
--- a/lib/forward/priv.h
+++ b/lib/forward/priv.h
@@ -74,6 +74,7 @@
 	bool wrong_server; /* it comes from another server */
 	bool bad_answer;   /* not signed, too long, or not a stream of events */
 	bool streaming;
+	bool says_close;   /* the answer's head ends the connection */
 	bool answer_begun; /* bytes of an answer went to the caller */
 	bool has_last_event;
 	uint64_t last_event_id; /* of the last event passed to the caller */
@@ -134,6 +135,8 @@
 exchange_t *exchange_new(caller_t *c, const http_head_t *h);
 void exchange_start(exchange_t *x, ms_t now);
 void exchange_abort(exchange_t *x, const char *why, ms_t now);
+bool exchange_running(const exchange_t *x);
+void exchange_stop(exchange_t *x, ms_t now);
 void exchange_tick(exchange_t *x, ms_t now);
 void exchange_attempt_end(exchange_t *x, attempt_result_t how, ms_t now);
 void exchange_refuse(exchange_t *x, code_t code, ms_t retry_after);
