HTTP reader: heads and chunk lines without end are refused

Callers saw nothing of it: a server that sent interim answers (1xx) for ever, or chunk lines and trailers for ever, was read until its request's deadline, at the speed of the socket. Cause: the limit was on one head; interim heads, chunk sizes, extensions and trailers are not passed on, so nobody counted them (the library stops some of them at 80 KB of its own, with another result). The comment that blank lines between messages are skipped was wrong: they are refused (T: http "blank lines").

--- a/lib/http/dat.h
+++ b/lib/http/dat.h
@@ -51,6 +51,10 @@
 	GByteArray *partial; /* the start of a head that is not complete */
 	size_t head_max;     /* bytes */
 	size_t scanned;	     /* bytes of partial that hold no end of the head */
+	size_t heads;	     /* bytes of the present message's heads, interim
+				ones too */
+	size_t data;	     /* bytes of the present body */
+	size_t framing;	     /* bytes of chunk lines and trailers around them */
 	bool in_body;
 	bool stopped;
 	bool too_large; /* the last failure was the head's size */
--- a/lib/http/reader.c
+++ b/lib/http/reader.c
@@ -5,6 +5,11 @@
 #include <string.h>
 #include "http/fns.h"
 
+enum {
+	/* Beyond the limit of a head; a chunk of one byte has 5 around it. */
+	FRAMING_PER_BYTE = 8,
+};
+
 /* The head being parsed; filled and used within one call of feed. */
 static http_head_t parsed_head;
 
@@ -52,6 +57,8 @@
 	if (http_fields_check(&parsed_head, p->type == HTTP_REQUEST) != CODE_OK)
 		return -1;
 	r->in_body = true;
+	r->data = 0;
+	r->framing = 0;
 	if (p->type == HTTP_RESPONSE && p->status_code < 200)
 		return 0;
 	return r->ops->head(r->ctx, &parsed_head) ? 1 : 0;
@@ -61,6 +68,7 @@
 {
 	http_reader_t *r = p->data;
 
+	r->data += n;
 	if (!r->stopped)
 		r->ops->body(r->ctx, (str_t){ at, n });
 	if (r->stopped)
@@ -77,6 +85,7 @@
 	http_parser_pause(p, 1);
 	if (p->type == HTTP_RESPONSE && p->status_code < 200)
 		return 0;
+	r->heads = 0;
 	if (!r->stopped)
 		r->ops->end(r->ctx);
 	return 0;
@@ -151,6 +160,13 @@
 	return end ? (size_t)(end - p) + 4 : 0;
 }
 
+/* Refuses a head over the limit, even before the rest of it has come. */
+static code_t refuse_large(http_reader_t *r)
+{
+	r->too_large = true;
+	return CODE_TOO_LARGE;
+}
+
 static code_t parse_head(http_reader_t *r, const char *p, size_t n)
 {
 	size_t used;
@@ -158,17 +174,13 @@
 
 	if (code != CODE_OK)
 		return code;
+	r->heads += n;
+	if (r->heads > r->head_max)
+		return refuse_large(r);
 	memset(&parsed_head, 0, offsetof(http_head_t, fields));
 	return execute(r, p, n, &used);
 }
 
-/* Refuses a head over the limit, even before the rest of it has come. */
-static code_t refuse_large(http_reader_t *r)
-{
-	r->too_large = true;
-	return CODE_TOO_LARGE;
-}
-
 static code_t feed_head(http_reader_t *r, const char *p, size_t n, size_t *used)
 {
 	size_t had = r->partial->len;
@@ -199,10 +211,23 @@
 	return code;
 }
 
+static code_t feed_body(http_reader_t *r, const char *p, size_t n, size_t *used)
+{
+	size_t had = r->data;
+	code_t code = execute(r, p, n, used);
+
+	r->framing += *used - (r->data - had);
+	if (code == CODE_OK && r->in_body &&
+	    r->framing > r->head_max + FRAMING_PER_BYTE * r->data)
+		return refuse_large(r);
+	return code;
+}
+
 /*
  * Reads bytes up to the end of a message at most; used: how many were read.
- * Blank lines between messages are skipped. Returns CODE_BAD_REQUEST for bytes
- * that are not HTTP, CODE_TOO_LARGE for a head over the limit.
+ * Returns CODE_BAD_REQUEST for bytes that are not HTTP, CODE_TOO_LARGE for a
+ * head over the limit, interim heads counted in, or for more chunk lines and
+ * trailers than the data accounts for.
  */
 code_t http_reader_feed(http_reader_t *r, const char *p, size_t n, size_t *used)
 {
@@ -213,7 +238,7 @@
 	while (code == CODE_OK && *used < n && !r->stopped) {
 		bool body = r->in_body;
 
-		code = body ? execute(r, p + *used, n - *used, &taken)
+		code = body ? feed_body(r, p + *used, n - *used, &taken)
 			    : feed_head(r, p + *used, n - *used, &taken);
 		*used += taken;
 		if (!r->in_body && r->partial->len == 0)
