Streams: the time to split events grows with their bytes only

An edge spent its processor on a stream whose event came in small chunks: each read looked through the whole unfinished event again, twice, and moved it in memory, and each event in a read was searched for the other kind of line end up to the read's end. Now each byte is looked at once, and nothing is moved where no event has ended.

--- a/lib/http/sse.c
+++ b/lib/http/sse.c
@@ -47,29 +47,44 @@
 	return false;
 }
 
+/* Whether the line feed at p[i] ends an empty line. */
+static bool ends_event(const char *p, size_t i)
+{
+	if (i >= 1 && p[i - 1] == '\n')
+		return true;
+	return i >= 3 && memcmp(p + i - 3, "\r\n\r", 3) == 0;
+}
+
 /*
  * Returns the length of the first event in the bytes with its empty line; 0 if
- * none is complete.
+ * none is complete. The first from bytes are known to hold no end.
  */
-static size_t event_length(const char *p, size_t n)
+static size_t event_length(const char *p, size_t n, size_t from)
 {
-	const char *lf = memmem(p, n, "\n\n", 2);
-	const char *crlf = memmem(p, n, "\r\n\r\n", 4);
+	while (from < n) {
+		const char *lf = memchr(p + from, '\n', n - from);
 
-	if (lf && (!crlf || lf < crlf))
-		return (size_t)(lf - p) + 2;
-	return crlf ? (size_t)(crlf - p) + 4 : 0;
+		if (!lf)
+			return 0;
+		from = (size_t)(lf - p) + 1;
+		if (ends_event(p, from - 1))
+			return from;
+	}
+	return 0;
 }
 
-/* Calls fn for each complete event. Returns the bytes that they take. */
-static size_t pass_complete(const char *p, size_t n, event_fn_t fn, void *ctx,
+/*
+ * Calls fn for each complete event. Returns the bytes that they take. The first
+ * from bytes are known to hold no end.
+ */
+static size_t pass_complete(str_t data, size_t from, event_fn_t fn, void *ctx,
 			    event_reader_t *e)
 {
 	size_t at = 0;
 	size_t len;
 
-	while ((len = event_length(p + at, n - at)) > 0) {
-		str_t ev = { p + at, len };
+	while ((len = event_length(data.p + at, data.n - at, from)) > 0) {
+		str_t ev = { data.p + at, len };
 		uint64_t id = 0;
 		bool has = event_id(ev, &id);
 
@@ -79,6 +94,7 @@
 		}
 		fn(ctx, ev, has, id);
 		at += len;
+		from = 0;
 	}
 	return at;
 }
@@ -89,17 +105,19 @@
  */
 bool event_reader_feed(event_reader_t *e, str_t data, event_fn_t fn, void *ctx)
 {
+	size_t had = e->partial->len;
 	size_t used;
 
-	if (e->partial->len == 0) {
-		used = pass_complete(data.p, data.n, fn, ctx, e);
+	if (had == 0) {
+		used = pass_complete(data, 0, fn, ctx, e);
 		g_byte_array_append(e->partial, (const guint8 *)data.p + used,
 				    data.n - used);
 	} else {
 		g_byte_array_append(e->partial, (const guint8 *)data.p, data.n);
-		used = pass_complete((char *)e->partial->data, e->partial->len,
-				     fn, ctx, e);
-		g_byte_array_remove_range(e->partial, 0, used);
+		data = (str_t){ (char *)e->partial->data, e->partial->len };
+		used = pass_complete(data, had, fn, ctx, e);
+		if (used > 0)
+			g_byte_array_remove_range(e->partial, 0, used);
 	}
 	return e->partial->len <= EVENT_MAX;
 }
