HTTP client: an answer that does not end is given up

A sidecar read a load report, an answer to an order or to a cancellation, and every process a page of the log service until the server closed: silence was the only limit, and a call without one never ended. The library keeps a head of any length. Now a call may bound its answer's body; heads end at 64 KB (looked at every 20 ms while one is read), interim answers at 16, chunk lines and trailers at 64 KB and 8 for each byte of data. The call ends as bad-answer, told once, and its connection is closed.

Runs have no limit on the body here: the sidecar bounds what it keeps (answer_max), and the request's deadline ends them.

The test's calls now name a limit, a field that there was not before.

Before: endless_client, 8 of the 9 cases fail. After: 0 of 16 of all.

--- a/cmd/chestnuthinged/backend.c
+++ b/cmd/chestnuthinged/backend.c
@@ -5,13 +5,14 @@
 #include "fns.h"
 
 enum {
-	LOAD_INTERVAL = 500,  /* ms between load reports */
-	LOAD_SILENT = 2000,   /* ms */
-	LOAD_MAX = 64 << 10,  /* bytes of one report */
-	FIRST_SILENT = 15000, /* ms until a model's first byte */
-	STREAM_SILENT = 2000, /* ms between a model's bytes after that */
-	CANCEL_SILENT = 2000, /* ms */
-	MISSES_DOWN = 2,      /* reports missed in a row: the server is down */
+	LOAD_INTERVAL = 500,   /* ms between load reports */
+	LOAD_SILENT = 2000,    /* ms */
+	LOAD_MAX = 64 << 10,   /* bytes of one report */
+	FIRST_SILENT = 15000,  /* ms until a model's first byte */
+	STREAM_SILENT = 2000,  /* ms between a model's bytes after that */
+	CANCEL_SILENT = 2000,  /* ms */
+	CANCEL_MAX = 64 << 10, /* bytes of the answer */
+	MISSES_DOWN = 2,       /* reports missed in a row: the server is down */
 	ID_MAX = 40,
 	PATH_MAX_BYTES = 96,
 };
@@ -159,7 +160,8 @@
 	httpc_call_t call = { .to = b->d->set->backend,
 			      .method = "DELETE",
 			      .path = path,
-			      .silent = CANCEL_SILENT };
+			      .silent = CANCEL_SILENT,
+			      .answer_max = CANCEL_MAX };
 
 	if (run) {
 		httpc_cancel(run->req);
@@ -240,8 +242,7 @@
 {
 	backend_t *b = ctx;
 
-	if (b->load_body->len + data.n <= LOAD_MAX)
-		g_string_append_len(b->load_body, data.p, data.n);
+	g_string_append_len(b->load_body, data.p, data.n);
 }
 
 static void on_load_end(void *ctx, code_t code)
@@ -308,7 +309,8 @@
 	httpc_call_t call = { .to = b->d->set->backend,
 			      .method = "GET",
 			      .path = "/v1/load",
-			      .silent = LOAD_SILENT };
+			      .silent = LOAD_SILENT,
+			      .answer_max = LOAD_MAX };
 
 	if (b->load || now < b->next_load)
 		return;
--- a/cmd/chestnuthinged/orders.c
+++ b/cmd/chestnuthinged/orders.c
@@ -8,6 +8,7 @@
 #include "fns.h"
 
 enum {
+	ANSWER_MAX = 64 << 10, /* bytes; only its status matters */
 	SPREAD = 5000,	      /* ms over which the servers spread their loads */
 	UNLOAD_AFTER = 10000, /* ms after a new configuration or result */
 	ORDER_SILENT = 60000, /* ms without an answer */
@@ -110,7 +111,8 @@
 			      .path = "/v1/orders",
 			      .headers = "Content-Type: application/json\r\n",
 			      .body = str_of(text),
-			      .silent = ORDER_SILENT };
+			      .silent = ORDER_SILENT,
+			      .answer_max = ANSWER_MAX };
 
 	g_free(o->order);
 	o->order =
--- a/lib/net/dat.h
+++ b/lib/net/dat.h
@@ -69,13 +69,14 @@
 	const char *headers; /* "Name: value\r\n" lines, or NULL */
 	str_t body;	     /* copied */
 	ms_t silent;	     /* give up after so long without a byte; 0 never */
+	size_t answer_max;   /* bytes of the body; 0: no limit */
 } httpc_call_t;
 
 /*
  * Results of a call. head and data may never come; end comes exactly once,
  * unless httpc_cancel came first. Codes of end: CODE_OK (whole by
  * Content-Length or chunked coding), CODE_NOT_SENT (no byte was written),
- * CODE_CUT (closed early), CODE_SILENT.
+ * CODE_CUT (closed early), CODE_SILENT, CODE_BAD_ANSWER (over a limit).
  */
 typedef struct httpc_ops {
 	void (*head)(void *ctx, int status, str_t content_type);
--- a/lib/net/httpc.c
+++ b/lib/net/httpc.c
@@ -9,6 +9,11 @@
 enum {
 	SWEEP_MS = 20,			  /* period of looking for silence */
 	LIBRARY_TIMEOUT_MS = 1000 * 3600, /* calls have their own */
+	HEAD_MAX = 64 << 10,		  /* bytes of a head; looked at by the
+					     sweep */
+	INTERIM_MAX = 16,		  /* interim answers to a call */
+	FRAMING_MAX = 64 << 10, /* bytes of chunk lines and trailers, and */
+	FRAMING_PER_BYTE = 8,	/* so many more for each byte of data */
 };
 
 struct httpc {
@@ -38,6 +43,11 @@
 	ms_t silent;
 	ms_t last_byte;
 	code_t early; /* failed during the call itself; told by the sweep */
+	size_t answer_max; /* bytes of the body; 0: no limit */
+	size_t data;	   /* bytes of the body so far */
+	size_t read;	   /* the same with chunk lines and trailers */
+	unsigned int interim;
+	bool headed; /* the final head has come */
 	bool written;
 	bool chunked;
 	bool measured; /* has a Content-Length */
@@ -64,14 +74,30 @@
 	req_free(r);
 }
 
+static bool over_limit(const httpc_req_t *r)
+{
+	return (r->answer_max > 0 && r->data > r->answer_max) ||
+	       r->read > r->data + FRAMING_MAX + FRAMING_PER_BYTE * r->data;
+}
+
+/* Ends a call whose answer is over a limit. */
+static void refuse(httpc_req_t *r, const char *why)
+{
+	log_line(LOG_WARN, "answer_refused", "to=%s why=%s bytes=%zu", r->host,
+		 why, r->read);
+	finish(r, CODE_BAD_ANSWER);
+}
+
 /* Gives the library's input buffer to the caller. */
 static void pass_input(httpc_req_t *r, h2o_socket_t *sock)
 {
 	str_t data = { sock->input->bytes, sock->input->size };
 
+	r->read += sock->bytes_read;
+	r->data += data.n;
 	if (data.n == 0)
 		return;
-	if (!r->cancelled)
+	if (!r->cancelled && !over_limit(r))
 		r->ops.data(r->ctx, data);
 	h2o_buffer_consume(&sock->input, sock->input->size);
 }
@@ -98,6 +124,10 @@
 	r->last_byte = clock_now();
 	r->in_library = true;
 	pass_input(r, client->sock);
+	if (over_limit(r)) {
+		refuse(r, "body");
+		return err ? 0 : -1;
+	}
 	if (err) {
 		code = body_code(r, err, client->sock);
 		finish(r, code);
@@ -137,6 +167,7 @@
 	(void)msg;
 	(void)rlen;
 	r->last_byte = clock_now();
+	r->headed = true;
 	if (err && err != h2o_http1client_error_is_eos) {
 		finish(r, CODE_CUT);
 		return NULL;
@@ -155,6 +186,22 @@
 	return NULL;
 }
 
+static int on_interim(h2o_http1client_t *client, int minor_version, int status,
+		      h2o_iovec_t msg, h2o_header_t *headers, size_t n)
+{
+	httpc_req_t *r = client->data;
+
+	(void)minor_version;
+	(void)status;
+	(void)msg;
+	(void)headers;
+	(void)n;
+	if (++r->interim <= INTERIM_MAX)
+		return 0;
+	refuse(r, "interim");
+	return -1;
+}
+
 static h2o_http1client_head_cb on_connect(h2o_http1client_t *client,
 					  const char *err, h2o_iovec_t **bufs,
 					  size_t *nbufs, int *is_head)
@@ -176,6 +223,7 @@
 	}
 	r->last_byte = clock_now();
 	r->written = true;
+	client->informational_cb = on_interim;
 	r->buf = h2o_iovec_init(r->out->str, r->out->len);
 	*bufs = &r->buf;
 	*nbufs = 1;
@@ -199,12 +247,28 @@
 	req_free(r);
 }
 
+/* Whether more bytes wait for the end of the head than it may have. */
+static bool head_too_long(const httpc_req_t *r)
+{
+	return r->written && !r->headed && r->client && r->client->sock &&
+	       r->client->sock->input->size > HEAD_MAX;
+}
+
+static void refuse_head(httpc_req_t *r)
+{
+	h2o_http1client_cancel(r->client);
+	refuse(r, "head");
+}
+
 static bool is_due(const httpc_req_t *r, ms_t now)
 {
 	return r->silent > 0 && now - r->last_byte >= r->silent;
 }
 
-/* Ends calls that failed at once or were silent for too long. */
+/*
+ * Ends calls that failed at once, were silent for too long or get a head
+ * without end.
+ */
 static void on_sweep(uv_timer_t *t)
 {
 	httpc_t *c = t->data;
@@ -221,6 +285,8 @@
 			drop(r);
 		else if (r->early != CODE_OK)
 			finish(r, r->early);
+		else if (head_too_long(r))
+			refuse_head(r);
 		else if (is_due(r, now))
 			give_up(r);
 	}
@@ -282,6 +348,7 @@
 	r->out = g_string_new(NULL);
 	r->is_head = strcmp(call->method, "HEAD") == 0;
 	r->silent = call->silent;
+	r->answer_max = call->answer_max;
 	r->last_byte = clock_now();
 	write_request(r, call);
 	list_add_tail(&c->reqs, &r->link);
--- a/lib/platform/fetch.c
+++ b/lib/platform/fetch.c
@@ -12,7 +12,6 @@
 	void *ctx;
 	int status;
 	GString *body;
-	bool too_large;
 };
 
 static void fetch_free(fetch_t *f)
@@ -33,10 +32,7 @@
 {
 	fetch_t *f = ctx;
 
-	if (f->body->len + data.n > FETCH_BYTES_MAX)
-		f->too_large = true;
-	else
-		g_string_append_len(f->body, data.p, (gssize)data.n);
+	g_string_append_len(f->body, data.p, (gssize)data.n);
 }
 
 static void on_end(void *ctx, code_t code)
@@ -44,8 +40,6 @@
 	fetch_t *f = ctx;
 	str_t body = { f->body->str, f->body->len };
 
-	if (code == CODE_OK && f->too_large)
-		code = CODE_TOO_LARGE;
 	f->done(f->ctx, code, f->status, body);
 	fetch_free(f);
 }
@@ -59,7 +53,8 @@
 			      .method = method,
 			      .path = path,
 			      .body = body,
-			      .silent = FETCH_IDLE_TIMEOUT_MS };
+			      .silent = FETCH_IDLE_TIMEOUT_MS,
+			      .answer_max = FETCH_BYTES_MAX };
 	fetch_t *f = g_new0(fetch_t, 1);
 
 	f->done = done;
--- a/test/endless_client.c
+++ b/test/endless_client.c
@@ -13,6 +13,7 @@
 				 20 ms of reading add */
 	BODY_MOST = 48 << 20, /* the same of an answer */
 	FETCH_MOST = 160 << 20,
+	CALL_MAX = 1 << 20, /* bytes of the answer to a call */
 };
 
 #define OK200	 "HTTP/1.1 200 OK\r\n"
@@ -147,7 +148,9 @@
 
 static void set_open(set_t *s, const endless_case_t *c)
 {
-	httpc_call_t call = { .method = "GET", .path = "/" };
+	httpc_call_t call = { .method = "GET",
+			      .path = "/",
+			      .answer_max = CALL_MAX };
 
 	memset(s, 0, sizeof(*s));
 	uv_loop_init(&s->loop);
