--- a/lib/forward/exchange.c
+++ b/lib/forward/exchange.c
@@ -443,9 +443,9 @@
 		if (!largest || x->held > largest->held)
 			largest = x;
 	}
-	if (largest->conn)
+	if (largest && largest->conn)
 		refuse_answer(largest, "sum");
-	else
+	else if (largest)
 		drop_answer(largest);
 }
 
--- a/test/endless.c
+++ b/test/endless.c
@@ -9,16 +9,17 @@
 
 enum {
 	TICK_MS = 10,
-	WAIT_MAX_MS = 30000,  /* for one case */
-	ROUTE_MS = 20000,     /* a route's timeout */
-	SHORT_MS = 400,	      /* one that ends while bytes come */
-	HEAD_MOST = 16 << 20, /* bytes: limit of a head, and what sockets
-				 hold */
-	BODY_MOST = 64 << 20, /* the same of an answer */
-	HELD_MOST = 64 << 20, /* bytes of all answers together */
-	PART = 20 << 20,      /* bytes of each of these */
-	PARTS = 6,	      /* answers that do not end */
-	GOT_MAX = 4096,	      /* bytes that a caller keeps */
+	WAIT_MAX_MS = 30000,	 /* for one case */
+	ROUTE_MS = 20000,	 /* a route's timeout */
+	SHORT_MS = 400,		 /* one that ends while bytes come */
+	HEAD_MOST = 16 << 20,	 /* bytes: limit of a head, and what sockets
+				    hold */
+	BODY_MOST = 64 << 20,	 /* the same of an answer */
+	CHUNKS_MOST = 128 << 20, /* the same with chunk lines */
+	HELD_MOST = 64 << 20,	 /* bytes of all answers together */
+	PART = 20 << 20,	 /* bytes of each of these */
+	PARTS = 6,		 /* answers that do not end */
+	GOT_MAX = 4096,		 /* bytes that a caller keeps */
 };
 
 #define ID	 "X-Request-Id: r1\r\n"
@@ -77,7 +78,7 @@
 	{ "length never reached", PATH_ONCE, OK200 FIXED(99999999999), "x",
 	  BODY_MOST, ROUTE_MS, NULL, 502, true, NULL },
 	{ "chunks without end", PATH_ONCE, OK200 CHUNKED, "4\r\nabcd\r\n",
-	  2 * BODY_MOST, ROUTE_MS, NULL, 502, true, NULL },
+	  CHUNKS_MOST, ROUTE_MS, NULL, 502, true, NULL },
 	{ "failure's body", PATH_ONCE, "HTTP/1.1 500 No\r\n" STAMP "\r\n", "x",
 	  BODY_MOST, ROUTE_MS, NULL, 502, true, NULL },
 	{ "rejection's body", PATH_ONCE,
@@ -97,7 +98,7 @@
 	{ "one event without end", PATH_STREAM, OK200 "\r\ndata: ", "x",
 	  HEAD_MOST, ROUTE_MS, NULL, 502, true, NULL },
 	{ "event of many lines", PATH_STREAM, OK200 CHUNKED,
-	  "7\r\ndata: \n\r\n", 2 * BODY_MOST, ROUTE_MS, NULL, 502, true, NULL },
+	  "7\r\ndata: \n\r\n", CHUNKS_MOST, ROUTE_MS, NULL, 502, true, NULL },
 	{ "redirect on a stream's route", PATH_STREAM,
 	  "HTTP/1.1 302 Found\r\n" STAMP "\r\n", "x", BODY_MOST, ROUTE_MS, NULL,
 	  502, true, NULL },
