Soak: servers that answer without end

With about one fault in seven, a server answers up to a fifth of its requests with bytes without end, in a head, in a body or as one event, until the other end closes; drawn from a generator of its own, so that the other faults of a seed stay. A daemon of an ordinary build may have 260 MB (a sanitizer keeps freed memory, so there it is only told, as memory_mb).

--- a/test/soak/dat.h
+++ b/test/soak/dat.h
@@ -106,8 +106,18 @@
 	double fails;	 /* share of runs that end with 500 */
 	double extra;	 /* share of answers that come twice */
 	double unframed; /* share of answers without a length */
+	double floods;	 /* share of answers that do not end */
 } server_t;
 
+/* Where the bytes of an answer that does not end come. */
+typedef enum flood {
+	FLOOD_NONE,
+	FLOOD_HEAD,
+	FLOOD_BODY,
+	FLOOD_EVENT,
+	FLOODS,
+} flood_t;
+
 /* A run of a request at a server. */
 typedef struct job {
 	list_t link;
@@ -116,6 +126,7 @@
 	sconn_t *c; /* NULL once the caller is gone */
 	char *id;
 	unsigned int next; /* event to send */
+	flood_t flood;
 	bool started;
 	bool counted;
 	ms_t gone_at; /* its connection closed; 0 not */
@@ -186,6 +197,7 @@
 	uv_timer_t tick;
 	GRand *rand;
 	GRand *faults;
+	GRand *floods; /* apart, so that a seed's other faults stay */
 	uint64_t seed;
 	const char *daemon;
 	char *dir;
@@ -210,6 +222,7 @@
 	ms_t end_at;
 	ms_t next_fault;
 	unsigned int nfaults;
+	size_t memory_most; /* bytes of any daemon */
 	unsigned int violations;
 	unsigned int done[KINDS];
 	unsigned int good[KINDS];
--- a/test/soak/fault.c
+++ b/test/soak/fault.c
@@ -6,6 +6,7 @@
 enum {
 	FAULT_EVERY_MS = 700, /* between two faults, at most */
 	STOP_MS = 1200,	      /* SIGSTOP, at most */
+	FLOOD_PERCENT = 15,   /* of faults that come with one of those */
 	ROUTES_MORE = 5,      /* routes beside the three that are used */
 };
 
@@ -171,6 +172,16 @@
 		list_entry(p, sconn_t, link)->mute = true;
 }
 
+/* A server answers some requests without end, until it is calm. */
+static void fault_flood(soak_t *s)
+{
+	gint32 i = g_rand_int_range(s->floods, 0, (gint32)s->nservers);
+	server_t *v = &s->servers[i];
+
+	v->floods = g_rand_double(s->floods) * 0.2;
+	soak_note(s, "server %s floods=%.2f", v->id, v->floods);
+}
+
 static void (*const faults[])(soak_t *s) = {
 	move_order,   fault_kill,   fault_kill_all, fault_term,
 	fault_term,   fault_hup,    fault_stop,	    fault_stop,
@@ -201,4 +212,6 @@
 		now + 50 + g_rand_int_range(s->faults, 0, FAULT_EVERY_MS);
 	s->nfaults++;
 	faults[g_rand_int_range(s->faults, 0, G_N_ELEMENTS(faults))](s);
+	if (g_rand_int_range(s->floods, 0, 100) < FLOOD_PERCENT)
+		fault_flood(s);
 }
--- a/test/soak/fns.h
+++ b/test/soak/fns.h
@@ -27,6 +27,11 @@
 void server_beat(server_t *v);
 void server_calm(server_t *v);
 
+/* flood.c */
+bool flood_begins(job_t *j);
+void flood_start(job_t *j, const char *fields);
+void flood_step(job_t *j);
+
 /* caller.c */
 void callers_start(soak_t *s, unsigned int n);
 void callers_stop(soak_t *s);
--- a/test/soak/main.c
+++ b/test/soak/main.c
@@ -144,6 +144,7 @@
 {
 	s->rand = g_rand_new_with_seed((guint32)opt.seed);
 	s->faults = g_rand_new_with_seed((guint32)opt.seed + 1);
+	s->floods = g_rand_new_with_seed((guint32)opt.seed + 2);
 	s->daemon = opt.daemon;
 	s->dir = opt.dir;
 	s->nedges = (unsigned int)CLAMP(opt.edges, 1, EDGES_MAX);
@@ -175,10 +176,11 @@
 static void report(const soak_t *s)
 {
 	printf("soak seed=%d faults=%u safe=%u/%u once=%u/%u stream=%u/%u "
-	       "calm=%u/%u violations=%u\n",
+	       "calm=%u/%u memory_mb=%zu violations=%u\n",
 	       opt.seed, s->nfaults, s->good[KIND_SAFE], s->done[KIND_SAFE],
 	       s->good[KIND_ONCE], s->done[KIND_ONCE], s->good[KIND_STREAM],
-	       s->done[KIND_STREAM], s->calm_good, s->calm_done, s->violations);
+	       s->done[KIND_STREAM], s->calm_good, s->calm_done,
+	       s->memory_most >> 20, s->violations);
 }
 
 int main(int argc, char **argv)
--- a/test/soak/proc.c
+++ b/test/soak/proc.c
@@ -2,12 +2,14 @@
 #include <signal.h>
 #include <string.h>
 #include <sys/stat.h>
+#include <unistd.h>
 #include "fns.h"
 
 enum {
 	GRACE_S = 3, /* of the daemons, from SIGTERM to their end */
 	RESTART_MS = 300,
-	KILL_AFTER_MS = 4000, /* past the grace */
+	KILL_AFTER_MS = 4000,	/* past the grace */
+	MEMORY_MAX = 260 << 20, /* bytes of a daemon */
 };
 
 static const char key[] = "000102030405060708090a0b0c0d0e0f";
@@ -158,12 +160,40 @@
 	uv_process_kill(&p->handle, number);
 }
 
+/* Returns a process's resident memory in bytes; 0: it is gone. */
+static size_t resident(int pid)
+{
+	char path[64];
+	char *text = NULL;
+	size_t pages = 0;
+
+	snprintf(path, sizeof(path), "/proc/%d/statm", pid);
+	if (g_file_get_contents(path, &text, NULL, NULL))
+		sscanf(text, "%*u %zu", &pages);
+	g_free(text);
+	return pages * (size_t)sysconf(_SC_PAGESIZE);
+}
+
+/* A sanitizer keeps freed memory, so only plain builds are held to the limit.
+ */
+static void check_memory(proc_t *p)
+{
+	size_t now = p->running ? resident(p->handle.pid) : 0;
+
+	p->s->memory_most = MAX(p->s->memory_most, now);
+#ifndef __SANITIZE_ADDRESS__
+	if (now > MEMORY_MAX)
+		violation(p->s, "memory", "%s has %zu bytes", p->name, now);
+#endif
+}
+
 /* Wakes stopped daemons and starts those that ended. */
 void procs_tick(soak_t *s, ms_t now)
 {
 	for (unsigned int i = 0; i < s->nprocs; i++) {
 		proc_t *p = &s->procs[i];
 
+		check_memory(p);
 		if (p->running && p->stopped_until && now >= p->stopped_until) {
 			p->stopped_until = 0;
 			uv_process_kill(&p->handle, SIGCONT);
--- a/test/soak/server.c
+++ b/test/soak/server.c
@@ -131,6 +131,10 @@
 		job_end(j);
 		return;
 	}
+	if (j->flood) {
+		flood_step(j);
+		return;
+	}
 	if (!v->stream) {
 		answer_plain(j);
 		return;
@@ -169,6 +173,15 @@
 		violation(s, "quota", "%u in a window, allowed %u", n, most);
 }
 
+static void start_flood(job_t *j)
+{
+	GString *fields = g_string_new(NULL);
+
+	put_fields(fields, j->at, j->id);
+	flood_start(j, fields->str);
+	g_string_free(fields, TRUE);
+}
+
 static void run(job_t *j)
 {
 	server_t *v = j->at;
@@ -186,7 +199,9 @@
 	if (f->said_not_run)
 		violation(v->s, "refused", "%s runs after it was refused",
 			  j->id);
-	if (v->stream && j->c)
+	if (j->c && flood_begins(j))
+		start_flood(j);
+	else if (v->stream && j->c)
 		stream_head(j);
 	uv_timer_start(&j->timer, on_step, v->stream ? EVENT_MS : WORK_MS,
 		       v->stream ? EVENT_MS : WORK_MS);
@@ -358,6 +373,7 @@
 	v->fails = 0;
 	v->extra = 0;
 	v->unframed = 0;
+	v->floods = 0;
 	if (!v->up || v->leaving)
 		server_return(v);
 }
