--- a/lib/edge/edge.c
+++ b/lib/edge/edge.c
@@ -57,6 +57,8 @@
 		counter_get(counters, "edge_quota_strays_total", NULL);
 	hosts_init(e);
 	keepers_init(e);
+	e->crashes = crashes_new(counters);
+	e->quarantine = quarantine_new(counters);
 	e->counters = counters;
 	return e;
 }
@@ -80,6 +82,8 @@
 	g_hash_table_destroy(e->asking_by_rid);
 	hosts_clear(e);
 	keepers_clear(e);
+	crashes_free(e->crashes);
+	quarantine_free(e->quarantine);
 	g_rand_free(e->rand);
 	g_free(e);
 }
@@ -153,6 +157,7 @@
 		[ATTEMPT_REJECTED] = "rejected",
 		[ATTEMPT_NOT_SENT] = "not_sent",
 		[ATTEMPT_LOST] = "lost",
+		[ATTEMPT_SILENT] = "silent",
 		[ATTEMPT_BAD_ANSWER] = "bad_answer",
 		[ATTEMPT_WRONG_SERVER] = "wrong_server",
 	};
@@ -283,8 +288,10 @@
 	r->state = REQUEST_NEW;
 	r->rid.inc = e->conf.inc;
 	r->rid.seq = ++e->last_rid;
-	r->side = shift_pick(e, p, r);
 	budget_earn(p, now);
+	if (quarantine_refuse(e, r, now))
+		return;
+	r->side = shift_pick(e, p, r);
 	if (admission_too_late(p, r, now)) {
 		edge_log_step(e, r, now, "refused",
 			      "why=cannot_finish ahead=%u sent_lately=%.0f "
@@ -328,7 +335,7 @@
 	backend_t *b = r->server;
 	double ms = (double)(now - r->sent_at);
 
-	b->last_byte_at = now;
+	health_heard(b, now);
 	r->last_event_at = now;
 	if (r->responded)
 		return;
@@ -347,7 +354,7 @@
 {
 	backend_t *b = r->server;
 
-	b->last_byte_at = now;
+	health_heard(b, now);
 	r->events++;
 	estimate_add_gap(b, (double)(now - r->last_event_at));
 	r->last_event_at = now;
@@ -406,7 +413,7 @@
 		return false;
 	if (!not_run && !may_rerun(r, how, resumable))
 		return false;
-	if (how == ATTEMPT_NOT_SENT)
+	if (how == ATTEMPT_NOT_SENT || r->retry_reserved)
 		return true;
 	return budget_spend(e, r->pool, now);
 }
@@ -421,28 +428,34 @@
 {
 	pool_t *p = r->pool;
 	backend_t *b = r->server;
+	bool held;
 	bool retry;
 
-	b->last_byte_at = how == ATTEMPT_LOST || how == ATTEMPT_NOT_SENT
-				  ? b->last_byte_at
-				  : now;
+	crash_attempt_ended(e, r, how, now);
+	if (how != ATTEMPT_LOST && how != ATTEMPT_SILENT &&
+	    how != ATTEMPT_NOT_SENT)
+		health_heard(b, now);
 	if (how != ATTEMPT_REJECTED && how != ATTEMPT_NOT_SENT &&
 	    how != ATTEMPT_WRONG_SERVER)
 		r->executions++;
 	if (how == ATTEMPT_ANSWERED)
 		estimate_add_stream(b, r, now);
+	if (how == ATTEMPT_ANSWERED && r->responded)
+		quarantine_answered(e, r, now);
 	health_attempt_ended(e, b, how, now);
 	shift_count(r, how);
 	release_server(e, r, how == ATTEMPT_NOT_SENT, now);
-	retry = should_retry(e, r, how, resumable, now);
+	held = quarantine_holds(e, r, now);
+	retry = !held && should_retry(e, r, how, resumable, now);
+	r->retry_reserved = false;
 	if (how != ATTEMPT_ANSWERED)
 		edge_log_step(e, r, now, retry ? "retry" : "no_retry",
 			      "runs=%u attempts=%u dispatches=%u left_ms=%lld "
-			      "retries=%.0f requests=%.0f",
+			      "retries=%.0f requests=%.0f quarantined=%d",
 			      r->executions, r->route->attempts, r->dispatches,
 			      (long long)(r->deadline - now),
 			      window_sum(&p->retries, now),
-			      window_sum(&p->arrivals, now));
+			      window_sum(&p->arrivals, now), held);
 	if (retry) {
 		r->side = SHIFT_OLD;
 		enqueue(e, r, now);
@@ -472,11 +485,8 @@
 		dispatch(e, p, now);
 }
 
-/*
- * Whether a running request that may be retried has had no event for so long
- * that it seems lost. One that may not be retried is left to its server.
- */
-bool edge_stalled(const edge_t *e, const request_t *r, ms_t now)
+/* Whether a running request has had no event for so long that it seems lost. */
+bool edge_stalled(const request_t *r, ms_t now)
 {
 	const backend_t *b = r->server;
 	const edge_route_t *rt = r->route;
@@ -486,12 +496,28 @@
 	ms_t limit = r->responded ? rt->gap_target * STALL_GAPS
 				  : rt->first_event_target * STALL_FIRSTS;
 
-	if (rt->retry == RETRY_NEVER || r->executions + 1 >= rt->attempts)
-		return false;
 	return (double)(now - r->last_event_at) >
 	       MAX(MAX(limit, STALL_MIN_MS), expected * stall_factor);
 }
 
+/*
+ * Whether to end a stalled attempt for its server's silence. That is so only if
+ * a retry is allowed, in the budget, and has a free slot at another server;
+ * otherwise the request is left to its server until its deadline. If true, the
+ * retry is taken from the budget, and edge_attempt_ended has to follow with
+ * ATTEMPT_SILENT and the same now.
+ */
+bool edge_give_up_silent(edge_t *e, request_t *r, bool resumable, ms_t now)
+{
+	if (now >= r->deadline || r->dispatches >= ATTEMPTS_MAX ||
+	    r->executions + 1 >= r->route->attempts ||
+	    !may_rerun(r, ATTEMPT_SILENT, resumable) ||
+	    !select_has_other(e, r, now))
+		return false;
+	r->retry_reserved = budget_spend(e, r->pool, now);
+	return r->retry_reserved;
+}
+
 /* Returns when a caller whose request has not run should retry, in ms. */
 ms_t edge_retry_after(edge_t *e, const request_t *r, ms_t now)
 {
@@ -510,6 +536,8 @@
 	if (!e->ticked)
 		e->started = now;
 	e->ticked = true;
+	crash_tick(e, now);
+	quarantine_tick(e, now);
 	quota_tick(e, now);
 	g_hash_table_iter_init(&it, e->pools);
 	while (g_hash_table_iter_next(&it, NULL, &p)) {
@@ -523,7 +551,7 @@
 	keepers_tick(e, now);
 }
 
-/* Appends one line per server, for operators. */
+/* Appends one line per server and part in quarantine, for operators. */
 void edge_print(const edge_t *e, GString *out, ms_t now)
 {
 	GHashTableIter it;
@@ -543,4 +571,5 @@
 			estimate_first_event(b->pool, b, 1000), b->gap_ms,
 			b->chosen, (unsigned long long)b->keeper);
 	}
+	quarantine_print(e, out, now);
 }
--- a/lib/forward/exchange.c
+++ b/lib/forward/exchange.c
@@ -58,7 +58,10 @@
 	x->is_head_request = http_name_is(h->method, "HEAD");
 	x->has_body = h->chunked || h->has_length;
 	x->close_after = !h->keep_alive;
+	x->req.parts = x->call.parts;
+	x->req.nparts = x->call.nparts;
 	c->forward->requests->value++;
+	c->forward->parts_omitted->value += x->call.parts_omitted;
 	return x;
 }
 
@@ -223,6 +226,7 @@
 {
 	request_t *r = &x->req;
 	const char *text = NULL;
+	char *parts;
 	int status;
 
 	if (forward_refuses_new(x->forward, now)) {
@@ -246,16 +250,19 @@
 	r->output = x->call.output_tokens > 0 ? x->call.output_tokens
 					      : x->call.output_tokens_max;
 	r->tokens = x->call.prompt_tokens + x->call.output_tokens_max;
+	parts = trace_parts(x);
 	trace_add(x, now, "accepted",
 		  "route=%s priority=%u customer=%s config=%llu prompt=%.0f "
 		  "output=%.0f tokens=%.0f timeout_ms=%lld giveup_ms=%lld "
-		  "target_ms=%lld body=%u",
+		  "target_ms=%lld body=%u parts=%s parts_omitted=%u",
 		  r->route->name, r->priority,
 		  r->customer ? r->customer->name : "-",
 		  (unsigned long long)d->version, r->prompt, r->output,
 		  r->tokens, (long long)(r->deadline - now),
 		  (long long)(r->give_up_at - now),
-		  (long long)(r->first_event_by - now), x->body->len);
+		  (long long)(r->first_event_by - now), x->body->len, parts,
+		  x->call.parts_omitted);
+	g_free(parts);
 	edge_submit(x->forward->edge, r, now);
 }
 
@@ -318,6 +325,8 @@
 	}
 	if (x->forward->draining || x->close_after)
 		http_put(out, "Connection: close\r\n");
+	else
+		http_put_keep_alive(out, caller_keep_for(x->caller));
 	buffer_free(x->answer_head);
 	x->answer_head = out;
 }
@@ -580,11 +589,25 @@
 		local_reply(x, 502, 0, "server lost");
 }
 
+/* Whether another server can resume the stream from the last event passed. */
+static bool is_resumable(const exchange_t *x)
+{
+	return x->req.route->stream && (!x->answer_begun || x->has_last_event);
+}
+
+/*
+ * Whether callers take the status for a promise that the request was not run.
+ * A server's answer gives it only with the field for that.
+ */
+static bool says_not_run(int status)
+{
+	return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
 /* Ends an attempt: passes the answer on, fails, or lets the edge retry. */
 void exchange_attempt_end(exchange_t *x, attempt_result_t how, ms_t now)
 {
-	bool resumable =
-		x->req.route->stream && (!x->answer_begun || x->has_last_event);
+	bool resumable = is_resumable(x);
 	bool answered = how == ATTEMPT_ANSWERED || how == ATTEMPT_FAILED;
 	next_action_t next;
 
@@ -600,7 +623,7 @@
 				  now);
 	if (next == NEXT_RETRY)
 		return;
-	if (answered)
+	if (answered && !says_not_run(x->status))
 		finish(x);
 	else
 		fail(x, how, now);
@@ -645,8 +668,9 @@
 			return;
 		server_conn_close(c);
 		exchange_attempt_end(x, ATTEMPT_NOT_SENT, now);
-	} else if (edge_stalled(f->edge, r, now)) {
+	} else if (edge_stalled(r, now) && !hconn_unread(c->conn) &&
+		   edge_give_up_silent(f->edge, r, is_resumable(x), now)) {
 		server_conn_close(c);
-		exchange_attempt_end(x, ATTEMPT_LOST, now);
+		exchange_attempt_end(x, ATTEMPT_SILENT, now);
 	}
 }
--- a/lib/forward/priv.h
+++ b/lib/forward/priv.h
@@ -28,6 +28,9 @@
 	bool closed;
 	bool broken; /* to be closed, its request cancelled */
 	bool shutdown_sent;
+	unsigned int nrequests; /* read on it */
+	ms_t idle_timeout;	/* at the last answer; 0: there was none */
+	ms_t idle_for; /* before it was closed as idle; 0: it was not */
 };
 
 /* A connection to a backend server. */
@@ -112,6 +115,7 @@
 	counter_t *answer_bytes; /* gauge: held of answers not complete yet */
 	counter_t *unread_at_close; /* reads from callers after the shutdown */
 	hist_t *answer_ms;	    /* of whole answers of servers */
+	counter_t *parts_omitted;   /* of prompts, not kept */
 	counter_t *omitted;   /* failed requests whose trace was not logged */
 	int64_t trace_second; /* of the two counts that follow */
 	unsigned int traces;  /* of failed requests, logged or not */
@@ -126,8 +130,10 @@
 void caller_done(caller_t *c, bool keep);
 void caller_cut(caller_t *c);
 void caller_wake(caller_t *c);
+bool caller_left(caller_t *c);
 void caller_close(caller_t *c);
 void caller_tick(caller_t *c, ms_t now);
+ms_t caller_keep_for(caller_t *c);
 
 /* exchange.c */
 exchange_t *exchange_new(caller_t *c, const http_head_t *h);
@@ -144,6 +150,7 @@
 void trace_add(exchange_t *x, ms_t now, const char *step, const char *fmt, ...)
 	G_GNUC_PRINTF(4, 5);
 bool trace_should_log(exchange_t *x, bool failed, ms_t now);
+char *trace_parts(const exchange_t *x);
 void trace_log(const exchange_t *x);
 void trace_clear(exchange_t *x);
 
--- a/lib/net/dat.h
+++ b/lib/net/dat.h
@@ -18,13 +18,15 @@
 
 /* What the next read of a connection finds. */
 typedef enum tcp_unread {
-	TCP_UNREAD_NONE, /* nothing, or an error */
+	TCP_UNREAD_NONE,
 	TCP_UNREAD_BYTES,
-	TCP_UNREAD_END, /* the other end closed it in order */
+	TCP_UNREAD_END,	  /* the other end closed it in order */
+	TCP_UNREAD_ERROR, /* reset, or another error */
 } tcp_unread_t;
 
 typedef struct peers peers_t;
 typedef struct httpc httpc_t;
+typedef struct worker worker_t;
 typedef struct httpc_req httpc_req_t;
 
 /*
@@ -42,6 +44,16 @@
 	void (*recv)(void *ctx, uint64_t inc, const msg_t *m);
 } peers_ops_t;
 
+/* A kind of computation that a thread does. */
+typedef struct worker_ops {
+	/* In the thread: makes the result. May use nothing but its input. */
+	void *(*run)(void *input);
+	/* In the loop: takes the result over; the input is freed after it. */
+	void (*done)(void *ctx, const void *input, void *output);
+	void (*input_free)(void *input);
+	void (*output_free)(void *output); /* of a result that is dropped */
+} worker_ops_t;
+
 typedef struct peers_conf {
 	role_t role;
 	const char *name;
@@ -84,4 +96,14 @@
 	void (*end)(void *ctx, code_t code);
 } httpc_ops_t;
 
+/* A process's periodic work. */
+typedef struct ticker {
+	uv_timer_t timer;
+	tick_t tick;
+	void (*fn)(void *ctx, ms_t now);
+	void *ctx;
+	hist_t *gap_ms; /* between two ticks: the longest turns of the loop */
+	counter_t *skipped;
+} ticker_t;
+
 #endif
--- a/test/soak/caller.c
+++ b/test/soak/caller.c
@@ -4,17 +4,29 @@
 #include "fns.h"
 
 enum {
-	THINK_MS = 30,	    /* between two requests, at most */
-	PATIENCE_MS = 3000, /* past the route's time: no answer came */
-	KEEP_REQUESTS = 20, /* on one connection, at most */
-	QUIT_AFTER_MS = 60, /* at most, of those that hang up */
-	GONE_MS = 1500,	    /* a server may work on for so long */
+	THINK_MS = 30,	       /* between two requests, at most */
+	POISON_THINK_MS = 700, /* the same, of those with a part that ends
+				  servers */
+	PATIENCE_MS = 3000,    /* past the route's time: no answer came */
+	KEEP_REQUESTS = 20,    /* on one connection, at most */
+	QUIT_AFTER_MS = 60,    /* at most, of those that hang up */
+	GONE_MS = 1500,	       /* a server may work on for so long */
+	/* A stopping edge still takes new connections for so long. */
+	ROTATION_MS = 2000,
+	LOST_SLACK_MS = 200,   /* a request that was sent longer ago was read */
+	LATE_SENT_MS = 3000,   /* after SIGTERM: later ones must be answered */
+	AFTER_GRACE_MS = 1000, /* a stop counts for so long past the grace */
 };
 
 static const double quit_share = 0.03;
+/* Share of the answers after which the next request is sent at once. */
+static const double eager_share = 0.5;
+/* Share of the grace after which a run may be broken off. */
+static const double break_off_share = 5.0 / 6;
 static const char *const hosts[KINDS] = { "safe", "once", "stream" };
 
 static void think(caller_s_t *c);
+static void ask_next(caller_s_t *c);
 
 static bool on_head(void *ctx, hconn_t *l, const http_head_t *h)
 {
@@ -95,6 +107,49 @@
 	s->calm_good += calm && good;
 }
 
+/*
+ * Where servers that pause are the only fault, a request that has run is
+ * answered, or ends at its deadline.
+ */
+static void check_paused(caller_s_t *c, bool answered)
+{
+	ms_t now = clock_now();
+	bool quit = c->quit_at && now >= c->quit_at;
+
+	if (quit || c->s->ended || now - c->sent_at >= c->s->timeout ||
+	    (answered && c->status < 500) || fate_get(c->s, c->id)->runs == 0)
+		return;
+	violation(c->s, "silence", "%s ended with %d after %d ms", c->id,
+		  answered ? c->status : 0, (int)(now - c->sent_at));
+}
+
+/*
+ * A connection ended without a whole answer. Around a planned stop that is
+ * allowed only if the request was neither passed on nor read, or if it was sent
+ * early and a server is still at work on it late in the grace.
+ */
+static void check_lost(caller_s_t *c, ms_t now)
+{
+	const fate_t *f = fate_get(c->s, c->id);
+	ms_t term = c->to->term_at;
+	ms_t worked = f->running > 0 ? now : f->worked_until;
+	ms_t late = term + (ms_t)((double)c->s->grace * break_off_share);
+
+	if (!c->s->stops || term == 0 ||
+	    now > term + c->s->grace + AFTER_GRACE_MS ||
+	    now >= c->sent_at + c->s->timeout)
+		return;
+	if (f->runs == 0 && now - c->sent_at <= LOST_SLACK_MS)
+		return;
+	if (worked >= late && c->sent_at <= term + LATE_SENT_MS)
+		return;
+	violation(c->s, "lost",
+		  "%s (kind %d, %u on its connection, runs %u) sent to %s "
+		  "%lld ms after SIGTERM, closed at %lld ms",
+		  c->id, c->kind, c->on_conn, f->runs, c->to->name,
+		  (long long)(c->sent_at - term), (long long)(now - term));
+}
+
 /* The request is over, with an answer or without one. */
 static void over(caller_s_t *c, bool answered)
 {
@@ -108,9 +163,14 @@
 		check_refused(c);
 	if (answered && (c->status == 404 || c->status == 401))
 		violation(c->s, "denied", "%s got %d", c->id, c->status);
-	if (!c->limited)
+	if (c->s->pauses_only)
+		check_paused(c, answered);
+	if (!c->limited && !c->poison)
 		count(c, answered && c->status == 200);
-	think(c);
+	if (c->s->stops && c->conn && g_rand_double(c->s->rand) < eager_share)
+		ask_next(c);
+	else
+		think(c);
 }
 
 static void on_end(void *ctx, hconn_t *l, bool keep)
@@ -135,12 +195,22 @@
 	if (code == CODE_BAD_ANSWER && c->waiting)
 		violation(c->s, "mixed", "%s got bytes that are no answer",
 			  c->id);
-	if (c->waiting)
-		over(c, false);
+	if (!c->waiting)
+		return;
+	check_lost(c, clock_now());
+	over(c, false);
 }
 
 static const hconn_ops_t ops = { on_head, on_body, on_end, on_gone };
 
+static bool takes_requests(const proc_t *p, ms_t now)
+{
+	bool rotated =
+		p->stopping && (!p->s->stops || now > p->term_at + ROTATION_MS);
+
+	return p->running && !rotated && !p->stopped_until;
+}
+
 /* A daemon that takes requests, or any when none says so. */
 static proc_t *choose(caller_s_t *c)
 {
@@ -150,7 +220,7 @@
 		proc_t *p = &s->procs[g_rand_int_range(s->rand, 0,
 						       (gint32)s->nedges)];
 
-		if (p->running && !p->stopping && !p->stopped_until)
+		if (takes_requests(p, clock_now()))
 			return p;
 	}
 	return &s->procs[0];
@@ -160,6 +230,7 @@
 {
 	GByteArray *out = g_byte_array_new();
 	char *text;
+	char *parts;
 	bool post = c->kind != KIND_SAFE;
 	fate_t *fate;
 
@@ -167,21 +238,25 @@
 	fate = fate_get(c->s, c->id);
 	fate->kind = c->kind;
 	fate->limited = c->limited;
+	fate->to = c->to;
 	fate->sent_at = now;
-	text = g_strdup_printf("%s /a/%s HTTP/1.1\r\nHost: %s\r\n"
-			       "X-Request-Id: %s\r\nX-Timeout-Ms: %d\r\n"
-			       "Authorization: Bearer %s\r\n%s\r\n%s",
-			       post ? "POST" : "GET", c->id, hosts[c->kind],
-			       c->id, TIMEOUT_MS, c->limited ? "guild" : "key",
-			       post ? "Content-Length: 4\r\n" : "",
-			       post ? "body" : "");
+	parts = poison_parts(c);
+	text = g_strdup_printf(
+		"%s /a/%s HTTP/1.1\r\nHost: %s\r\n"
+		"X-Request-Id: %s\r\nX-Timeout-Ms: %d\r\n"
+		"Authorization: Bearer %s\r\n"
+		"X-Prompt-Prefix: %s\r\n%s\r\n%s",
+		post ? "POST" : "GET", c->id, hosts[c->kind], c->id,
+		(int)c->s->timeout, c->limited ? "guild" : "key", parts,
+		post ? "Content-Length: 4\r\n" : "", post ? "body" : "");
 	http_put(out, text);
 	g_free(text);
+	g_free(parts);
 	c->status = 0;
 	c->waiting = true;
 	c->sent_at = now;
 	c->quit_at = 0;
-	if (g_rand_double(c->s->rand) < quit_share)
+	if (!c->s->stops && g_rand_double(c->s->rand) < quit_share)
 		c->quit_at = now + 1 +
 			     g_rand_int_range(c->s->rand, 0, QUIT_AFTER_MS);
 	c->on_conn++;
@@ -189,13 +264,12 @@
 	g_byte_array_free(out, TRUE);
 }
 
-static void on_timer(uv_timer_t *t)
+static void ask_next(caller_s_t *c)
 {
-	caller_s_t *c = t->data;
-
 	if (c->s->ended)
 		return;
-	c->kind = (kind_t)g_rand_int_range(c->s->rand, 0, KINDS);
+	c->kind = c->poison ? KIND_STREAM
+			    : (kind_t)g_rand_int_range(c->s->rand, 0, KINDS);
 	if (c->conn && !hconn_reusable(c->conn)) {
 		hconn_close(c->conn);
 		c->conn = NULL;
@@ -211,18 +285,24 @@
 		think(c);
 }
 
+static void on_timer(uv_timer_t *t)
+{
+	ask_next(t->data);
+}
+
 static void think(caller_s_t *c)
 {
+	int most = c->poison ? POISON_THINK_MS : THINK_MS;
+
 	uv_timer_start(&c->timer, on_timer,
-		       1 + (uint64_t)g_rand_int_range(c->s->rand, 0, THINK_MS),
-		       0);
+		       1 + (uint64_t)g_rand_int_range(c->s->rand, 0, most), 0);
 }
 
 /* Hangs up when it is time to, and when no answer comes at all. */
 void caller_look(caller_s_t *c, ms_t now)
 {
 	bool quits = c->quit_at && now >= c->quit_at;
-	bool late = now - c->sent_at > TIMEOUT_MS + PATIENCE_MS;
+	bool late = now - c->sent_at > c->s->timeout + PATIENCE_MS;
 
 	if (!c->waiting || (!quits && !late))
 		return;
@@ -236,15 +316,17 @@
 	over(c, false);
 }
 
-/* Starts callers. */
+/* Starts n sound callers, and those with the part that ends servers. */
 void callers_start(soak_t *s, unsigned int n)
 {
-	s->ncallers = n;
-	for (unsigned int i = 0; i < n; i++) {
+	s->ncallers = MIN(n + s->poison.callers, CALLERS_MAX);
+	for (unsigned int i = 0; i < s->ncallers; i++) {
 		caller_s_t *c = &s->callers[i];
 
 		c->s = s;
-		c->limited = i % LIMITED_EVERY == LIMITED_EVERY - 1;
+		c->poison = i >= n;
+		c->limited =
+			!c->poison && i % LIMITED_EVERY == LIMITED_EVERY - 1;
 		c->body = g_string_new(NULL);
 		c->stamp = g_string_new(NULL);
 		uv_timer_init(&s->loop, &c->timer);
--- a/test/soak/dat.h
+++ b/test/soak/dat.h
@@ -19,8 +19,11 @@
 	EVENTS = 12,	    /* of each stream */
 	EVENT_MS = 8,	    /* between them */
 	WORK_MS = 12,	    /* of a plain call */
+	STEP_MORE_MS = 100, /* more of both at most, with planned stops only */
+	PAUSE_MS = 1500,    /* the same of a tenth of the steps */
 	TIMEOUT_MS = 1500,  /* of every route */
-	HEARTBEAT_MS = 300, /* of the servers' entries */
+	LONG_TIMEOUT_MS = 9000, /* the same with planned stops only */
+	HEARTBEAT_MS = 300,	/* of the servers' entries */
 	LIMITED_EVERY =
 		8, /* of so many callers one is of the limited customer */
 	LIMIT_PER_S = 30,	/* of that customer, and its burst */
@@ -83,6 +86,7 @@
 typedef struct store {
 	listen_t at;
 	GHashTable *topics;
+	ms_t changed_at; /* its state */
 	store_state_t state;
 } store_t;
 
@@ -101,12 +105,16 @@
 	list_t jobs;
 	bool up;
 	bool leaving;
-	bool mute;	 /* runs, but answers nothing */
-	double cut;	 /* share of answers that are reset midway */
-	double fails;	 /* share of runs that end with 500 */
-	double extra;	 /* share of answers that come twice */
-	double unframed; /* share of answers without a length */
-	double floods;	 /* share of answers that do not end */
+	ms_t lapse_at;	  /* its entry lapses after a crash; 0 not */
+	ms_t back_at;	  /* it starts again after a crash; 0 not */
+	bool keeps_id;	  /* it starts again with the id that it had */
+	bool mute;	  /* runs, but answers nothing */
+	ms_t pause_until; /* sends nothing before; goes on then */
+	double cut;	  /* share of answers that are reset midway */
+	double fails;	  /* share of runs that end with 500 */
+	double extra;	  /* share of answers that come twice */
+	double unframed;  /* share of answers without a length */
+	double floods;	  /* share of answers that do not end */
 } server_t;
 
 /* Where the bytes of an answer that does not end come. */
@@ -128,6 +136,7 @@
 	unsigned int next; /* event to send */
 	flood_t flood;
 	bool started;
+	bool poison; /* has the part that ends servers */
 	bool counted;
 	ms_t gone_at; /* its connection closed; 0 not */
 } job_t;
@@ -148,8 +157,10 @@
 	bool edge;
 	bool running;
 	bool stopping;	    /* SIGTERM was sent */
+	ms_t term_at;	    /* when; 0 not */
 	ms_t stopped_until; /* SIGSTOP was sent; 0 not */
 	ms_t start_at;	    /* to be started again; 0 not */
+	ms_t disturbed_at;  /* last start, end, pause or wake */
 	addr_t callers;
 	addr_t ready;
 	unsigned int starts;
@@ -167,6 +178,7 @@
 	GString *body;
 	GString *stamp;
 	bool limited; /* of the customer with a limit */
+	bool poison;  /* sends the part that ends servers */
 	bool quits;   /* leaves before the answer */
 	bool waiting;
 	ms_t sent_at;
@@ -178,12 +190,24 @@
 typedef struct fate {
 	kind_t kind;
 	unsigned int runs;
-	bool limited; /* of the customer with a limit */
+	unsigned int running;
+	ms_t worked_until; /* when the last run ended */
+	bool limited;	   /* of the customer with a limit */
+	proc_t *to;	   /* the edge that it was sent to */
 	ms_t sent_at;
 	bool said_not_run;
 	bool answered;
 } fate_t;
 
+/* What a part that ends servers has done. */
+typedef struct poison {
+	GRand *rand;
+	unsigned int callers; /* that send it */
+	unsigned int crashes; /* of servers */
+	ms_t known_at;	      /* it must be known from here on; 0 not yet */
+	unsigned int reached; /* requests with it that reached servers since */
+} poison_t;
+
 /* The operator's move of the plain servers to another version. */
 typedef struct move_s {
 	unsigned int orders;
@@ -211,6 +235,7 @@
 	caller_s_t callers[CALLERS_MAX];
 	unsigned int ncallers;
 	move_s_t move;
+	poison_t poison;
 	uint64_t version;     /* of the configuration */
 	GHashTable *fates;    /* fate_t by request id */
 	GArray *limited_sent; /* ms_t, when the limited customer's requests that
@@ -223,12 +248,17 @@
 	ms_t next_fault;
 	unsigned int nfaults;
 	size_t memory_most; /* bytes of any daemon */
+	bool pauses_only;   /* servers that pause are the only fault */
 	unsigned int violations;
 	unsigned int done[KINDS];
 	unsigned int good[KINDS];
 	unsigned int calm_done;
 	unsigned int calm_good;
 	bool ended;
+	bool stops;		/* planned stops of edges are the only faults */
+	ms_t grace;		/* of the daemons, from SIGTERM to their end */
+	ms_t timeout;		/* of every route */
+	unsigned int next_stop; /* edge */
 };
 
 #endif
--- a/test/soak/fault.c
+++ b/test/soak/fault.c
@@ -7,7 +7,10 @@
 	FAULT_EVERY_MS = 700, /* between two faults, at most */
 	STOP_MS = 1200,	      /* SIGSTOP, at most */
 	FLOOD_PERCENT = 15,   /* of faults that come with one of those */
+	PAUSE_MIN_MS = 1000,  /* of a server that goes on afterwards */
+	PAUSE_MAX_MS = 1500,
 	ROUTES_MORE = 5,      /* routes beside the three that are used */
+	TERM_EVERY_MS = 3000, /* between two planned stops, at least */
 };
 
 /* Writes the next configuration: the routes in use, and some others. */
@@ -28,7 +31,7 @@
 			"\"latency_target_ms\":200,\"gap_target_ms\":200,"
 			"\"priority\":%d,\"attempts\":2,\"service\":\"%s\","
 			"\"resumable\":true},",
-			names[i], names[i], kinds[i], TIMEOUT_MS, i,
+			names[i], names[i], kinds[i], (int)s->timeout, i,
 			i == KIND_STREAM ? "models" : "desk");
 	for (int i = 0; i <= more; i++)
 		g_string_append_printf(
@@ -182,6 +185,21 @@
 	soak_note(s, "server %s floods=%.2f", v->id, v->floods);
 }
 
+/* Some servers pause at once, all of them at times. */
+static void fault_pause(soak_t *s)
+{
+	int n = g_rand_int_range(s->faults, 1, (gint32)s->nservers + 1);
+
+	for (int i = 0; i < n; i++) {
+		server_t *v = any_server(s);
+		ms_t length =
+			g_rand_int_range(s->faults, PAUSE_MIN_MS, PAUSE_MAX_MS);
+
+		soak_note(s, "server %s pauses for %d ms", v->id, (int)length);
+		v->pause_until = clock_now() + length;
+	}
+}
+
 static void (*const faults[])(soak_t *s) = {
 	move_order,   fault_kill,   fault_kill_all, fault_term,
 	fault_term,   fault_hup,    fault_stop,	    fault_stop,
@@ -190,6 +208,20 @@
 	fault_return, fault_server, fault_server,   fault_silence,
 };
 
+/* Stops the edges in turn. */
+static void next_planned_stop(soak_t *s, ms_t now)
+{
+	proc_t *p = &s->procs[s->next_stop++ % s->nedges];
+
+	s->next_fault = now + TERM_EVERY_MS +
+			g_rand_int_range(s->faults, 0, FAULT_EVERY_MS);
+	if (!p->running || p->stopping)
+		return;
+	s->nfaults++;
+	soak_note(s, "planned stop of %s", p->name);
+	proc_signal(p, SIGTERM);
+}
+
 static void calm(soak_t *s, ms_t now)
 {
 	soak_note(s, "calm");
@@ -208,9 +240,17 @@
 		calm(s, now);
 		return;
 	}
+	if (s->stops) {
+		next_planned_stop(s, now);
+		return;
+	}
 	s->next_fault =
 		now + 50 + g_rand_int_range(s->faults, 0, FAULT_EVERY_MS);
 	s->nfaults++;
+	if (s->pauses_only) {
+		fault_pause(s);
+		return;
+	}
 	faults[g_rand_int_range(s->faults, 0, G_N_ELEMENTS(faults))](s);
 	if (g_rand_int_range(s->floods, 0, 100) < FLOOD_PERCENT)
 		fault_flood(s);
--- a/test/soak/main.c
+++ b/test/soak/main.c
@@ -13,6 +13,8 @@
 	JUDGED_MS = 2500,
 	CALM_GOOD_PERCENT = 95, /* of the requests of the calm end */
 	SHOWN = 20,		/* violations told in full */
+	GRACE_MS = 3000,	/* of the daemons */
+	LONG_GRACE_MS = 8000,	/* the same with planned stops only */
 };
 
 typedef struct options {
@@ -21,6 +23,9 @@
 	gint edges;
 	gint servers;
 	gint callers;
+	gboolean pauses;
+	gboolean stops;
+	gint poison;
 	gboolean verbose;
 	char *dir;
 	char *daemon;
@@ -95,6 +100,8 @@
 
 	beat_all(s, now);
 	procs_tick(s, now);
+	for (unsigned int i = 0; i < s->nservers; i++)
+		server_tick(&s->servers[i], now);
 	if (!s->ended)
 		fault_tick(s, now);
 	for (unsigned int i = 0; i < s->ncallers && !s->ended; i++)
@@ -119,10 +126,16 @@
 		  "Backend servers, a third of them plain", "N" },
 		{ "callers", 0, 0, G_OPTION_ARG_INT, &opt.callers, "Callers",
 		  "N" },
+		{ "poison", 0, 0, G_OPTION_ARG_INT, &opt.poison,
+		  "Callers whose requests end servers", "N" },
 		{ "dir", 0, 0, G_OPTION_ARG_STRING, &opt.dir,
 		  "For settings and logs", "DIR" },
 		{ "daemon", 0, 0, G_OPTION_ARG_STRING, &opt.daemon,
 		  "Program to run", "FILE" },
+		{ "pauses", 0, 0, G_OPTION_ARG_NONE, &opt.pauses,
+		  "Servers that pause, and no other fault", NULL },
+		{ "stops", 0, 0, G_OPTION_ARG_NONE, &opt.stops,
+		  "Only planned stops of edges, under long requests", NULL },
 		{ "verbose", 'v', 0, G_OPTION_ARG_NONE, &opt.verbose,
 		  "Tell each fault", NULL },
 		{ 0 },
@@ -144,9 +157,15 @@
 {
 	s->rand = g_rand_new_with_seed((guint32)opt.seed);
 	s->faults = g_rand_new_with_seed((guint32)opt.seed + 1);
-	s->floods = g_rand_new_with_seed((guint32)opt.seed + 2);
+	s->poison.rand = g_rand_new_with_seed((guint32)opt.seed + 2);
+	s->poison.callers = (unsigned int)CLAMP(opt.poison, 0, CALLERS_MAX);
+	s->floods = g_rand_new_with_seed((guint32)opt.seed + 3);
 	s->daemon = opt.daemon;
+	s->pauses_only = opt.pauses;
 	s->dir = opt.dir;
+	s->stops = opt.stops;
+	s->grace = opt.stops ? LONG_GRACE_MS : GRACE_MS;
+	s->timeout = opt.stops ? LONG_TIMEOUT_MS : TIMEOUT_MS;
 	s->nedges = (unsigned int)CLAMP(opt.edges, 1, EDGES_MAX);
 	s->nservers = (unsigned int)CLAMP(opt.servers, 3, SERVERS_MAX);
 	s->fates = g_hash_table_new(g_str_hash, g_str_equal);
@@ -176,11 +195,13 @@
 static void report(const soak_t *s)
 {
 	printf("soak seed=%d faults=%u safe=%u/%u once=%u/%u stream=%u/%u "
-	       "calm=%u/%u memory_mb=%zu violations=%u\n",
+	       "calm=%u/%u poison=%u/%u memory_mb=%zu "
+	       "violations=%u\n",
 	       opt.seed, s->nfaults, s->good[KIND_SAFE], s->done[KIND_SAFE],
 	       s->good[KIND_ONCE], s->done[KIND_ONCE], s->good[KIND_STREAM],
 	       s->done[KIND_STREAM], s->calm_good, s->calm_done,
-	       s->memory_most >> 20, s->violations);
+	       s->poison.reached, s->poison.crashes, s->memory_most >> 20,
+	       s->violations);
 }
 
 int main(int argc, char **argv)
--- a/test/soak/proc.c
+++ b/test/soak/proc.c
@@ -6,7 +6,6 @@
 #include "fns.h"
 
 enum {
-	GRACE_S = 3, /* of the daemons, from SIGTERM to their end */
 	RESTART_MS = 300,
 	KILL_AFTER_MS = 4000,	/* past the grace */
 	MEMORY_MAX = 260 << 20, /* bytes of a daemon */
@@ -14,6 +13,10 @@
 
 static const char key[] = "000102030405060708090a0b0c0d0e0f";
 
+static const char many_retries[] = "retry_ratio = 0.2\nretry_slack = 20\n";
+/* So that they run out. */
+static const char few_retries[] = "retry_ratio = 0.005\n";
+
 static void write_ini(proc_t *p, const char *text)
 {
 	GError *err = NULL;
@@ -29,10 +32,11 @@
 		"[process]\nname = %s\ndata_center = dc-1\n"
 		"[listen]\ncallers = %s:%u\nready = %s:%u\npeers = %s:%u\n"
 		"[fleet]\nkey = %s\n[store]\naddress = %s:%u\n"
-		"[bounds]\ngrace_s = %d\nretry_ratio = 0.2\nretry_slack = 20\n",
+		"[bounds]\ngrace_s = %d\n%s",
 		p->name, p->callers.ip, p->callers.port, p->ready.ip,
 		p->ready.port, peers, s->port, key, s->store.at.addr.ip,
-		s->store.at.addr.port, GRACE_S);
+		s->store.at.addr.port, (int)(s->grace / MS_PER_S),
+		s->pauses_only ? few_retries : many_retries);
 
 	write_ini(p, text);
 	g_free(text);
@@ -85,10 +89,12 @@
 	io[2] = io[1];
 	p->start_at = 0;
 	p->stopping = false;
+	p->term_at = 0;
 	p->handle.data = p;
 	if (uv_spawn(&s->loop, &p->handle, &o))
 		g_error("cannot start %s", s->daemon);
 	p->running = true;
+	p->disturbed_at = clock_now();
 	p->starts++;
 	fclose(f);
 	g_free(log);
@@ -156,7 +162,11 @@
 {
 	if (!p->running)
 		return;
+	if (number == SIGTERM && !p->stopping)
+		p->term_at = clock_now();
 	p->stopping = p->stopping || number == SIGTERM;
+	if (number != SIGHUP)
+		p->disturbed_at = clock_now();
 	uv_process_kill(&p->handle, number);
 }
 
@@ -196,6 +206,7 @@
 		check_memory(p);
 		if (p->running && p->stopped_until && now >= p->stopped_until) {
 			p->stopped_until = 0;
+			p->disturbed_at = now;
 			uv_process_kill(&p->handle, SIGCONT);
 		}
 		if (!p->running && !s->ended && p->start_at &&
@@ -218,8 +229,7 @@
 			uv_process_kill(&p->handle, SIGCONT);
 			proc_signal(p, SIGTERM);
 		} else if (p->running &&
-			   now - s->end_at >
-				   GRACE_S * MS_PER_S + KILL_AFTER_MS) {
+			   now - s->end_at > s->grace + KILL_AFTER_MS) {
 			violation(s, "exit", "%s did not end in its grace",
 				  p->name);
 			uv_process_kill(&p->handle, SIGKILL);
--- a/test/soak/server.c
+++ b/test/soak/server.c
@@ -3,6 +3,12 @@
 #include <string.h>
 #include "fns.h"
 
+enum {
+	LAPSE_MS = 3 * HEARTBEAT_MS, /* of an entry, after the last heartbeat */
+};
+
+static const double pause_share = 0.1; /* of the steps of long requests */
+
 static void run_next(server_t *v);
 
 static void on_job_closed(uv_handle_t *h)
@@ -18,8 +24,13 @@
 	server_t *v = j->at;
 
 	list_del(&j->link);
-	if (j->started)
+	if (j->started) {
+		fate_t *f = fate_get(v->s, j->id);
+
 		v->running--;
+		f->running--;
+		f->worked_until = clock_now();
+	}
 	if (j->c)
 		j->c->job = NULL;
 	uv_close((uv_handle_t *)&j->timer, on_job_closed);
@@ -41,6 +52,18 @@
 	return share > 0 && g_rand_double(v->s->faults) < share;
 }
 
+/* Returns the time of a plain call, or from one event to the next, in ms. */
+static uint64_t step_ms(server_t *v)
+{
+	int ms = v->stream ? EVENT_MS : WORK_MS;
+
+	if (v->s->stops)
+		ms += g_rand_int_range(v->s->faults, 0,
+				       chance(v, pause_share) ? PAUSE_MS
+							      : STEP_MORE_MS);
+	return (uint64_t)ms;
+}
+
 /* Sends what was kept of an earlier answer, where the next one is due. */
 static void send_late(sconn_t *c)
 {
@@ -51,6 +74,14 @@
 	c->late = NULL;
 }
 
+/* The status of a run that failed; none of them says that it was not run. */
+static int failure_status(const job_t *j)
+{
+	static const int statuses[] = { 500, 503, 429, 408 };
+
+	return statuses[g_str_hash(j->id) % G_N_ELEMENTS(statuses)];
+}
+
 /* Ends a plain call with its answer, spoiled as the faults say. */
 static void answer_plain(job_t *j)
 {
@@ -59,11 +90,13 @@
 	bool fails = chance(v, v->fails) || move_fails(v);
 	bool cut = chance(v, v->cut);
 	bool unframed = !fails && chance(v, v->unframed);
+	int status;
 	char *body = g_strdup_printf("answer %s of %s", j->id, v->id);
 	GString *out = g_string_new(NULL);
 
-	g_string_append_printf(out, "HTTP/1.1 %s\r\n",
-			       fails ? "500 Internal Server Error" : "200 OK");
+	status = fails ? failure_status(j) : 200;
+	g_string_append_printf(out, "HTTP/1.1 %d %s\r\n", status,
+			       http_reason(status));
 	put_fields(out, v, j->id);
 	if (!unframed)
 		g_string_append_printf(out, "Content-Length: %zu\r\n",
@@ -125,7 +158,7 @@
 	server_t *v = j->at;
 	char event[128];
 
-	if (v->mute)
+	if (v->mute || clock_now() < v->pause_until)
 		return;
 	if (!j->c) {
 		job_end(j);
@@ -135,6 +168,10 @@
 		flood_step(j);
 		return;
 	}
+	if (j->poison && v->stream) {
+		poison_ends(v);
+		return;
+	}
 	if (!v->stream) {
 		answer_plain(j);
 		return;
@@ -153,6 +190,8 @@
 	}
 	chunk(j->c, event);
 	j->next++;
+	uv_timer_set_repeat(t, step_ms(v));
+	uv_timer_again(t);
 }
 
 /*
@@ -186,6 +225,7 @@
 {
 	server_t *v = j->at;
 	fate_t *f = fate_get(v->s, j->id);
+	uint64_t step;
 
 	j->started = true;
 	v->running++;
@@ -199,12 +239,13 @@
 	if (f->said_not_run)
 		violation(v->s, "refused", "%s runs after it was refused",
 			  j->id);
-	if (j->c && flood_begins(j))
+	if (j->c && !j->poison && flood_begins(j))
 		start_flood(j);
 	else if (v->stream && j->c)
 		stream_head(j);
-	uv_timer_start(&j->timer, on_step, v->stream ? EVENT_MS : WORK_MS,
-		       v->stream ? EVENT_MS : WORK_MS);
+	f->running++;
+	step = step_ms(v);
+	uv_timer_start(&j->timer, on_step, step, step);
 }
 
 static void run_next(server_t *v)
@@ -231,7 +272,7 @@
 	if (!str_eq(http_value(h, "X-Tenant"),
 		    str_of(fate_get(v->s, id)->limited ? "guild" : "school")))
 		violation(v->s, "customer", "%s came without its customer", id);
-	if (!http_parse_number(left, &ms) || ms > TIMEOUT_MS)
+	if (!http_parse_number(left, &ms) || ms > (uint64_t)v->s->timeout)
 		violation(v->s, "deadline", "%s came with %.*s ms left", id,
 			  (int)left.n, left.p);
 }
@@ -252,7 +293,10 @@
 	j->at = v;
 	j->c = c;
 	j->id = str_dup(http_value(h, "X-Request-Id"));
+	j->poison = poison_in(h);
 	check_request(v, h, j->id);
+	if (j->poison)
+		poison_reached(v->s, fate_get(v->s, j->id));
 	if (list_len(&v->queued) >= QUEUE_MAX) {
 		char *fields = g_strdup_printf(
 			"X-Not-Executed: 1\r\nX-Request-Id: %s\r\n", j->id);
@@ -315,10 +359,16 @@
 {
 	char ip[32];
 
+	if (v->lapse_at && !v->keeps_id)
+		store_put(&v->s->store, "keyed.servers", v->id, NULL);
 	v->life++;
 	v->seq = 0;
 	v->leaving = false;
-	snprintf(v->id, sizeof(v->id), "i-%u-%u", v->index, v->life);
+	v->lapse_at = 0;
+	v->back_at = 0;
+	if (!v->keeps_id)
+		snprintf(v->id, sizeof(v->id), "i-%u-%u", v->index, v->life);
+	v->keeps_id = false;
 	snprintf(ip, sizeof(ip), "127.0.2.%u", v->index + 1);
 	v->at.owner = v;
 	v->at.request = on_request;
@@ -350,6 +400,29 @@
 	store_put(&v->s->store, "keyed.servers", v->id, NULL);
 }
 
+/* The server dies; its entry lapses later, and it starts again. */
+void server_fall(server_t *v, ms_t down, bool keeps_id)
+{
+	ms_t now = clock_now();
+
+	v->up = false;
+	listen_stop(&v->at, true);
+	v->lapse_at = now + LAPSE_MS;
+	v->back_at = now + down;
+	v->keeps_id = keeps_id;
+}
+
+/* Lets the entry of a server that died lapse, and starts it again. */
+void server_tick(server_t *v, ms_t now)
+{
+	if (v->lapse_at && now >= v->lapse_at) {
+		v->lapse_at = 0;
+		store_put(&v->s->store, "keyed.servers", v->id, NULL);
+	}
+	if (v->back_at && now >= v->back_at)
+		start(v);
+}
+
 /* The server says that it leaves. */
 void server_leave(server_t *v)
 {
