--- a/test/soak/dat.h
+++ b/test/soak/dat.h
@@ -114,8 +114,18 @@
 	double fails;	  /* share of runs that end with 500 */
 	double extra;	  /* share of answers that come twice */
 	double unframed;  /* share of answers without a length */
+	double floods;	  /* share of answers that do not end */
 } server_t;
 
+/* Where the bytes of an answer that does not end come. */
+typedef enum flood {
+	FLOOD_NONE,
+	FLOOD_HEAD,
+	FLOOD_BODY,
+	FLOOD_EVENT,
+	FLOODS,
+} flood_t;
+
 /* A run of a request at a server. */
 typedef struct job {
 	list_t link;
@@ -124,6 +134,7 @@
 	sconn_t *c; /* NULL once the caller is gone */
 	char *id;
 	unsigned int next; /* event to send */
+	flood_t flood;
 	bool started;
 	bool poison; /* has the part that ends servers */
 	bool counted;
@@ -210,6 +221,7 @@
 	uv_timer_t tick;
 	GRand *rand;
 	GRand *faults;
+	GRand *floods; /* apart, so that a seed's other faults stay */
 	uint64_t seed;
 	const char *daemon;
 	char *dir;
@@ -235,7 +247,8 @@
 	ms_t end_at;
 	ms_t next_fault;
 	unsigned int nfaults;
-	bool pauses_only; /* servers that pause are the only fault */
+	size_t memory_most; /* bytes of any daemon */
+	bool pauses_only;   /* servers that pause are the only fault */
 	unsigned int violations;
 	unsigned int done[KINDS];
 	unsigned int good[KINDS];
--- a/test/soak/main.c
+++ b/test/soak/main.c
@@ -159,6 +159,7 @@
 	s->faults = g_rand_new_with_seed((guint32)opt.seed + 1);
 	s->poison.rand = g_rand_new_with_seed((guint32)opt.seed + 2);
 	s->poison.callers = (unsigned int)CLAMP(opt.poison, 0, CALLERS_MAX);
+	s->floods = g_rand_new_with_seed((guint32)opt.seed + 3);
 	s->daemon = opt.daemon;
 	s->pauses_only = opt.pauses;
 	s->dir = opt.dir;
@@ -194,11 +195,13 @@
 static void report(const soak_t *s)
 {
 	printf("soak seed=%d faults=%u safe=%u/%u once=%u/%u stream=%u/%u "
-	       "calm=%u/%u poison=%u/%u violations=%u\n",
+	       "calm=%u/%u poison=%u/%u memory_mb=%zu "
+	       "violations=%u\n",
 	       opt.seed, s->nfaults, s->good[KIND_SAFE], s->done[KIND_SAFE],
 	       s->good[KIND_ONCE], s->done[KIND_ONCE], s->good[KIND_STREAM],
 	       s->done[KIND_STREAM], s->calm_good, s->calm_done,
-	       s->poison.reached, s->poison.crashes, s->violations);
+	       s->poison.reached, s->poison.crashes, s->memory_most >> 20,
+	       s->violations);
 }
 
 int main(int argc, char **argv)
