Failing test: a crash under a stalled request is not noticed

A request that waits longer than the stall limit and is then lost is not looked at, so its server's crash is never reported and its parts are never held. The limit applies to all requests since a stalled one is left to its server; an attempt that this host gives up ends as ATTEMPT_SILENT by now.

The case 'stalled, given up here' used ATTEMPT_LOST for that and now uses ATTEMPT_SILENT, with the same expectation; two cases are new.

--- a/test/suspects.c
+++ b/test/suspects.c
@@ -270,8 +270,8 @@
 /*
  * At one server: 1:pq request 1 with the parts p, q is sent; and of a request:
  * f1 the first event comes, b1 more bytes, w1 the end, !1 it is lost, ?1 it is
- * malformed, n1 it is not sent. +50: 50 ms pass, X: the server's next life is
- * listed, G: the server is not listed any more.
+ * malformed, n1 it is not sent, s1 it is given up as silent. +50: 50 ms pass,
+ * X: the server's next life is listed, G: the server is not listed any more.
  */
 static void take_event(lab_t *l, const char *word)
 {
@@ -279,6 +279,7 @@
 	attempt_result_t how = word[0] == 'w'	? ATTEMPT_ANSWERED
 			       : word[0] == '!' ? ATTEMPT_LOST
 			       : word[0] == '?' ? ATTEMPT_BAD_ANSWER
+			       : word[0] == 's' ? ATTEMPT_SILENT
 						: ATTEMPT_NOT_SENT;
 
 	if (word[0] == '+') {
@@ -345,7 +346,9 @@
 } route_case_t;
 
 static const route_case_t route_cases[] = {
-	{ 2, false, { "stalled, given up here", "1:p +500 !1 +150", "" } },
+	{ 2, false, { "stalled, given up here", "1:p +500 s1 +150", "" } },
+	{ 1, false, { "stalled, then lost", "1:p +500 !1 +150", "p" } },
+	{ 2, false, { "the same, may be retried", "1:p +500 !1 +150", "p" } },
 	{ 1, true, { "a stream", "1:p +50 f1 w1 +150", "" } },
 	{ 1, true, { "without an event", "1:p +50 w1 +150", "p" } },
 	{ 1, true, { "another is open", "1:p 2:q +50 w1 +150", "" } },
