Quarantine: a crash under a request that has waited long is noticed

A crash was not reported if the lost request was past the limit for stalled ones; since servers that pause keep their requests, that holds for every request behind a queue, and an attempt that this host gives up ends as silent anyway. test/suspects, two cases, failed before (2 of 118), pass now.

--- a/lib/edge/crash.c
+++ b/lib/edge/crash.c
@@ -227,8 +227,8 @@
 }
 
 /*
- * An attempt ends; the request is still with its server. A stalled request
- * was given up by this host, so its end tells nothing.
+ * An attempt ends; the request is still with its server. One that this host
+ * gave up for the server's silence tells nothing.
  */
 void crash_attempt_ended(edge_t *e, const request_t *r, attempt_result_t how,
 			 ms_t now)
@@ -243,7 +243,7 @@
 		report(e, l, "refused", now);
 		loss_free(cs, l);
 	} else if (broken_off(r, how) && !l && r->nparts > 0 &&
-		   is_beginning(r, now) && !edge_stalled(r, now)) {
+		   is_beginning(r, now)) {
 		add_loss(cs, r, now);
 	}
 }
