Edge: a configuration that is being read or decoded is not asked of other hosts too

Cause: 250 ms after word of a newer configuration a host asks the one that told of it; 0.5 MB take 0.4 s on a link of 10 Mbit/s and up to 0.5 s to decode, so hosts fetched it twice and filled both links. 12 of 574 config_in_force lines said from=host. Change: a host asks only when nothing of it is coming. T: relays "receiving", worker.

--- a/cmd/chestnuthinged/configs.c
+++ b/cmd/chestnuthinged/configs.c
@@ -125,6 +125,12 @@
 	return (str_t){ cs->in_force->str, cs->in_force->len };
 }
 
+/* Whether a configuration is being decoded or waits for that. */
+bool configs_decoding(const configs_t *cs)
+{
+	return cs->worker && worker_busy(cs->worker);
+}
+
 /* Stops. A decoding in progress ends with the loop; nothing comes of it. */
 void configs_close(configs_t *cs)
 {
--- a/cmd/chestnuthinged/edged.c
+++ b/cmd/chestnuthinged/edged.c
@@ -148,9 +148,11 @@
 	configs_put(d->configs, str_of("config"), text, "host");
 }
 
-static const peering_ops_t peering_ops = { on_config_text,	on_peer_config,
-					   on_rollout_count,	on_host_gone,
-					   topics_newer_config, topics_news };
+static const peering_ops_t peering_ops = {
+	on_config_text, on_peer_config,	     on_rollout_count,
+	on_host_gone,	topics_newer_config, topics_config_coming,
+	topics_news
+};
 
 static void on_written(void *ctx, const char *topic, const char *key,
 		       append_result_t end)
--- a/cmd/chestnuthinged/edged_priv.h
+++ b/cmd/chestnuthinged/edged_priv.h
@@ -51,12 +51,14 @@
 void topics_tick(edged_t *d, ms_t now);
 void topics_reject(edged_t *d, str_t key, const char *why);
 void topics_newer_config(void *ctx);
+bool topics_config_coming(void *ctx);
 void topics_news(void *ctx, str_t topic, const follow_news_t *n);
 
 /* configs.c */
 configs_t *configs_new(uv_loop_t *loop, edged_t *d);
 void configs_put(configs_t *cs, str_t key, str_t text, const char *from);
 str_t configs_text(const configs_t *cs);
+bool configs_decoding(const configs_t *cs);
 void configs_close(configs_t *cs);
 void configs_free(configs_t *cs);
 
--- a/cmd/chestnuthinged/peering.h
+++ b/cmd/chestnuthinged/peering.h
@@ -20,6 +20,8 @@
 	void (*gone)(void *ctx, uint64_t host);
 	/* There is a configuration newer than the one in force. */
 	void (*newer_config)(void *ctx);
+	/* Whether one is being received or decoded. */
+	bool (*config_coming)(void *ctx);
 	/* A relay has read a topic of the store. */
 	void (*news)(void *ctx, str_t topic, const follow_news_t *n);
 } peering_ops_t;
--- a/cmd/chestnuthinged/reports.c
+++ b/cmd/chestnuthinged/reports.c
@@ -84,6 +84,7 @@
 /*
  * Requests a newer configuration from the host that reported it, when the store
  * has not given it for an eighth of the time within which it must be in force.
+ * One that is coming would only be held up: a large one fills a slow link.
  */
 void peering_request_config(peering_t *p, ms_t now)
 {
@@ -91,7 +92,8 @@
 
 	if (p->heard_version <= config_version(p) ||
 	    now - p->heard_at < p->set->config / 8 ||
-	    now - p->config_asked_at < p->set->config / 4)
+	    now - p->config_asked_at < p->set->config / 4 ||
+	    p->ops->config_coming(p->ctx))
 		return;
 	p->config_asked_at = now;
 	ask.u.conf_get.newer_than = config_version(p);
--- a/cmd/chestnuthinged/topics.c
+++ b/cmd/chestnuthinged/topics.c
@@ -69,6 +69,13 @@
 	follow_read_now(d->orders, clock_now());
 }
 
+bool topics_config_coming(void *ctx)
+{
+	edged_t *d = ctx;
+
+	return configs_decoding(d->configs) || follow_receiving(d->orders);
+}
+
 /*
  * While an entry is missing that no other host may miss, this host reads the
  * entries itself.
--- a/lib/net/fns.h
+++ b/lib/net/fns.h
@@ -34,6 +34,7 @@
 /* worker.c */
 worker_t *worker_new(uv_loop_t *loop, const worker_ops_t *ops, void *ctx);
 void worker_put(worker_t *w, void *input);
+bool worker_busy(const worker_t *w);
 void worker_close(worker_t *w);
 
 /* ticker.c */
--- a/lib/net/worker.c
+++ b/lib/net/worker.c
@@ -88,6 +88,12 @@
 	start_next(w);
 }
 
+/* Whether a job runs or waits. */
+bool worker_busy(const worker_t *w)
+{
+	return w->running || !list_empty(&w->waiting);
+}
+
 /*
  * Drops the jobs. One that runs ends later, its result is dropped too and the
  * worker freed then.
--- a/test/relays.c
+++ b/test/relays.c
@@ -248,6 +248,7 @@
 	uv_tcp_init(&s->loop, conn);
 	conn->data = s;
 	uv_accept(listener, (uv_stream_t *)conn);
+	uv_tcp_nodelay(conn, 1);
 	uv_read_start((uv_stream_t *)conn, on_alloc, on_bytes);
 	s->nconns++;
 }
@@ -514,6 +515,27 @@
 }
 END_TEST
 
+/* Records that are on their way are not asked of another host as well. */
+START_TEST(test_receiving)
+{
+	told_t *t = told_open();
+	uv_stream_t *conn = (uv_stream_t *)&t->store.conns[0];
+	ms_t now = clock_now();
+
+	follow_read_now(t->follow, now);
+	settle(t, now);
+	ck_assert_int_eq(t->store.reads, 1);
+	ck_assert(!follow_receiving(t->follow));
+	reply(conn, "HTTP/1.1 200 OK\r\nContent-Length: 16\r\n\r\n8 bytes.");
+	settle(t, now);
+	ck_assert(follow_receiving(t->follow));
+	reply(conn, "8 bytes.");
+	settle(t, now);
+	ck_assert(!follow_receiving(t->follow));
+	told_close(t);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("relays");
@@ -529,6 +551,7 @@
 	tcase_add_loop_test(t, test_relay_is_up, 0, 50);
 	tcase_add_loop_test(t, test_news, 0, G_N_ELEMENTS(news_cases));
 	tcase_add_test(t, test_news_end);
+	tcase_add_test(t, test_receiving);
 	tcase_add_test(t, test_news_bound_shortened);
 	tcase_add_loop_test(t, test_end_wait, 0, G_N_ELEMENTS(end_waits));
 	tcase_add_loop_test(t, test_in_time, 0, 6);
--- a/test/worker.c
+++ b/test/worker.c
@@ -91,10 +91,13 @@
 	r.w = worker_new(&r.loop, &ops, &r);
 	for (unsigned int i = 0; i < JOBS; i++)
 		worker_put(r.w, make(i));
+	ck_assert(worker_busy(r.w));
 	uv_run(&r.loop, UV_RUN_DEFAULT);
 	ck_assert_uint_eq(r.ended, cases[_i].ended);
-	if (!r.close_early)
+	if (!r.close_early) {
+		ck_assert(!worker_busy(r.w));
 		worker_close(r.w);
+	}
 	ck_assert_int_eq(uv_loop_close(&r.loop), 0);
 	ck_assert_int_eq(g_atomic_int_get(&living), 0);
 	uv_sem_destroy(&turn);
