--- a/lib/edge/quarantine.c
+++ b/lib/edge/quarantine.c
@@ -10,6 +10,8 @@
 enum {
 	/* Lives of servers that ended with a part */
 	CRASHES_MIN = 3,
+	/* The same, whatever else ends meanwhile */
+	CRASHES_ENOUGH = 5,
 	/* One in so many lives that ended meanwhile: servers that end together
 	   leave many lives that have little in common */
 	CRASHES_SHARE = 3,
@@ -307,7 +309,8 @@
 		suspected_t *s = v;
 
 		if (s->unexplained < CRASHES_MIN ||
-		    !has_share(q, all, explained, s))
+		    (s->unexplained < CRASHES_ENOUGH &&
+		     !has_share(q, all, explained, s)))
 			s->unexplained = 0;
 		most = MAX(most, s->unexplained);
 	}
--- a/test/suspects.c
+++ b/test/suspects.c
@@ -209,6 +209,14 @@
 	{ "three of ten, one of the others cleared",
 	  "a1h:p b1h:a c1h:b d1h:c e1h:p f1h:d g1h:e h1h:f i1h:g j1h:p =a", "",
 	  "" },
+	{ "four of thirteen crashes",
+	  "a1h:p b1h:p c1h:p f1h:a g1h:b h1h:c i1h:d j1h:e k1h:f l1h:g "
+	  "m1h:h n1h:i d1h:p",
+	  "", "" },
+	{ "five of seventeen crashes",
+	  "a1h:p b1h:p c1h:p d1h:p f1h:a g1h:b h1h:c i1h:d j1h:e k1h:f "
+	  "l1h:g m1h:h n1h:i o1h:j q1h:k r1h:l e1h:p",
+	  "p", "" },
 	{ "three after ten others",
 	  "a1h:a b1h:b c1h:c d1h:d e1h:e f1h:f g1h:g h1h:h i1h:i j1h:j "
 	  "k1h:p l1h:p m1h:p",
