Callers: one line at most of reads after a close

A caller whose large body was refused went on sending, and each read was a line. Now the first on a connection that was closed as idle; all are counted.

--- a/lib/forward/caller.c
+++ b/lib/forward/caller.c
@@ -272,6 +272,22 @@
 	caller_close(c);
 }
 
+/*
+ * Counts a read after the close. Of a connection that was closed as idle the
+ * first is logged: the caller may have sent a request that nobody answers.
+ */
+static void count_late_read(caller_t *c, ssize_t bytes)
+{
+	c->forward->unread_at_close->value++;
+	if (c->idle_for == 0)
+		return;
+	log_line(LOG_INFO, "read_after_close",
+		 "bytes=%zd closed_for_ms=%lld idle_ms=%lld requests=%u", bytes,
+		 (long long)(clock_now() - c->since), (long long)c->idle_for,
+		 c->nrequests);
+	c->idle_for = 0;
+}
+
 static void on_read(uv_stream_t *s, ssize_t n, const uv_buf_t *buf)
 {
 	caller_t *c = (caller_t *)s;
@@ -283,12 +299,7 @@
 	if (n == 0 || c->closed)
 		return;
 	if (c->closing) {
-		c->forward->unread_at_close->value++;
-		log_line(
-			LOG_INFO, "read_after_close",
-			"bytes=%zd closed_for_ms=%lld idle_ms=%lld requests=%u",
-			n, (long long)(clock_now() - c->since),
-			(long long)c->idle_for, c->nrequests);
+		count_late_read(c, n);
 		return;
 	}
 	if (!c->answering && c->pending->len == 0) {
