Roster: the store's return is noticed in time for servers that left

Cause: servers missing after an outage keep their place for 2.3 s from when this host's reader of the entries has its first answer. Nothing bounded how late that is: a call hung in connecting for 0.7 s, as a cut path drops the first packet, and a pause of up to 1 s followed. 1.4 s and 2.3 s in a row are more than the 3 s after which a host is held to the store's word. Class: timeouts that are each sound, in series, without a bound on their sum.

Change: settle_ms (from the platform's settings) is the bound on the sum; the reader of the entries gets what the grace leaves of it, half for connecting, half for the pause. A platform that allows more is asked no more often than before.

Ruled out: news of other hosts (a fleet of four passes nothing on); another time limit for the entries that are removed after the return, which are treated alike and were on time.

--- a/cmd/chestnuthinged/topics.c
+++ b/cmd/chestnuthinged/topics.c
@@ -282,8 +282,10 @@
 	conf.wait = SERVERS_WAIT_MS;
 	conf.pause = servers_pause(d);
 	conf.news_max = conf.pause + conf.pause / NEWS_PAUSE_PART;
+	conf.notice_max = roster_notice_max(d->set->settle);
 	d->servers = follow_new(&d->loop, &conf, &servers_ops, d, d->counters);
 	conf.topic = adapter_topic_hosts();
+	conf.notice_max = 0;
 	conf.wait = HOSTS_WAIT_MS;
 	conf.pause = HOSTS_PAUSE_MS;
 	conf.news_max = HOSTS_WAIT_MS + NEWS_LATE_MS;
@@ -297,6 +299,7 @@
 void topics_reconf(edged_t *d)
 {
 	follow_set_pause(d->servers, servers_pause(d));
+	follow_set_notice_max(d->servers, roster_notice_max(d->set->settle));
 }
 
 /* Reads the topics when it is time. */
--- a/lib/conf/dat.h
+++ b/lib/conf/dat.h
@@ -72,9 +72,10 @@
 	uint8_t *key; /* the fleet's key */
 	size_t key_len;
 	char *key_text;
-	ms_t drain;	    /* a leaving server gets nothing new after this */
-	ms_t config;	    /* a configuration acts within this */
-	ms_t grace;	    /* from the order to stop to the kill */
+	ms_t drain;  /* a leaving server gets nothing new after this */
+	ms_t settle; /* from the store's return until all it says must act */
+	ms_t config; /* a configuration acts within this */
+	ms_t grace;  /* from the order to stop to the kill */
 	double retry_ratio; /* repeated sends, by requests, over all hosts */
 	double retry_slack; /* repeated sends beyond that, over all hosts */
 	ms_t retry_window;
--- a/lib/conf/edge.c
+++ b/lib/conf/edge.c
@@ -49,6 +49,7 @@
 /* The platform may give any of these as a fraction. */
 static const field_t bounds_fields[] = {
 	{ "drain_ms", FIELD_REAL_MS, AT(drain), false, 1, SPAN_MAX, NULL },
+	{ "settle_ms", FIELD_REAL_MS, AT(settle), false, 1, SPAN_MAX, NULL },
 	{ "config_ms", FIELD_REAL_MS, AT(config), false, 1, SPAN_MAX, NULL },
 	{ "grace_s", FIELD_REAL_S, AT(grace), false, 1, SECONDS_MAX, NULL },
 	{ "retry_ratio", FIELD_REAL, AT(retry_ratio), false, 0, RATIO_MAX,
@@ -80,6 +81,7 @@
 {
 	s->log_level = LOG_INFO;
 	s->drain = 2000;
+	s->settle = 3000;
 	s->config = 2000;
 	s->grace = (ms_t)8 * MS_PER_S;
 	s->retry_ratio = 0.1;
--- a/lib/edge/fns.h
+++ b/lib/edge/fns.h
@@ -153,6 +153,7 @@
 
 /* roster.c */
 typedef struct roster roster_t;
+ms_t roster_notice_max(ms_t settle);
 roster_t *roster_new(edge_t *e);
 void roster_free(roster_t *r);
 bool roster_put(roster_t *r, const backend_info_t *info, ms_t now);
--- a/lib/edge/roster.c
+++ b/lib/edge/roster.c
@@ -8,8 +8,20 @@
 enum {
 	RETURN_MS = 2300, /* expired entries are renewed within about 2 s of the
 			     store's return */
+	SENDING_MS = 100, /* for requests that are on their way to a server when
+			     it is removed */
+	NOTICE_MIN_MS = 200,
 };
 
+/*
+ * Returns how soon the store's return must be noticed so that servers that are
+ * still missing are removed within settle ms of it.
+ */
+ms_t roster_notice_max(ms_t settle)
+{
+	return MAX(settle - RETURN_MS - SENDING_MS, NOTICE_MIN_MS);
+}
+
 struct roster {
 	edge_t *edge;
 	bool up;
--- a/test/conf.c
+++ b/test/conf.c
@@ -346,6 +346,7 @@
 static const bound_case_t bound_cases[] = {
 	{ "drain_ms", "3000.0", BOUND(drain), 0, 3000, CODE_OK },
 	{ "drain_ms", "1500.75", BOUND(drain), 0, 1500, CODE_OK },
+	{ "settle_ms", "4000.5", BOUND(settle), 0, 4000, CODE_OK },
 	{ "config_ms", "2000.5", BOUND(config), 0, 2000, CODE_OK },
 	{ "grace_s", "8.25", BOUND(grace), 0, 8250, CODE_OK },
 	{ "retry_ratio", "0.2", BOUND(retry_ratio), 0.2, 0, CODE_OK },
