Store: its clients in a process tell each other that it answers again

Cause elsewhere: the reader of configurations, of rollouts' decisions and of crash reports, and the writer (up to 4 s: a rollout's decision is written so late).

Change: lib/net/reach. An answer ends the pauses of the other clients, and their connecting, if they last called before the answered call was sent. A pause after a refusal stays.

--- a/cmd/chestnuthinged/crashd.c
+++ b/cmd/chestnuthinged/crashd.c
@@ -198,12 +198,12 @@
 					 ignore_reachable, on_read };
 
 /* Makes the reader; host is this host's name. */
-crashd_t *crashd_new(uv_loop_t *loop, const addr_t *store, const char *host,
+crashd_t *crashd_new(uv_loop_t *loop, store_link_t *store, const char *host,
 		     edge_t *edge, append_t *append, const crashd_ops_t *ops,
 		     void *ctx, counters_t *counters)
 {
 	crashd_t *c = g_new0(crashd_t, 1);
-	follow_conf_t conf = { .store = *store,
+	follow_conf_t conf = { .store = store,
 			       .topic = adapter_topic_crashes(),
 			       .wait = WAIT_MS,
 			       .retry_max = RETRY_MAX_MS,
--- a/cmd/chestnuthinged/crashd.h
+++ b/cmd/chestnuthinged/crashd.h
@@ -14,7 +14,7 @@
 	void (*read)(void *ctx, const follow_news_t *n);
 } crashd_ops_t;
 
-crashd_t *crashd_new(uv_loop_t *loop, const addr_t *store, const char *host,
+crashd_t *crashd_new(uv_loop_t *loop, store_link_t *store, const char *host,
 		     edge_t *edge, append_t *append, const crashd_ops_t *ops,
 		     void *ctx, counters_t *counters);
 void crashd_seen(crashd_t *c, const crash_report_t *r);
--- a/cmd/chestnuthinged/edged.c
+++ b/cmd/chestnuthinged/edged.c
@@ -330,11 +330,13 @@
 				 &adapter_codec, d->counters);
 	d->roster = roster_new(d->edge);
 	d->configs = configs_new(&d->loop, d);
+	d->store.addr = set->store;
+	reach_init(&d->store.reach);
 	d->append =
-		append_new(&d->loop, &set->store, &append_ops, d, d->counters);
-	d->rollouts = rolloutd_new(&d->loop, &set->store, d->edge, d->append,
+		append_new(&d->loop, &d->store, &append_ops, d, d->counters);
+	d->rollouts = rolloutd_new(&d->loop, &d->store, d->edge, d->append,
 				   set->canary_share, d->counters);
-	d->crashes = crashd_new(&d->loop, &set->store, set->name, d->edge,
+	d->crashes = crashd_new(&d->loop, &d->store, set->name, d->edge,
 				d->append, &topics_crashes_ops, d, d->counters);
 	d->peering = peering_new(&d->loop, d->edge, set, d->inc, &peering_ops,
 				 d, d->counters);
--- a/cmd/chestnuthinged/edged_priv.h
+++ b/cmd/chestnuthinged/edged_priv.h
@@ -20,6 +20,7 @@
 	reload_t *reload;
 	bool reload_requested; /* SIGHUP has come */
 	counters_t *counters;
+	store_link_t store;
 	edge_t *edge;
 	forward_t *forward;
 	roster_t *roster;
--- a/cmd/chestnuthinged/rolloutd.c
+++ b/cmd/chestnuthinged/rolloutd.c
@@ -135,14 +135,14 @@
 					 ignore_reachable, ignore_read };
 
 /* Makes the table of rollouts. Nothing is read before the first order. */
-rolloutd_t *rolloutd_new(uv_loop_t *loop, const addr_t *store, edge_t *edge,
+rolloutd_t *rolloutd_new(uv_loop_t *loop, store_link_t *store, edge_t *edge,
 			 append_t *append, double canary_share,
 			 counters_t *counters)
 {
 	rolloutd_t *r = g_new0(rolloutd_t, 1);
 
 	r->loop = loop;
-	r->conf = (follow_conf_t){ .store = *store,
+	r->conf = (follow_conf_t){ .store = store,
 				   .topic = adapter_topic_moves(),
 				   .wait = DECISIONS_WAIT_MS,
 				   .retry_max = RETRY_MAX_MS };
--- a/cmd/chestnuthinged/rolloutd.h
+++ b/cmd/chestnuthinged/rolloutd.h
@@ -8,7 +8,7 @@
 
 typedef struct rolloutd rolloutd_t;
 
-rolloutd_t *rolloutd_new(uv_loop_t *loop, const addr_t *store, edge_t *edge,
+rolloutd_t *rolloutd_new(uv_loop_t *loop, store_link_t *store, edge_t *edge,
 			 append_t *append, double canary_share,
 			 counters_t *counters);
 bool rolloutd_order(rolloutd_t *r, str_t key, str_t text, uint64_t number,
--- a/cmd/chestnuthinged/topics.c
+++ b/cmd/chestnuthinged/topics.c
@@ -270,7 +270,7 @@
 
 void topics_follow(edged_t *d)
 {
-	follow_conf_t conf = { .store = d->set->store,
+	follow_conf_t conf = { .store = &d->store,
 			       .topic = adapter_topic_operator(),
 			       .wait = ORDERS_WAIT_MS,
 			       .retry_max = RETRY_MAX_MS,
--- a/lib/net/dat.h
+++ b/lib/net/dat.h
@@ -106,4 +106,16 @@
 	counter_t *skipped;
 } ticker_t;
 
+/* The clients of one service in this process. */
+typedef struct reach {
+	list_t members;
+} reach_t;
+
+typedef struct reach_member {
+	list_t link;
+	/* Another client got an answer to a call that was sent then. */
+	void (*answered)(void *ctx, ms_t sent, ms_t now);
+	void *ctx;
+} reach_member_t;
+
 #endif
--- a/lib/net/fns.h
+++ b/lib/net/fns.h
@@ -37,6 +37,13 @@
 bool worker_busy(const worker_t *w);
 void worker_close(worker_t *w);
 
+/* reach.c */
+void reach_init(reach_t *r);
+void reach_join(reach_t *r, reach_member_t *m);
+void reach_leave(reach_member_t *m);
+void reach_answered(const reach_t *r, const reach_member_t *m, ms_t sent,
+		    ms_t now);
+
 /* ticker.c */
 void ticker_start(ticker_t *t, uv_loop_t *loop, ms_t period,
 		  counters_t *counters, const char *prefix,
--- a/test/endless_client.c
+++ b/test/endless_client.c
@@ -68,6 +68,7 @@
 	uv_loop_t loop;
 	flood_t flood;
 	counters_t *counters;
+	store_link_t store;
 	follow_t *follow;
 	append_t *append;
 	httpc_t *http;
@@ -129,18 +130,20 @@
 
 static void open_store_client(set_t *s, client_t kind)
 {
-	follow_conf_t conf = { .store = s->flood.at,
+	follow_conf_t conf = { .store = &s->store,
 			       .topic = "keyed.t",
 			       .wait = 1000,
 			       .pause = 3600000,
 			       .retry_max = 100,
 			       .news_max = 500 };
 
+	s->store.addr = s->flood.at;
+	reach_init(&s->store.reach);
 	if (kind == CLIENT_FOLLOW) {
 		s->follow = follow_new(&s->loop, &conf, &follow_ops, s,
 				       s->counters);
 	} else {
-		s->append = append_new(&s->loop, &s->flood.at, &append_ops, s,
+		s->append = append_new(&s->loop, &s->store, &append_ops, s,
 				       s->counters);
 		append_put(s->append, "t", "k", "v", NULL);
 	}
--- a/test/relays.c
+++ b/test/relays.c
@@ -160,6 +160,7 @@
 /* What a follower was told. */
 typedef struct told {
 	store_t store;
+	store_link_t link;
 	follow_t *follow;
 	counters_t *counters;
 	GString *records; /* KEY=VALUE@OFFSET */
@@ -281,7 +282,9 @@
 
 	store_open(&t->store);
 	t->store.conns_allowed = 1;
-	conf.store = t->store.at;
+	t->link.addr = t->store.at;
+	reach_init(&t->link.reach);
+	conf.store = &t->link;
 	t->counters = counters_new();
 	t->records = g_string_new(NULL);
 	t->follow =
@@ -536,6 +539,25 @@
 }
 END_TEST
 
+/* A refusal's pause stays while the store answers other clients. */
+START_TEST(test_refused)
+{
+	told_t *t = told_open();
+	uv_stream_t *conn = (uv_stream_t *)&t->store.conns[0];
+	ms_t now = clock_now();
+
+	follow_read_now(t->follow, now);
+	settle(t, now);
+	reply(conn, "HTTP/1.1 429 Busy\r\nContent-Length: 0\r\n\r\n");
+	while (t->up)
+		uv_run(&t->store.loop, UV_RUN_ONCE);
+	reach_answered(&t->link.reach, NULL, now + 1, now + 1);
+	settle(t, now);
+	ck_assert_int_eq(t->store.reads, 1);
+	told_close(t);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("relays");
@@ -552,6 +574,7 @@
 	tcase_add_loop_test(t, test_news, 0, G_N_ELEMENTS(news_cases));
 	tcase_add_test(t, test_news_end);
 	tcase_add_test(t, test_receiving);
+	tcase_add_test(t, test_refused);
 	tcase_add_test(t, test_news_bound_shortened);
 	tcase_add_loop_test(t, test_end_wait, 0, G_N_ELEMENTS(end_waits));
 	tcase_add_loop_test(t, test_in_time, 0, 6);
--- a/test/returned.c
+++ b/test/returned.c
@@ -5,6 +5,7 @@
 #include <arpa/inet.h>
 #include <check.h>
 #include <netinet/in.h>
+#include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
 #include "adapter.h"
@@ -19,7 +20,8 @@
 	/* Entries that ran out during an outage are renewed within it. */
 	RENEWED_MS = 2300,
 	SEEDS = 5,
-	PENDING_MAX = 4, /* connections that fill a listener's queue */
+	PENDING_MAX = 4,    /* connections that fill a listener's queue */
+	CALL_MAX_MS = 1000, /* no call without an answer lasts longer */
 };
 
 /* An address that takes no connection and refuses none. */
@@ -74,24 +76,68 @@
 static const follow_ops_t follow_ops = { on_record, on_event, on_event,
 					 on_reachable, on_range };
 
-/* Returns the longest time between two calls to a store that is cut off. */
-static ms_t longest_gap(follow_t *f, uv_loop_t *loop, const counter_t *calls)
+static const append_ops_t append_ops = { 0 };
+
+/* A client of a store that is cut off: a reader, or the writer. */
+typedef struct client {
+	uv_loop_t loop;
+	hole_t hole;
+	store_link_t store;
+	counters_t *counters;
+	const counter_t *calls;
+	follow_t *follow; /* NULL: the writer */
+	append_t *append;
+} client_t;
+
+static void client_open(client_t *c, bool reads)
 {
-	ms_t start = clock_now();
-	ms_t last = start;
-	ms_t longest = 0;
-	uint64_t seen = 0;
+	follow_conf_t conf = { .store = &c->store,
+			       .topic = "keyed.t",
+			       .retry_max = 1000,
+			       .notice_max = roster_notice_max(SETTLE_MS) };
 
-	for (ms_t now = start; now < start + CUT_MS; now += STEP_MS) {
-		follow_tick(f, now);
-		uv_run(loop, UV_RUN_NOWAIT);
-		if (calls->value == seen)
-			continue;
-		seen = calls->value;
-		longest = MAX(longest, now - last);
-		last = now;
+	memset(c, 0, sizeof(*c));
+	uv_loop_init(&c->loop);
+	hole_open(&c->hole);
+	c->store.addr = c->hole.at;
+	reach_init(&c->store.reach);
+	c->counters = counters_new();
+	c->calls =
+		counter_get(c->counters, "edge_store_calls_total",
+			    reads ? "topic=\"keyed.t\"" : "topic=\"appends\"");
+	if (reads) {
+		c->follow = follow_new(&c->loop, &conf, &follow_ops, NULL,
+				       c->counters);
+		return;
 	}
-	return longest;
+	c->append =
+		append_new(&c->loop, &c->store, &append_ops, NULL, c->counters);
+	append_put(c->append, "t", "k", "v", NULL);
+}
+
+static void client_close(client_t *c)
+{
+	if (c->follow)
+		follow_free(c->follow);
+	else
+		append_free(c->append);
+	uv_run(&c->loop, UV_RUN_DEFAULT);
+	uv_loop_close(&c->loop);
+	counters_free(c->counters);
+	hole_close(&c->hole);
+}
+
+/* Runs the client at that time. Returns whether it began a call. */
+static bool client_calls(client_t *c, ms_t now)
+{
+	uint64_t before = c->calls->value;
+
+	if (c->follow)
+		follow_tick(c->follow, now);
+	else
+		append_tick(c->append, now);
+	uv_run(&c->loop, UV_RUN_NOWAIT);
+	return c->calls->value > before;
 }
 
 /*
@@ -101,29 +147,62 @@
  */
 START_TEST(test_left_server_used_after_return)
 {
-	follow_conf_t conf = { .topic = "keyed.t",
-			       .retry_max = 1000,
-			       .notice_max = roster_notice_max(SETTLE_MS) };
-	counters_t *counters = counters_new();
-	const counter_t *calls = counter_get(counters, "edge_store_calls_total",
-					     "topic=\"keyed.t\"");
-	uv_loop_t loop;
-	follow_t *f;
-	hole_t hole;
-	ms_t gap;
-
-	hole_open(&hole);
-	uv_loop_init(&loop);
-	conf.store = hole.at;
-	f = follow_new(&loop, &conf, &follow_ops, NULL, counters);
-	gap = longest_gap(f, &loop, calls);
-	ck_assert_msg(gap + RENEWED_MS < SETTLE_MS,
-		      "the return is noticed up to %d ms late", (int)gap);
-	follow_free(f);
-	uv_run(&loop, UV_RUN_DEFAULT);
-	uv_loop_close(&loop);
-	counters_free(counters);
-	hole_close(&hole);
+	ms_t start = clock_now();
+	ms_t last = start;
+	client_t c;
+
+	client_open(&c, true);
+	for (ms_t now = start; now < start + CUT_MS; now += STEP_MS) {
+		if (!client_calls(&c, now))
+			continue;
+		ck_assert_msg(now - last + RENEWED_MS < SETTLE_MS,
+			      "the return is noticed up to %d ms late",
+			      (int)(now - last));
+		last = now;
+	}
+	client_close(&c);
+}
+END_TEST
+
+typedef enum client_state {
+	CLIENT_PAUSES, /* after a call without an answer */
+	CLIENT_CONNECTS,
+} client_state_t;
+
+/* The store answers one client: what another does that has no answer yet. */
+typedef struct told_case {
+	const char *name;
+	bool reads;
+	client_state_t state;
+	ms_t sent; /* the answered call, after the client's own last one */
+	bool calls;
+} told_case_t;
+
+static const told_case_t told_cases[] = {
+	{ "a reader in a pause", true, CLIENT_PAUSES, 1, true },
+	{ "a reader on a dead path", true, CLIENT_CONNECTS, 1, true },
+	{ "the writer in a pause", false, CLIENT_PAUSES, 1, true },
+	{ "the writer on a dead path", false, CLIENT_CONNECTS, 1, true },
+	{ "a reader whose call is newer", true, CLIENT_PAUSES, -1, false },
+	{ "a reader that connects later", true, CLIENT_CONNECTS, -1, false },
+	{ "the writer, whose call is newer", false, CLIENT_PAUSES, -1, false },
+};
+
+START_TEST(test_return_told_to_others)
+{
+	const told_case_t *c = &told_cases[_i];
+	ms_t now = clock_now();
+	ms_t called = now;
+	client_t client;
+
+	client_open(&client, c->reads);
+	ck_assert(client_calls(&client, now));
+	if (c->state == CLIENT_PAUSES)
+		now += CALL_MAX_MS;
+	ck_assert(!client_calls(&client, now));
+	reach_answered(&client.store.reach, NULL, called + c->sent, now);
+	ck_assert_msg(client_calls(&client, now) == c->calls, "%s", c->name);
+	client_close(&client);
 }
 END_TEST
 
@@ -138,6 +217,8 @@
 	suite_add_tcase(s, t);
 	tcase_set_timeout(t, 60);
 	tcase_add_loop_test(t, test_left_server_used_after_return, 0, SEEDS);
+	tcase_add_loop_test(t, test_return_told_to_others, 0,
+			    G_N_ELEMENTS(told_cases));
 	srunner_run_all(r, CK_NORMAL);
 	failed = srunner_ntests_failed(r);
 	srunner_free(r);
