--- a/lib/edge/dat.h
+++ b/lib/edge/dat.h
@@ -129,6 +129,13 @@
 	bool draining;
 } backend_info_t;
 
+/* What a server asks of all hosts in the head of an answer. */
+typedef struct server_word {
+	bool limited;
+	double limit; /* requests a second from all hosts; when limited */
+	bool bad;     /* malformed: says nothing */
+} server_word_t;
+
 /* Least-squares line of the first event latency over the prompt's length. */
 typedef struct fit {
 	double n, x, y, xx, xy; /* exponentially decaying sums */
@@ -169,6 +176,8 @@
 	ms_t ejected_until;
 	ms_t ejection_ms;
 	bool probing;	    /* after an ejection: one request at a time */
+	bool limited;	    /* by the server's word */
+	double limit;	    /* requests a second from all hosts */
 	void *user;	    /* idle connections, owned by lib/forward */
 	bool chosen;	    /* is in this host's subset */
 	double subset_part; /* of the servers of its version in a subset */
--- a/lib/edge/fns.h
+++ b/lib/edge/fns.h
@@ -71,6 +71,8 @@
 		       const quota_answer_t *a, ms_t now);
 void edge_first_event(edge_t *e, request_t *r, ms_t now);
 void edge_event(edge_t *e, request_t *r, ms_t now);
+void edge_server_word(edge_t *e, backend_t *b, const server_word_t *w,
+		      ms_t now);
 void edge_server_load(edge_t *e, backend_t *b, unsigned int running,
 		      unsigned int waiting, ms_t now);
 next_action_t edge_attempt_ended(edge_t *e, request_t *r, attempt_result_t how,
--- a/lib/forward/dat.h
+++ b/lib/forward/dat.h
@@ -46,6 +46,7 @@
 	bool has_load;
 	unsigned int running; /* requests, when has_load */
 	unsigned int waiting;
+	server_word_t word;
 	bool has_idle_timeout;
 	ms_t idle_timeout; /* the server closes an idle connection after this */
 } answer_t;
--- a/lib/forward/exchange.c
+++ b/lib/forward/exchange.c
@@ -359,6 +359,8 @@
 	x->stray = is_stray(x, &a);
 	if (x->stray)
 		return;
+	if (!a.wrong_server)
+		edge_server_word(f->edge, x->req.server, &a.word, now);
 	if (a.has_load)
 		edge_server_load(f->edge, x->req.server, a.running, a.waiting,
 				 now);
--- a/test/adapter.c
+++ b/test/adapter.c
@@ -302,6 +302,48 @@
 	  200,
 	  { .has_idle_timeout = true, .idle_timeout = 5000 } },
 	{ "signed", "X-Server-Stamp", "x", 200, { .has_signature = true } },
+	{ "limit",
+	  "Server-Limit",
+	  "1.7",
+	  200,
+	  { .word = { true, 1.7, false } } },
+	{ "limit of a failure",
+	  "server-limit",
+	  "12",
+	  503,
+	  { .word = { true, 12, false } } },
+	{ "limit 0", "Server-Limit", "0", 200, { .word = { true, 0, false } } },
+	{ "limit below 0",
+	  "Server-Limit",
+	  "-1",
+	  200,
+	  { .word = { .bad = true } } },
+	{ "limit empty", "Server-Limit", "", 200, { .word = { .bad = true } } },
+	{ "limit not a number",
+	  "Server-Limit",
+	  "nan",
+	  200,
+	  { .word = { .bad = true } } },
+	{ "limit with an exponent",
+	  "Server-Limit",
+	  "1e9",
+	  200,
+	  { .word = { .bad = true } } },
+	{ "limit with two points",
+	  "Server-Limit",
+	  "1.2.3",
+	  200,
+	  { .word = { .bad = true } } },
+	{ "limit that ends in a point",
+	  "Server-Limit",
+	  "1.",
+	  200,
+	  { .word = { .bad = true } } },
+	{ "limit too long",
+	  "Server-Limit",
+	  "1111111111111111111111111",
+	  200,
+	  { .word = { .bad = true } } },
 };
 
 START_TEST(test_answer)
@@ -322,8 +364,12 @@
 			      a.wrong_server == c->want.wrong_server &&
 			      a.has_idle_timeout == c->want.has_idle_timeout &&
 			      a.idle_timeout == c->want.idle_timeout &&
-			      a.has_signature == c->want.has_signature,
+			      a.has_signature == c->want.has_signature &&
+			      a.word.bad == c->want.word.bad &&
+			      a.word.limited == c->want.word.limited,
 		      "%s", c->name);
+	if (a.word.limited)
+		ck_assert_double_eq(a.word.limit, c->want.word.limit);
 }
 END_TEST
 
