Servers' limits: keepers and hosts keep to the rate that a server names

Cause: nothing read what a server names. Class: a signal to slow down from the one who serves, without an end that takes it; and a limit over all hosts needs one place that counts for all.

Change: the server's keeper, which grants the slots of all hosts, has a token bucket of the limit (lib/base/pace.c). A host that reads a new limit or its end tells the keeper, and the other hosts through the connections that are there (facts, which earlier releases ignore). With a keeper a host asks for its part of the limit first and goes elsewhere with the rest. Without one, four hosts at most, which all choose alike, have parts.

--- a/bench/edges/world.c
+++ b/bench/edges/world.c
@@ -119,6 +119,13 @@
 	(void)r;
 }
 
+static void on_limit_named(void *ctx, const backend_t *b, bool hosts)
+{
+	(void)ctx;
+	(void)b;
+	(void)hosts;
+}
+
 static void on_crash_seen(void *ctx, const crash_report_t *c)
 {
 	const host_t *h = ctx;
@@ -134,7 +141,8 @@
 static const edge_ops_t edge_ops = {
 	on_send,	  on_refuse,	 on_note,	 on_ask,
 	on_release,	  on_quota_join, on_quota_leave, on_quota_take,
-	on_keeper_wanted, on_forget,	 on_crash_seen,	 on_part_answered
+	on_keeper_wanted, on_forget,	 on_crash_seen,	 on_part_answered,
+	on_limit_named
 };
 
 /* A keeper's grant goes to the host of the request. */
--- a/cmd/chestnuthinged/edged.c
+++ b/cmd/chestnuthinged/edged.c
@@ -88,6 +88,13 @@
 	peering_quota_take(d->peering, server, r);
 }
 
+static void on_limit_named(void *ctx, const backend_t *b, bool hosts)
+{
+	edged_t *d = ctx;
+
+	peering_tell_limit(d->peering, b, hosts);
+}
+
 static void on_keeper_wanted(void *ctx, const addr_t *server, bool wanted)
 {
 	edged_t *d = ctx;
@@ -114,7 +121,8 @@
 static const edge_ops_t edge_ops = {
 	on_send,	  on_refuse,	 on_note,	 on_slot_request,
 	on_release,	  on_quota_join, on_quota_leave, on_quota_take,
-	on_keeper_wanted, on_forget,	 on_crash_seen,	 on_part_answered
+	on_keeper_wanted, on_forget,	 on_crash_seen,	 on_part_answered,
+	on_limit_named
 };
 
 static void on_rollout_count(void *ctx, uint64_t host, const char *service,
--- a/cmd/chestnuthinged/keeperd.c
+++ b/cmd/chestnuthinged/keeperd.c
@@ -3,6 +3,7 @@
 #include <signal.h>
 #include "keeperd.h"
 #include "keeper/fns.h"
+#include "limitfact.h"
 #include "quotad.h"
 #include "forward/fns.h"
 #include "net/fns.h"
@@ -22,7 +23,7 @@
 typedef struct kept_server {
 	char *server;
 	keeper_t *keeper;
-	ms_t last_request; /* for a slot */
+	ms_t last_request; /* for a slot, or word of a limit */
 } kept_server_t;
 
 typedef struct keeperd {
@@ -150,6 +151,36 @@
 	}
 }
 
+/* Takes a server's limit, as a host has read it. */
+static void set_limit(kept_server_t *k, const server_limit_t *l, ms_t now)
+{
+	server_limit_t old = keeper_limit(k->keeper);
+
+	if (limit_equal(l, &old))
+		return;
+	keeper_set_limit(k->keeper, l, now);
+	log_line(LOG_INFO, "server_limit", "server=%s limited=%d per_s=%.3f",
+		 k->server, l->set, (double)l->rate / MS_PER_S);
+}
+
+static void take_facts(keeperd_t *d, const msg_facts_t *f)
+{
+	ms_t now = clock_now();
+
+	for (size_t i = 0; i < f->n; i++) {
+		server_limit_t limit;
+		char *server = limit_fact_read(&f->kv[i], &limit);
+		kept_server_t *k;
+
+		if (!server)
+			continue;
+		k = server_get(d, str_of(server));
+		k->last_request = now;
+		set_limit(k, &limit, now);
+		g_free(server);
+	}
+}
+
 static void on_recv(void *ctx, uint64_t inc, const msg_t *m)
 {
 	keeperd_t *d = ctx;
@@ -158,6 +189,8 @@
 		release_slot(d, m->u.withdraw.rid, false);
 	else if (m->type == MSG_NOT_RUN)
 		release_slot(d, m->u.not_run.rid, true);
+	else if (m->type == MSG_FACTS)
+		take_facts(d, &m->u.facts);
 	else if (m->type == MSG_SLOT_REQUEST)
 		take_slot_request(d, inc, &m->u.slot_request);
 	else
--- a/cmd/chestnuthinged/peering.c
+++ b/cmd/chestnuthinged/peering.c
@@ -3,6 +3,7 @@
  * grow with the number of hosts: slots, and what a relay has read of the store.
  */
 #include <string.h>
+#include "limitfact.h"
 #include "peering_priv.h"
 
 enum {
@@ -318,6 +319,47 @@
 	peers_send(p->peers, keeper, &back);
 }
 
+/* Tells the other hosts of a server's limit, without the relays if set. */
+static void tell_hosts(peering_t *p, const char *server,
+		       const server_limit_t *l, bool relays)
+{
+	GHashTableIter it;
+	gpointer inc;
+	gpointer name;
+
+	g_hash_table_iter_init(&it, p->names);
+	while (g_hash_table_iter_next(&it, &inc, &name)) {
+		if (relays || !relays_is_relay(p->relays, name))
+			limit_fact_send(p->peers, *(uint64_t *)inc, server, l);
+	}
+}
+
+/* Tells a server's keeper of its limit, and the other hosts if hosts is set. */
+void peering_tell_limit(peering_t *p, const backend_t *b, bool hosts)
+{
+	if (b->keeper)
+		limit_fact_send(p->peers, b->keeper, b->id, &b->limit);
+	if (hosts)
+		tell_hosts(p, b->id, &b->limit, true);
+}
+
+/*
+ * Takes a limit that a host has read. A host that is no relay has told all
+ * relays, and they tell the others.
+ */
+void peering_take_limit(peering_t *p, const char *from, const fact_kv_t *kv)
+{
+	server_limit_t limit;
+	char *server = limit_fact_read(kv, &limit);
+
+	if (!server)
+		return;
+	edge_host_limit(p->edge, server, &limit, clock_now());
+	if (relays_self(p->relays) && !relays_is_relay(p->relays, from))
+		tell_hosts(p, server, &limit, false);
+	g_free(server);
+}
+
 /* Keeps up connections and sends what is due. */
 void peering_tick(peering_t *p, ms_t now)
 {
--- a/cmd/chestnuthinged/peering_priv.h
+++ b/cmd/chestnuthinged/peering_priv.h
@@ -35,6 +35,9 @@
 	ms_t next_count_report;
 };
 
+/* peering.c */
+void peering_take_limit(peering_t *p, const char *from, const fact_kv_t *kv);
+
 /* reports.c */
 void peering_take_facts(peering_t *p, uint64_t inc, const char *name,
 			const msg_facts_t *f);
--- a/cmd/chestnuthinged/reports.c
+++ b/cmd/chestnuthinged/reports.c
@@ -143,6 +143,8 @@
 		} else if (str_eq(key, str_of(key_quota))) {
 			g_hash_table_remove(p->reported_to, &inc);
 			p->hosts_changed = true;
+		} else {
+			peering_take_limit(p, name, &f->kv[i]);
 		}
 	}
 }
--- a/lib/base/dat.h
+++ b/lib/base/dat.h
@@ -130,6 +130,19 @@
 	counter_t *count;
 } hist_t;
 
+/* The rate of requests that a server takes from all hosts together. */
+typedef struct server_limit {
+	bool set;      /* false: any */
+	uint64_t rate; /* thousandths of a request a second */
+} server_limit_t;
+
+/* A token bucket of requests. */
+typedef struct pace {
+	double rate; /* requests a second */
+	double level;
+	ms_t filled_at;
+} pace_t;
+
 /* Exponential backoff with full jitter. */
 typedef struct backoff {
 	ms_t base;	       /* limit of the first wait */
--- a/lib/base/fns.h
+++ b/lib/base/fns.h
@@ -38,6 +38,15 @@
 void hist_add(hist_t *h, ms_t ms);
 void hist_free(hist_t *h);
 
+/* pace.c */
+double limit_rate(const server_limit_t *l);
+bool limit_equal(const server_limit_t *a, const server_limit_t *b);
+void pace_init(pace_t *p, double rate, ms_t now);
+void pace_set_rate(pace_t *p, double rate, ms_t now);
+bool pace_ready(pace_t *p, ms_t now);
+void pace_take(pace_t *p);
+void pace_return(pace_t *p);
+
 /* backoff.c */
 void backoff_init(backoff_t *b, ms_t base, ms_t max);
 ms_t backoff_next(backoff_t *b, GRand *rand);
--- a/lib/edge/dat.h
+++ b/lib/edge/dat.h
@@ -129,11 +129,10 @@
 	bool draining;
 } backend_info_t;
 
-/* What a server asks of all hosts in the head of an answer. */
+/* What a server asks of the hosts in the head of an answer. */
 typedef struct server_word {
-	bool limited;
-	double limit; /* requests a second from all hosts; when limited */
-	bool bad;     /* malformed: says nothing */
+	server_limit_t limit;
+	bool bad; /* malformed: it says nothing */
 } server_word_t;
 
 /* Least-squares line of the first event latency over the prompt's length. */
@@ -175,11 +174,15 @@
 	bool ejected_silent;   /* ejected for these and nothing else */
 	ms_t ejected_until;
 	ms_t ejection_ms;
-	bool probing;	    /* after an ejection: one request at a time */
-	bool limited;	    /* by the server's word */
-	double limit;	    /* requests a second from all hosts */
-	void *user;	    /* idle connections, owned by lib/forward */
-	bool chosen;	    /* is in this host's subset */
+	bool probing;		  /* after an ejection: one request at a time */
+	bool word_known;	  /* an answer has come */
+	server_limit_t limit;	  /* by its answers, or another host */
+	pace_t pace;		  /* this host's part of the limit */
+	unsigned int limit_hosts; /* known when limit_rank was computed */
+	unsigned int limit_rank;  /* of this host among those for the limit */
+	ms_t limit_told_at;	  /* to its keeper */
+	void *user;		  /* idle connections, owned by lib/forward */
+	bool chosen;		  /* is in this host's subset */
 	double subset_part; /* of the servers of its version in a subset */
 	ms_t unkept_from;   /* not used without its keeper before */
 	uint64_t keeper;    /* incarnation of its keeper; 0: not connected */
@@ -333,6 +336,11 @@
 	 */
 	void (*crash_seen)(void *ctx, const crash_report_t *c);
 	void (*part_answered)(void *ctx, prompt_part_t part);
+	/*
+	 * To the server's keeper, if it is connected, and to the other hosts if
+	 * hosts is set: the server's limit, or that it has none.
+	 */
+	void (*limit_named)(void *ctx, const backend_t *b, bool hosts);
 } edge_ops_t;
 
 #endif
--- a/lib/edge/edge.c
+++ b/lib/edge/edge.c
@@ -199,6 +199,7 @@
 		hist_add(r->pool->wait_ms, now - r->arrived);
 	}
 	r->charged = true;
+	word_sent(b);
 	b->running++;
 	list_add_tail(&b->requests, &r->server_link);
 	edge_log_step(
--- a/lib/edge/priv.h
+++ b/lib/edge/priv.h
@@ -149,13 +149,19 @@
 
 /* select.c */
 backend_t *select_server(edge_t *e, pool_t *p, const request_t *r, ms_t now);
-double select_score(edge_t *e, const backend_t *b, const request_t *r,
+double select_score(edge_t *e, backend_t *b, const request_t *r,
 		    unsigned int load, ms_t now);
 bool select_has_other(edge_t *e, const request_t *r, ms_t now);
 bool select_was_tried(const request_t *r, const backend_t *b);
 unsigned int select_load(const backend_t *b, ms_t now);
 unsigned int select_free_slots(const pool_t *p, ms_t now);
 
+/* word.c */
+bool word_allows(const edge_t *e, backend_t *b, ms_t now);
+void word_sent(backend_t *b);
+double word_penalty(const edge_t *e, backend_t *b, ms_t now);
+void word_keeper_changed(edge_t *e, backend_t *b);
+
 /* slots.c */
 void slots_request_first(edge_t *e, request_t *r, ms_t now);
 void slots_withdraw(edge_t *e, request_t *r);
--- a/lib/edge/select.c
+++ b/lib/edge/select.c
@@ -67,7 +67,7 @@
 		const backend_t *b = p->subset->pdata[i];
 		unsigned int load = select_load(b, now);
 
-		if (health_usable(b, now) && load < b->slots)
+		if (health_usable(b, now) && !b->limit.set && load < b->slots)
 			n += b->slots - load;
 	}
 	return n;
@@ -87,7 +87,7 @@
  * Returns the expected cost of sending the request there, in ms; lower is
  * better.
  */
-double select_score(edge_t *e, const backend_t *b, const request_t *r,
+double select_score(edge_t *e, backend_t *b, const request_t *r,
 		    unsigned int load, ms_t now)
 {
 	double first_event = estimate_first_event(b->pool, b, r->prompt);
@@ -98,6 +98,7 @@
 		ms += (load - b->slots + 1) * b->pool->slot_time_mean /
 		      b->slots;
 	ms += estimate_overrun(b, r, first_event, now);
+	ms += word_penalty(e, b, now);
 	if (strcmp(b->data_center, e->conf.data_center) != 0)
 		ms += remote_penalty_ms;
 	return ms * (1 + spread * g_rand_double(e->rand));
@@ -114,7 +115,7 @@
 		unsigned int slots =
 			b->keeper ? b->slots : usable_slots(e, b, now);
 
-		if (load < slots && now >= b->unkept_from &&
+		if (load < slots && now >= b->unkept_from && !b->limit.set &&
 		    !select_was_tried(r, b) && health_usable(b, now) &&
 		    shift_allows(r, b, now) &&
 		    now + (ms_t)estimate_first_event(r->pool, b, r->prompt) <
@@ -142,7 +143,8 @@
 		double s;
 
 		if (b->keeper || now < b->unkept_from ||
-		    !health_usable(b, now) || !shift_allows(r, b, now))
+		    !health_usable(b, now) || !shift_allows(r, b, now) ||
+		    !word_allows(e, b, now))
 			continue;
 		untried = untried || !tried;
 		load = select_load(b, now);
--- a/lib/edge/slots.c
+++ b/lib/edge/slots.c
@@ -228,6 +228,7 @@
 		 b->running);
 	slots_forget_server(e, b);
 	b->keeper = inc;
+	word_keeper_changed(e, b);
 	slots_count_unkept(b->pool);
 }
 
--- a/lib/edge/word.c
+++ b/lib/edge/word.c
@@ -1,20 +1,149 @@
-/* What servers say of themselves in the heads of their answers. */
+/*
+ * What servers say of themselves in the heads of their answers.
+ *
+ * A limit is over all hosts. The server's keeper, which grants the slots of all
+ * hosts, holds them to it. A host that reads a new limit, or its end, tells the
+ * keeper and the other hosts: those with a keeper send their part there and the
+ * rest elsewhere, without waiting for a grant in vain. Where hosts have no
+ * connection to the keeper few of them have a part, as each may send a whole
+ * request at any time.
+ *
+ * Load it answers: a server in need, among others that are not.
+ */
+#include <string.h>
 #include "edge/priv.h"
 
+enum {
+	LIMIT_HOSTS = 4, /* that send to a limited server without its keeper */
+	/* Times the hosts: between requests of one that has no part */
+	ASIDE_MS = 5000,
+	RETELL_MS = 5000, /* a keeper may have started meanwhile */
+};
+
+/*
+ * The part of a limit that is used without the keeper where there are keepers:
+ * it grants the whole limit to the hosts that reach it.
+ */
+static const double unkept_part = 0.25;
+/* Penalty for a server that is sent enough already, in ms */
+static const double enough_penalty = 10000;
+
+/* Returns how many hosts come before this one in the server's order. */
+static unsigned int rank_for(const edge_t *e, const backend_t *b)
+{
+	const char *self = e->conf.name ? e->conf.name : "";
+	uint64_t seed = hash64(b->id, strlen(b->id), 0);
+	uint64_t own = hash64(self, strlen(self), seed);
+	unsigned int rank = 0;
+	GHashTableIter it;
+	gpointer name;
+
+	g_hash_table_iter_init(&it, e->other_hosts);
+	while (g_hash_table_iter_next(&it, &name, NULL))
+		rank += hash64(name, strlen(name), seed) < own;
+	return rank;
+}
+
+/* Returns the rate at which this host sends to a limited server. */
+static double own_rate(const edge_t *e, const backend_t *b)
+{
+	unsigned int hosts = MIN(e->nhosts, LIMIT_HOSTS);
+	double part = g_hash_table_size(e->keepers) > 0 ? unkept_part : 1;
+
+	if (b->keeper)
+		return limit_rate(&b->limit) / subset_hosts(e, b);
+	if (b->limit_rank >= hosts)
+		return (double)MS_PER_S / ASIDE_MS / e->nhosts;
+	return limit_rate(&b->limit) * part / hosts;
+}
+
+/* Whether it is this host's turn to send a request to the server. */
+static bool has_turn(const edge_t *e, backend_t *b, ms_t now)
+{
+	if (b->limit_hosts != e->nhosts) {
+		b->limit_hosts = e->nhosts;
+		b->limit_rank = rank_for(e, b);
+	}
+	pace_set_rate(&b->pace, own_rate(e, b), now);
+	return pace_ready(&b->pace, now);
+}
+
+/* Whether the server may be sent a request without its keeper's grant. */
+bool word_allows(const edge_t *e, backend_t *b, ms_t now)
+{
+	return !b->limit.set || has_turn(e, b, now);
+}
+
+/* Returns the cost of waiting for the server's limit, in ms. */
+double word_penalty(const edge_t *e, backend_t *b, ms_t now)
+{
+	return word_allows(e, b, now) ? 0 : enough_penalty;
+}
+
+/* A request is sent to the server. */
+void word_sent(backend_t *b)
+{
+	if (b->limit.set)
+		pace_take(&b->pace);
+}
+
+static void set_limit(edge_t *e, backend_t *b, const server_limit_t *l,
+		      const char *by, ms_t now)
+{
+	if (!b->limit.set) {
+		pace_init(&b->pace, 0, now);
+		/* Hosts that are told at once take turns. */
+		b->pace.level = g_rand_double(e->rand);
+	}
+	b->limit = *l;
+	b->limit_hosts = 0;
+	log_line(LOG_INFO, "server_limit",
+		 "server=%s limited=%d per_s=%.3f by=%s running=%u", b->id,
+		 l->set, (double)l->rate / MS_PER_S, by, b->running);
+}
+
+static void tell(edge_t *e, backend_t *b, bool hosts, ms_t now)
+{
+	b->limit_told_at = now;
+	e->ops->limit_named(e->ctx, b, hosts);
+}
+
 /* A server's answer has come with its word, or without one. */
 void edge_server_word(edge_t *e, backend_t *b, const server_word_t *w, ms_t now)
 {
+	bool same = limit_equal(&w->limit, &b->limit);
+
 	if (w->bad) {
 		counter_get(e->counters, "edge_server_words_bad_total", NULL)
 			->value++;
 		log_line(LOG_WARN, "server_word_bad", "server=%s", b->id);
 		return;
 	}
-	if (w->limited == b->limited && (!w->limited || w->limit == b->limit))
+	if (!same)
+		set_limit(e, b, &w->limit, "answer", now);
+	/* A keeper may know the limit of an earlier life of the server. */
+	if (!same || !b->word_known ||
+	    (b->limit.set && now - b->limit_told_at >= RETELL_MS))
+		tell(e, b, !same, now);
+	b->word_known = true;
+}
+
+/* The server has another keeper, which may not know its limit. */
+void word_keeper_changed(edge_t *e, backend_t *b)
+{
+	if (b->keeper && b->limit.set)
+		e->ops->limit_named(e->ctx, b, false);
+}
+
+/* Another host has read a server's limit, or its end, in an answer. */
+void edge_host_limit(edge_t *e, const char *server, const server_limit_t *l,
+		     ms_t now)
+{
+	backend_t *b = g_hash_table_lookup(e->by_id, server);
+
+	if (!b || limit_equal(l, &b->limit))
 		return;
-	b->limited = w->limited;
-	b->limit = w->limit;
-	log_line(LOG_INFO, "server_limit",
-		 "server=%s limited=%d per_s=%.3f running=%u", b->id,
-		 b->limited, b->limit, b->running);
+	set_limit(e, b, l, "host", now);
+	if (b->keeper)
+		tell(e, b, false, now);
 }
--- a/lib/keeper/fns.h
+++ b/lib/keeper/fns.h
@@ -15,6 +15,8 @@
 void keeper_unreachable(keeper_t *k, rid_t rid, ms_t now);
 void keeper_host_gone(keeper_t *k, uint64_t host, ms_t now);
 void keeper_tick(keeper_t *k, ms_t now);
+void keeper_set_limit(keeper_t *k, const server_limit_t *l, ms_t now);
+server_limit_t keeper_limit(const keeper_t *k);
 bool keeper_knows(const keeper_t *k, rid_t rid);
 unsigned int keeper_granted(const keeper_t *k);
 unsigned int keeper_waiting(const keeper_t *k);
--- a/lib/keeper/keeper.c
+++ b/lib/keeper/keeper.c
@@ -64,6 +64,8 @@
 	uint64_t ngrants;		 /* number of grants so far */
 	uint64_t last_grant[PRIORITIES]; /* grant number of each priority's last
 				       grant */
+	server_limit_t limit;
+	pace_t pace;	   /* of grants, while there is a limit */
 	ms_t paused_until; /* no grants before; the server was unreachable */
 	bool probing; /* one grant at a time, until a request has ended there */
 	double hold_ms;	    /* moving average of the ms that a slot is held; 0:
@@ -203,10 +205,11 @@
 	return k->slots + k->overlap;
 }
 
-/* Grants free slots to waiting requests. */
+/* Grants free slots to waiting requests, within the server's limit. */
 static void grant(keeper_t *k, ms_t now)
 {
-	while (k->ngranted < grant_limit(k, now) && k->nwaiting > 0) {
+	while (k->ngranted < grant_limit(k, now) && k->nwaiting > 0 &&
+	       (!k->limit.set || pace_ready(&k->pace, now))) {
 		slot_entry_t *h = next(k);
 
 		list_del(&h->link);
@@ -215,6 +218,7 @@
 		k->ngranted++;
 		h->has_slot = true;
 		h->granted_at = now;
+		pace_take(&k->pace);
 		k->grants->value++;
 		k->ops->grant(k->ctx, h->host, h->rid);
 	}
@@ -270,6 +274,8 @@
 		k->probing = false;
 		if (now - h->granted_at > UNUSED_MS)
 			k->ended_at = now;
+		else
+			pace_return(&k->pace);
 		k->ended++;
 		k->hold_ms +=
 			(k->hold_ms > 0 ? hold_weight : 1) *
@@ -340,6 +346,23 @@
 	grant(k, now);
 }
 
+/* Sets the server's limit, or that it has none. */
+void keeper_set_limit(keeper_t *k, const server_limit_t *l, ms_t now)
+{
+	if (l->set && !k->limit.set)
+		pace_init(&k->pace, limit_rate(l), now);
+	else if (l->set)
+		pace_set_rate(&k->pace, limit_rate(l), now);
+	k->limit = *l;
+	grant(k, now);
+}
+
+/* Returns the server's limit. */
+server_limit_t keeper_limit(const keeper_t *k)
+{
+	return k->limit;
+}
+
 /* Whether the request waits for a slot or has one here. */
 bool keeper_knows(const keeper_t *k, rid_t rid)
 {
--- a/test/adapter.c
+++ b/test/adapter.c
@@ -306,13 +306,13 @@
 	  "Server-Limit",
 	  "1.7",
 	  200,
-	  { .word = { true, 1.7, false } } },
+	  { .word.limit = { true, 1700 } } },
 	{ "limit of a failure",
 	  "server-limit",
 	  "12",
 	  503,
-	  { .word = { true, 12, false } } },
-	{ "limit 0", "Server-Limit", "0", 200, { .word = { true, 0, false } } },
+	  { .word.limit = { true, 12000 } } },
+	{ "limit 0", "Server-Limit", "0", 200, { .word.limit = { true, 0 } } },
 	{ "limit below 0",
 	  "Server-Limit",
 	  "-1",
@@ -366,10 +366,8 @@
 			      a.idle_timeout == c->want.idle_timeout &&
 			      a.has_signature == c->want.has_signature &&
 			      a.word.bad == c->want.word.bad &&
-			      a.word.limited == c->want.word.limited,
+			      limit_equal(&a.word.limit, &c->want.word.limit),
 		      "%s", c->name);
-	if (a.word.limited)
-		ck_assert_double_eq(a.word.limit, c->want.word.limit);
 }
 END_TEST
 
--- a/test/endless.c
+++ b/test/endless.c
@@ -206,7 +206,8 @@
 	pass_send,	     pass_refuse,	  on_note,
 	ignore_request_slot, ignore_release_slot, ignore_quota_join,
 	ignore_leave,	     ignore_quota_take,	  on_keeper_wanted,
-	pass_forget,	     ignore_crash_seen,	  ignore_part_answered
+	pass_forget,	     ignore_crash_seen,	  ignore_part_answered,
+	ignore_limit_named
 };
 
 static void on_tick(uv_timer_t *t)
--- a/test/limited.c
+++ b/test/limited.c
@@ -21,7 +21,7 @@
 	NAMED_TO = 22000, /* until then */
 	AGAIN_AT = 30000, /* a server without a limit gets its part again */
 	STABLE = 3000,	  /* after the first word nothing is asked yet */
-	TOLD = 500,	  /* nor of a host that got it so shortly before */
+	TOLD_MS = 500,	  /* nor of a host that got it so shortly before */
 	WINDOW = 4000,
 };
 
@@ -91,6 +91,8 @@
 	ASK,
 	GRANT,
 	RELEASE,
+	LIMIT, /* to a keeper */
+	TOLD,  /* from another host */
 } what_t;
 
 typedef struct note {
@@ -101,6 +103,7 @@
 	unsigned int server;
 	unsigned int attempt; /* dispatches of the request when it was made */
 	keeper_request_t ask;
+	server_limit_t limit;
 } note_t;
 
 typedef struct arrival {
@@ -203,6 +206,23 @@
 			       .ask = { .rid = r->rid } });
 }
 
+static void play_limit(void *ctx, const backend_t *b, bool hosts)
+{
+	host_t *h = ctx;
+	note_t n = { .server = number_of(b), .limit = b->limit };
+
+	for (unsigned int i = 0; hosts && i < h->p->c->hosts; i++) {
+		n.what = TOLD;
+		n.host = &h->p->hosts[i];
+		if (n.host != h)
+			post(h->p, WAY, n);
+	}
+	n.what = LIMIT;
+	n.host = h;
+	if (b->keeper)
+		post(h->p, WAY, n);
+}
+
 static const edge_ops_t play_ops = { .send = play_send,
 				     .refuse = play_refuse,
 				     .note = on_note,
@@ -214,7 +234,8 @@
 				     .keeper_wanted = on_keeper_wanted,
 				     .forget = ignore_forget,
 				     .crash_seen = ignore_crash_seen,
-				     .part_answered = ignore_part_answered };
+				     .part_answered = ignore_part_answered,
+				     .limit_named = play_limit };
 
 static void on_grant(void *ctx, uint64_t host, rid_t rid)
 {
@@ -358,13 +379,14 @@
 static void take_head(play_t *p, const note_t *n)
 {
 	request_t *r = &n->item->r;
-	server_word_t word = { .limited = names_limit(p, n->server),
-			       .limit = p->c->limit };
+	server_word_t word = { .limit = {
+				       names_limit(p, n->server),
+				       (uint64_t)(p->c->limit * MS_PER_S) } };
 	seat_t *s = &p->seats[n->server];
 
-	if (word.limited && !s->named)
+	if (word.limit.set && !s->named)
 		s->named = p->now;
-	if (word.limited && !n->host->told[n->server])
+	if (word.limit.set && !n->host->told[n->server])
 		n->host->told[n->server] = p->now;
 	edge_server_word(n->host->edge, r->server, &word, p->now);
 	edge_first_event(n->host->edge, r, p->now);
@@ -374,6 +396,7 @@
 {
 	keeper_t *k = p->seats[n->server].keeper;
 	item_t *i = n->item;
+	char id[16];
 
 	switch (n->what) {
 	case SEND:
@@ -406,6 +429,13 @@
 	case RELEASE:
 		keeper_release(k, n->ask.rid, p->now);
 		break;
+	case LIMIT:
+		keeper_set_limit(k, &n->limit, p->now);
+		break;
+	case TOLD:
+		snprintf(id, sizeof(id), "s%u", n->server);
+		edge_host_limit(n->host->edge, id, &n->limit, p->now);
+		break;
 	}
 }
 
@@ -452,7 +482,7 @@
 {
 	ms_t told = p->hosts[a->host].told[s->number];
 
-	return told && a->at >= told + TOLD && a->at < NAMED_TO;
+	return told && a->at >= told + TOLD_MS && a->at < NAMED_TO;
 }
 
 /* Returns the most that counts in a window. */
--- a/test/quarantine.c
+++ b/test/quarantine.c
@@ -248,7 +248,8 @@
 				     .keeper_wanted = on_keeper_wanted,
 				     .forget = ignore_forget,
 				     .crash_seen = play_crash_seen,
-				     .part_answered = play_part_answered };
+				     .part_answered = play_part_answered,
+				     .limit_named = ignore_limit_named };
 
 /* Lists a server that has started, at all hosts. */
 static void list_server(play_t *p, unsigned int n, const char *before)
--- a/test/quota.c
+++ b/test/quota.c
@@ -443,7 +443,8 @@
 	host_send,	     host_refuse,	  on_note,
 	ignore_request_slot, ignore_release_slot, host_join,
 	host_leave,	     host_take,		  on_keeper_wanted,
-	ignore_forget,	     ignore_crash_seen,	  ignore_part_answered
+	ignore_forget,	     ignore_crash_seen,	  ignore_part_answered,
+	ignore_limit_named
 };
 
 static void configure(host_t *h)
--- a/test/world.h
+++ b/test/world.h
@@ -113,6 +113,10 @@
 {
 }
 
+static inline void ignore_limit_named(void *ctx, const backend_t *b, bool hosts)
+{
+}
+
 static inline void ignore_crash_seen(void *ctx, const crash_report_t *c)
 {
 }
@@ -121,11 +125,13 @@
 {
 }
 
-static const edge_ops_t ops = {
-	on_send,	  on_refuse,	 on_note,	    on_request_slot,
-	on_release_slot,  on_quota_join, on_quota_leave,    on_quota_take,
-	on_keeper_wanted, on_forget,	 ignore_crash_seen, ignore_part_answered
-};
+static const edge_ops_t ops = { on_send,	   on_refuse,
+				on_note,	   on_request_slot,
+				on_release_slot,   on_quota_join,
+				on_quota_leave,	   on_quota_take,
+				on_keeper_wanted,  on_forget,
+				ignore_crash_seen, ignore_part_answered,
+				ignore_limit_named };
 
 static inline void world_open(world_t *w, double retry_ratio,
 			      double quota_tolerance, double quota_slack)
