Silent servers: a request stays until another server is certain to take it

Cause: an attempt was ended as soon as some server seemed to have a free slot. With a keeper that is a guess: the slot was asked for only then, the server fell silent too, and the answer of the first server, which went on, was lost. Without a keeper the free slot went to whoever was first in the queue.

Change (lib/edge/reroute.c): while its server is silent a request asks keepers for a slot and stays where it is; a grant moves it, unless bytes have come meanwhile. Without a keeper the free slot is taken for this request. select_has_other goes.

Ruled out: more retries for requests that wait (they run out of attempts, and an order must not run twice).

--- a/lib/edge/dat.h
+++ b/lib/edge/dat.h
@@ -257,9 +257,11 @@
 	unsigned int events; /* received in this attempt */
 	backend_t *asked[SLOT_REQUESTS_MAX];
 	unsigned int nasked;
-	ms_t asked_at;	     /* when the last slot request, or the request to
-				the quota server, was sent */
-	uint64_t granted_by; /* incarnation of the granting keeper */
+	ms_t asked_at;	      /* when the last slot request, or the request to
+				 the quota server, was sent */
+	uint64_t granted_by;  /* incarnation of the granting keeper */
+	backend_t *next;      /* takes it when this attempt is given up */
+	uint64_t next_keeper; /* that granted its slot there; 0: none */
 	ms_t sent_at;
 	ms_t first_at; /* when this attempt's first event came */
 	ms_t last_event_at;
@@ -341,6 +343,12 @@
 	 * hosts is set: the server's limit, or that it has none.
 	 */
 	void (*limit_named)(void *ctx, const backend_t *b, bool hosts);
+	/*
+	 * Another server takes a request whose server is silent: ends the
+	 * attempt, by edge_attempt_ended with ATTEMPT_SILENT. Returns false if
+	 * bytes of the answer have come after all.
+	 */
+	bool (*leave_silent)(void *ctx, request_t *r);
 } edge_ops_t;
 
 #endif
--- a/lib/edge/edge.c
+++ b/lib/edge/edge.c
@@ -4,7 +4,6 @@
 
 enum {
 	STEP_BYTES = 256,   /* of the inputs logged with one step */
-	ATTEMPTS_MAX = 4,   /* attempts of a request, including rejected ones */
 	STALL_MIN_MS = 250, /* shorter silences are normal */
 	STALL_GAPS = 2,	    /* times the target gap between events */
 	STALL_FIRSTS = 2,   /* times the first event target */
@@ -44,6 +43,7 @@
 	e->keepers =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	e->waiting = g_hash_table_new(rid_hash, rid_equal);
+	e->rerouting = g_hash_table_new(rid_hash, rid_equal);
 	e->quotas =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	for (int i = 0; i < QUOTA_KINDS; i++)
@@ -75,6 +75,7 @@
 	g_hash_table_destroy(e->pools);
 	g_hash_table_destroy(e->by_id);
 	g_hash_table_destroy(e->waiting);
+	g_hash_table_destroy(e->rerouting);
 	g_hash_table_destroy(e->keepers);
 	g_hash_table_destroy(e->quotas);
 	for (int i = 0; i < QUOTA_KINDS; i++)
@@ -337,6 +338,7 @@
 	double ms = (double)(now - r->sent_at);
 
 	health_heard(b, now);
+	reroute_stop(e, r);
 	r->last_event_at = now;
 	if (r->responded)
 		return;
@@ -356,6 +358,7 @@
 	backend_t *b = r->server;
 
 	health_heard(b, now);
+	reroute_stop(e, r);
 	r->events++;
 	estimate_add_gap(b, (double)(now - r->last_event_at));
 	r->last_event_at = now;
@@ -388,7 +391,8 @@
 	backend_release(e, b);
 }
 
-static bool may_rerun(const request_t *r, attempt_result_t how, bool resumable)
+/* Whether a request that may have run in an attempt may run again. */
+bool edge_may_rerun(const request_t *r, attempt_result_t how, bool resumable)
 {
 	if (r->executions >= r->route->attempts)
 		return false;
@@ -412,7 +416,7 @@
 	if (how == ATTEMPT_ANSWERED || now >= r->deadline ||
 	    r->dispatches >= ATTEMPTS_MAX)
 		return false;
-	if (!not_run && !may_rerun(r, how, resumable))
+	if (!not_run && !edge_may_rerun(r, how, resumable))
 		return false;
 	if (how == ATTEMPT_NOT_SENT || r->retry_reserved)
 		return true;
@@ -445,6 +449,7 @@
 		quarantine_answered(e, r, now);
 	health_attempt_ended(e, b, how, now);
 	shift_count(r, how);
+	reroute_stop(e, r);
 	release_server(e, r, how == ATTEMPT_NOT_SENT, now);
 	held = quarantine_holds(e, r, now);
 	retry = !held && should_retry(e, r, how, resumable, now);
@@ -459,8 +464,10 @@
 			      window_sum(&p->arrivals, now), held);
 	if (retry) {
 		r->side = SHIFT_OLD;
-		enqueue(e, r, now);
+		if (!reroute_dispatch(e, r, now))
+			enqueue(e, r, now);
 	} else {
+		reroute_drop(e, r);
 		r->state = REQUEST_ENDED;
 		dispatch(e, p, now);
 	}
@@ -479,6 +486,7 @@
 	} else if (r->state == REQUEST_RUNNING) {
 		if (now >= r->deadline)
 			shift_count(r, ATTEMPT_LOST);
+		reroute_stop(e, r);
 		release_server(e, r, false, now);
 	}
 	r->state = REQUEST_ENDED;
@@ -501,24 +509,6 @@
 	       MAX(MAX(limit, STALL_MIN_MS), expected * stall_factor);
 }
 
-/*
- * Whether to end a stalled attempt for its server's silence. That is so only if
- * a retry is allowed, in the budget, and has a free slot at another server;
- * otherwise the request is left to its server until its deadline. If true, the
- * retry is taken from the budget, and edge_attempt_ended has to follow with
- * ATTEMPT_SILENT and the same now.
- */
-bool edge_give_up_silent(edge_t *e, request_t *r, bool resumable, ms_t now)
-{
-	if (now >= r->deadline || r->dispatches >= ATTEMPTS_MAX ||
-	    r->executions + 1 >= r->route->attempts ||
-	    !may_rerun(r, ATTEMPT_SILENT, resumable) ||
-	    !select_has_other(e, r, now))
-		return false;
-	r->retry_reserved = budget_spend(e, r->pool, now);
-	return r->retry_reserved;
-}
-
 /* Returns when a caller whose request has not run should retry, in ms. */
 ms_t edge_retry_after(edge_t *e, const request_t *r, ms_t now)
 {
--- a/lib/edge/priv.h
+++ b/lib/edge/priv.h
@@ -14,6 +14,10 @@
 /* Name of the gauge of requests that run on the old side. */
 #define SHIFT_CELL_RUNNING "running"
 
+enum {
+	ATTEMPTS_MAX = 4, /* attempts of a request, including rejected ones */
+};
+
 /* A shift of a service's traffic to another version, as this host knows it. */
 typedef struct shift {
 	uint64_t order;
@@ -83,6 +87,7 @@
 	bool all_shared;	   /* the fleet is small */
 	bool keepers_changed;	   /* those wanted may have changed */
 	GHashTable *waiting;	   /* queued request_t by rid */
+	GHashTable *rerouting;	   /* request_t at silent servers by rid */
 	uint64_t last_rid;	   /* last sequence number given to a request */
 	uint32_t last_serial;	   /* last serial given to a server */
 	GHashTable *other_hosts;   /* set of names */
@@ -101,6 +106,14 @@
 void edge_log_step(edge_t *e, const request_t *r, ms_t now, const char *step,
 		   const char *fmt, ...) G_GNUC_PRINTF(5, 6);
 void edge_dispatch(edge_t *e, request_t *r, backend_t *b, ms_t now);
+bool edge_may_rerun(const request_t *r, attempt_result_t how, bool resumable);
+
+/* reroute.c */
+void reroute_stop(edge_t *e, request_t *r);
+bool reroute_granted(edge_t *e, request_t *r, backend_t *b, uint64_t keeper,
+		     ms_t now);
+bool reroute_dispatch(edge_t *e, request_t *r, ms_t now);
+void reroute_drop(edge_t *e, request_t *r);
 
 /* fleet.c */
 pool_t *pool_get(edge_t *e, const char *service);
@@ -151,7 +164,6 @@
 backend_t *select_server(edge_t *e, pool_t *p, const request_t *r, ms_t now);
 double select_score(edge_t *e, backend_t *b, const request_t *r,
 		    unsigned int load, ms_t now);
-bool select_has_other(edge_t *e, const request_t *r, ms_t now);
 bool select_was_tried(const request_t *r, const backend_t *b);
 unsigned int select_load(const backend_t *b, ms_t now);
 unsigned int select_free_slots(const pool_t *p, ms_t now);
@@ -163,6 +175,7 @@
 void word_keeper_changed(edge_t *e, backend_t *b);
 
 /* slots.c */
+void slots_request_more(edge_t *e, request_t *r, ms_t now);
 void slots_request_first(edge_t *e, request_t *r, ms_t now);
 void slots_withdraw(edge_t *e, request_t *r);
 void slots_forget_server(edge_t *e, const backend_t *b);
--- a/lib/edge/select.c
+++ b/lib/edge/select.c
@@ -104,27 +104,6 @@
 	return ms * (1 + spread * g_rand_double(e->rand));
 }
 
-/* Whether a server not tried yet has a free slot and the time to answer. */
-bool select_has_other(edge_t *e, const request_t *r, ms_t now)
-{
-	const GPtrArray *servers = subset_servers(e, r->pool, now);
-
-	for (guint i = 0; i < servers->len; i++) {
-		const backend_t *b = servers->pdata[i];
-		unsigned int load = select_load(b, now) + b->slot_requests;
-		unsigned int slots =
-			b->keeper ? b->slots : usable_slots(e, b, now);
-
-		if (load < slots && now >= b->unkept_from && !b->limit.set &&
-		    !select_was_tried(r, b) && health_usable(b, now) &&
-		    shift_allows(r, b, now) &&
-		    now + (ms_t)estimate_first_event(r->pool, b, r->prompt) <
-			    r->deadline)
-			return true;
-	}
-	return false;
-}
-
 /*
  * Returns the best server of the subset with a free slot for the request, or
  * NULL. Servers with a keeper are skipped: it grants their slots.
--- a/lib/edge/shift.c
+++ b/lib/edge/shift.c
@@ -139,6 +139,12 @@
 	return SHIFT_TARGET;
 }
 
+/* A retry is of the old side, whichever the first attempt was. */
+static shift_side_t side_of(const request_t *r)
+{
+	return r->state == REQUEST_RUNNING ? SHIFT_OLD : r->side;
+}
+
 /*
  * Whether a request may go to a server, by the server's version. Old versions
  * serve in place of a target without a usable server. The target serves in
@@ -157,9 +163,10 @@
 	if (s->decided && s->step.state == SHIFT_DONE)
 		return is_target(b) || !has_server(p, SHIFT_TARGET, true, now);
 	if (is_target(b))
-		return s->decided && (r->side == SHIFT_TARGET ||
+		return s->decided && (side_of(r) == SHIFT_TARGET ||
 				      !has_server(p, SHIFT_OLD, false, now));
-	return r->side == SHIFT_OLD || !has_server(p, SHIFT_TARGET, true, now);
+	return side_of(r) == SHIFT_OLD ||
+	       !has_server(p, SHIFT_TARGET, true, now);
 }
 
 static shift_cell_t *cell_get(shift_t *s, const request_t *r)
--- a/lib/edge/slots.c
+++ b/lib/edge/slots.c
@@ -32,8 +32,8 @@
 }
 
 /*
- * Whether the server's keeper has a slot request of r. A keeper may serve
- * several servers.
+ * Whether the server's keeper has a slot request of r, or has granted its slot.
+ * A keeper may serve several servers.
  */
 static bool was_requested(const request_t *r, const backend_t *b)
 {
@@ -41,12 +41,13 @@
 		if (r->asked[i]->keeper == b->keeper)
 			return true;
 	}
-	return false;
+	return r->granted_by && r->granted_by == b->keeper;
 }
 
 /*
  * Returns the best server of the subset whose keeper has no slot request of r
- * yet, or NULL. Servers not tried before are preferred.
+ * yet, or NULL. Servers not tried before are preferred; one that runs goes to
+ * none but these.
  */
 static backend_t *best_server(edge_t *e, const request_t *r, ms_t now)
 {
@@ -60,6 +61,7 @@
 		double s;
 
 		if (!b->keeper || was_requested(r, b) ||
+		    (tried && r->state == REQUEST_RUNNING) ||
 		    !health_usable(b, now) || !shift_allows(r, b, now))
 			continue;
 		s = select_score(e, b, r,
@@ -123,7 +125,9 @@
 {
 	for (unsigned int i = 0; i < r->nasked; i++) {
 		r->asked[i]->slot_requests--;
-		if (r->asked[i]->keeper && r->asked[i]->keeper != r->granted_by)
+		if (r->asked[i]->keeper &&
+		    r->asked[i]->keeper != r->granted_by &&
+		    (!r->next || r->asked[i]->keeper != r->next_keeper))
 			e->ops->release_slot(e->ctx, r->asked[i]->keeper, r,
 					     false);
 	}
@@ -147,11 +151,23 @@
 	gpointer r;
 
 	g_hash_table_iter_init(&it, e->waiting);
+	while (g_hash_table_iter_next(&it, NULL, &r))
+		forget_one(r, b);
+	g_hash_table_iter_init(&it, e->rerouting);
 	while (g_hash_table_iter_next(&it, NULL, &r))
 		forget_one(r, b);
 	((backend_t *)b)->slot_requests = 0;
 }
 
+/* Requests slots from more servers, unless it has just done so. */
+void slots_request_more(edge_t *e, request_t *r, ms_t now)
+{
+	if (r->nasked > 0 && now - r->asked_at < MORE_AFTER_MS)
+		return;
+	for (int i = 0; i < MORE_SERVERS; i++)
+		request_one(e, r, now);
+}
+
 /*
  * Requests slots from more servers for requests of a queue. Returns whether one
  * of them waits at all servers where it may.
@@ -166,8 +182,7 @@
 
 		if (asked > 0 && now - r->asked_at < MORE_AFTER_MS)
 			continue;
-		for (int i = 0; i < MORE_SERVERS; i++)
-			request_one(e, r, now);
+		slots_request_more(e, r, now);
 		short_of_servers = short_of_servers || r->nasked == asked;
 	}
 	return short_of_servers;
@@ -266,6 +281,13 @@
 	return NULL;
 }
 
+static bool is_sendable(edge_t *e, const request_t *r, const backend_t *b,
+			ms_t now)
+{
+	return health_usable(b, now) && shift_allows(r, b, now) &&
+	       !quarantine_holds(e, r, now);
+}
+
 /*
  * A keeper granted a slot to a request. Returns false if the request no longer
  * needs it; the caller then has to release it.
@@ -273,16 +295,21 @@
 bool edge_slot_granted(edge_t *e, uint64_t keeper, rid_t rid, ms_t now)
 {
 	request_t *r = g_hash_table_lookup(e->waiting, &rid);
-	backend_t *b = r ? requested_server(r, keeper) : NULL;
+	request_t *moves = g_hash_table_lookup(e->rerouting, &rid);
+	backend_t *b = NULL;
 
+	if (r || moves)
+		b = requested_server(r ? r : moves, keeper);
 	if (!b)
 		return false;
-	if (!health_usable(b, now) || !shift_allows(r, b, now) ||
-	    quarantine_holds(e, r, now)) {
-		forget_one(r, b);
+	if (!is_sendable(e, r ? r : moves, b, now) ||
+	    (moves && !reroute_granted(e, moves, b, keeper, now))) {
+		forget_one(r ? r : moves, b);
 		b->slot_requests--;
 		return false;
 	}
+	if (moves)
+		return true;
 	r->granted_by = keeper;
 	queue_remove(e, r);
 	edge_dispatch(e, r, b, now);
--- a/lib/forward/fns.h
+++ b/lib/forward/fns.h
@@ -45,6 +45,7 @@
 		       counters_t *counters);
 code_t forward_listen(forward_t *f);
 void forward_send(forward_t *f, request_t *req);
+bool forward_leave_silent(forward_t *f, request_t *req);
 void forward_refuse(forward_t *f, request_t *req, code_t code,
 		    ms_t retry_after);
 void forward_trace(forward_t *f, const request_t *req, ms_t now,
--- a/lib/forward/forward.c
+++ b/lib/forward/forward.c
@@ -96,6 +96,16 @@
 	server_conn_send(exchange_of(req));
 }
 
+/*
+ * Another server takes a request whose server is silent: ends its attempt.
+ * Returns false if bytes have come after all.
+ */
+bool forward_leave_silent(forward_t *f, request_t *req)
+{
+	(void)f;
+	return exchange_leave_silent(exchange_of(req), clock_now());
+}
+
 /*
  * Answers a request that the edge gave up. retry_after: when the caller should
  * come back; 0: not given.
--- a/lib/forward/priv.h
+++ b/lib/forward/priv.h
@@ -142,6 +142,7 @@
 void exchange_abort(exchange_t *x, const char *why, ms_t now);
 bool exchange_running(const exchange_t *x);
 void exchange_stop(exchange_t *x, ms_t now);
+bool exchange_leave_silent(exchange_t *x, ms_t now);
 void exchange_tick(exchange_t *x, ms_t now);
 void exchange_attempt_end(exchange_t *x, attempt_result_t how, ms_t now);
 void exchange_refuse(exchange_t *x, code_t code, ms_t retry_after);
--- a/test/limited.c
+++ b/test/limited.c
@@ -235,7 +235,8 @@
 				     .forget = ignore_forget,
 				     .crash_seen = ignore_crash_seen,
 				     .part_answered = ignore_part_answered,
-				     .limit_named = play_limit };
+				     .limit_named = play_limit,
+				     .leave_silent = ignore_leave_silent };
 
 static void on_grant(void *ctx, uint64_t host, rid_t rid)
 {
--- a/test/quarantine.c
+++ b/test/quarantine.c
@@ -249,7 +249,8 @@
 				     .forget = ignore_forget,
 				     .crash_seen = play_crash_seen,
 				     .part_answered = play_part_answered,
-				     .limit_named = ignore_limit_named };
+				     .limit_named = ignore_limit_named,
+				     .leave_silent = ignore_leave_silent };
 
 /* Lists a server that has started, at all hosts. */
 static void list_server(play_t *p, unsigned int n, const char *before)
--- a/test/silence.c
+++ b/test/silence.c
@@ -111,6 +111,67 @@
 }
 END_TEST
 
+/* The same with keepers: what becomes of a slot that is asked elsewhere. */
+typedef struct kept_case {
+	const char *name;
+	double ratio;	    /* of retries; 0: no budget */
+	ms_t granted_after; /* a slot elsewhere; 0: never */
+	ms_t goes_on_after; /* the server; 0: at the end of the silence */
+	bool taken;	    /* the slot */
+} kept_case_t;
+
+static const kept_case_t kept_cases[] = {
+	{ "granted", 1, 900, 0, true },
+	{ "granted late", 1, 1190, 0, true },
+	{ "never granted", 1, 0, 0, false },
+	{ "no budget left", 0, 900, 0, false },
+	{ "granted after the server has gone on", 1, 900, 850, false },
+};
+
+enum {
+	KEEPER_S = 11, /* incarnations */
+	KEEPER_T = 12,
+};
+
+START_TEST(test_silent_server_keeps_request_until_grant)
+{
+	const kept_case_t *c = &kept_cases[_i];
+	bool taken = false;
+	request_t r;
+	world_t w;
+
+	world_init(&w, c->ratio);
+	put_server(&w, "s", "10.0.0.1", 1, false, 1, 0);
+	edge_keeper_state(w.edge, "10.0.0.1", KEEPER_S);
+	request_init(&r, &route, 1);
+	edge_submit(w.edge, &r, 1);
+	ck_assert(edge_slot_granted(w.edge, KEEPER_S, r.rid, 1));
+	put_server(&w, "t", "10.0.0.2", 1, false, 1, 1);
+	edge_keeper_state(w.edge, "10.0.0.2", KEEPER_T);
+	for (w.now = 1; w.now <= SILENCE_MS; w.now += TICK_MS) {
+		ck_assert_msg(tick_silent(&w, &r, false, w.now), "%s", c->name);
+		if (c->goes_on_after && w.now >= c->goes_on_after &&
+		    w.now < c->goes_on_after + TICK_MS)
+			edge_first_event(w.edge, &r, w.now);
+		if (c->granted_after && w.now >= c->granted_after &&
+		    w.now < c->granted_after + TICK_MS)
+			taken = edge_slot_granted(w.edge, KEEPER_T, r.rid,
+						  w.now);
+		ck_assert_msg(r.state == REQUEST_RUNNING, "%s: given up",
+			      c->name);
+	}
+	ck_assert_msg(taken == c->taken, "%s", c->name);
+	ck_assert_uint_eq(w.sent, taken ? 2 : 1);
+	ck_assert_str_eq(r.server->id, taken ? "t" : "s");
+	edge_first_event(w.edge, &r, w.now);
+	ck_assert_int_eq(
+		edge_attempt_ended(w.edge, &r, ATTEMPT_ANSWERED, true, w.now),
+		NEXT_ANSWER);
+	ck_assert_uint_eq(r.nasked, 0);
+	world_clear(&w);
+}
+END_TEST
+
 /* Requests given up on a silent server don't eject it once it goes on. */
 START_TEST(test_silent_server_not_ejected)
 {
@@ -163,6 +224,8 @@
 	suite_add_tcase(s, t);
 	tcase_add_loop_test(t, test_silent_server_keeps_request, 0,
 			    G_N_ELEMENTS(silence_cases));
+	tcase_add_loop_test(t, test_silent_server_keeps_request_until_grant, 0,
+			    G_N_ELEMENTS(kept_cases));
 	tcase_add_test(t, test_silent_server_not_ejected);
 	srunner_run_all(r, CK_NORMAL);
 	failed = srunner_ntests_failed(r);
--- a/test/subset.c
+++ b/test/subset.c
@@ -51,12 +51,20 @@
 	joined = server;
 }
 
-static const edge_ops_t host_ops = {
-	on_send,	   on_refuse, on_note,		 on_slot,
-	on_release_slot,   on_join,   on_quota_leave,	 on_quota_take,
-	on_wanted,	   on_forget, ignore_crash_seen, ignore_part_answered,
-	ignore_limit_named
-};
+static const edge_ops_t host_ops = { on_send,
+				     on_refuse,
+				     on_note,
+				     on_slot,
+				     on_release_slot,
+				     on_join,
+				     on_quota_leave,
+				     on_quota_take,
+				     on_wanted,
+				     on_forget,
+				     ignore_crash_seen,
+				     ignore_part_answered,
+				     ignore_limit_named,
+				     ignore_leave_silent };
 
 static void zone_of(char *out, size_t n, unsigned int i)
 {
--- a/test/world.h
+++ b/test/world.h
@@ -24,6 +24,8 @@
 	unsigned int joins; /* of quota servers */
 	unsigned int asks;  /* to quota servers */
 	request_t *last;
+	bool resumable; /* streams, when their server is silent */
+	ms_t now;	/* when a granted slot ends an attempt */
 } world_t;
 
 static inline void on_send(void *ctx, request_t *r)
@@ -125,13 +127,34 @@
 {
 }
 
-static const edge_ops_t ops = { on_send,	   on_refuse,
-				on_note,	   on_request_slot,
-				on_release_slot,   on_quota_join,
-				on_quota_leave,	   on_quota_take,
-				on_keeper_wanted,  on_forget,
-				ignore_crash_seen, ignore_part_answered,
-				ignore_limit_named };
+static inline bool on_leave_silent(void *ctx, request_t *r)
+{
+	world_t *w = ctx;
+
+	return edge_attempt_ended(w->edge, r, ATTEMPT_SILENT, w->resumable,
+				  w->now) == NEXT_RETRY;
+}
+
+/* For tests with a context of their own. */
+static inline bool ignore_leave_silent(void *ctx, request_t *r)
+{
+	return false;
+}
+
+static const edge_ops_t ops = { on_send,
+				on_refuse,
+				on_note,
+				on_request_slot,
+				on_release_slot,
+				on_quota_join,
+				on_quota_leave,
+				on_quota_take,
+				on_keeper_wanted,
+				on_forget,
+				ignore_crash_seen,
+				ignore_part_answered,
+				ignore_limit_named,
+				on_leave_silent };
 
 static inline void world_open(world_t *w, double retry_ratio,
 			      double quota_tolerance, double quota_slack)
