Servers' words: one that says that it leaves gets no new request

A server says in all its answers that it leaves; nothing read it, so a host went on until the store's entry said so, which may lag or be out of reach.

Change: the field puts the server out of use for the rest of this life, whatever its entry says; the host tells the others (facts leaving/SERVER with the start of that life). What runs there ends as it is. A next life under the same id is a new server.

T: adapter, four cases.

--- a/bench/edges/world.c
+++ b/bench/edges/world.c
@@ -138,6 +138,12 @@
 	poison_answered(((host_t *)ctx)->w, part);
 }
 
+static void on_leaving_said(void *ctx, const backend_t *b)
+{
+	(void)ctx;
+	(void)b;
+}
+
 static bool on_leave_silent(void *ctx, request_t *r)
 {
 	(void)ctx;
@@ -146,10 +152,10 @@
 }
 
 static const edge_ops_t edge_ops = {
-	on_send,	  on_refuse,	  on_note,	  on_ask,
-	on_release,	  on_quota_join,  on_quota_leave, on_quota_take,
-	on_keeper_wanted, on_forget,	  on_crash_seen,  on_part_answered,
-	on_limit_named,	  on_leave_silent
+	on_send,	  on_refuse,	   on_note,	   on_ask,
+	on_release,	  on_quota_join,   on_quota_leave, on_quota_take,
+	on_keeper_wanted, on_forget,	   on_crash_seen,  on_part_answered,
+	on_limit_named,	  on_leaving_said, on_leave_silent
 };
 
 /* A keeper's grant goes to the host of the request. */
--- a/cmd/chestnuthinged/edged.c
+++ b/cmd/chestnuthinged/edged.c
@@ -118,6 +118,13 @@
 		crashd_part_answered(d->crashes, part);
 }
 
+static void on_leaving_said(void *ctx, const backend_t *b)
+{
+	edged_t *d = ctx;
+
+	peering_tell_leaving(d->peering, b);
+}
+
 static bool on_leave_silent(void *ctx, request_t *r)
 {
 	edged_t *d = ctx;
@@ -126,10 +133,10 @@
 }
 
 static const edge_ops_t edge_ops = {
-	on_send,	  on_refuse,	  on_note,	  on_slot_request,
-	on_release,	  on_quota_join,  on_quota_leave, on_quota_take,
-	on_keeper_wanted, on_forget,	  on_crash_seen,  on_part_answered,
-	on_limit_named,	  on_leave_silent
+	on_send,	  on_refuse,	   on_note,	   on_slot_request,
+	on_release,	  on_quota_join,   on_quota_leave, on_quota_take,
+	on_keeper_wanted, on_forget,	   on_crash_seen,  on_part_answered,
+	on_limit_named,	  on_leaving_said, on_leave_silent
 };
 
 static void on_rollout_count(void *ctx, uint64_t host, const char *service,
--- a/cmd/chestnuthinged/keeperd.c
+++ b/cmd/chestnuthinged/keeperd.c
@@ -3,11 +3,11 @@
 #include <signal.h>
 #include "keeperd.h"
 #include "keeper/fns.h"
-#include "limitfact.h"
 #include "quotad.h"
 #include "forward/fns.h"
 #include "net/fns.h"
 #include "reload.h"
+#include "wordfact.h"
 
 enum {
 	TICK_MS = 20,	  /* bound on noticing that a waiting request is late */
@@ -163,21 +163,20 @@
 		 k->server, l->set, (double)l->rate / MS_PER_S);
 }
 
-static void take_facts(keeperd_t *d, const msg_facts_t *f)
+static void take_facts(keeperd_t *d, const msg_facts_t *m)
 {
 	ms_t now = clock_now();
 
-	for (size_t i = 0; i < f->n; i++) {
-		server_limit_t limit;
-		char *server = limit_fact_read(&f->kv[i], &limit);
+	for (size_t i = 0; i < m->n; i++) {
+		word_fact_t f = word_fact_read(&m->kv[i]);
 		kept_server_t *k;
 
-		if (!server)
-			continue;
-		k = server_get(d, str_of(server));
-		k->last_request = now;
-		set_limit(k, &limit, now);
-		g_free(server);
+		if (f.server && !f.leaving) {
+			k = server_get(d, str_of(f.server));
+			k->last_request = now;
+			set_limit(k, &f.limit, now);
+		}
+		g_free(f.server);
 	}
 }
 
--- a/cmd/chestnuthinged/peering.c
+++ b/cmd/chestnuthinged/peering.c
@@ -3,8 +3,8 @@
  * grow with the number of hosts: slots, and what a relay has read of the store.
  */
 #include <string.h>
-#include "limitfact.h"
 #include "peering_priv.h"
+#include "wordfact.h"
 
 enum {
 	FRAME_MAX = 8 << 20,  /* bytes: a configuration */
@@ -319,9 +319,16 @@
 	peers_send(p->peers, keeper, &back);
 }
 
-/* Tells the other hosts of a server's limit, without the relays if set. */
-static void tell_hosts(peering_t *p, const char *server,
-		       const server_limit_t *l, bool relays)
+static void tell_host(peering_t *p, uint64_t to, const word_fact_t *f)
+{
+	if (f->leaving)
+		word_fact_leaving(p->peers, to, f->server, f->started_unix);
+	else
+		word_fact_limit(p->peers, to, f->server, &f->limit);
+}
+
+/* Tells the other hosts of a server's word, the relays too if relays is set. */
+static void tell_hosts(peering_t *p, const word_fact_t *f, bool relays)
 {
 	GHashTableIter it;
 	gpointer inc;
@@ -330,34 +337,48 @@
 	g_hash_table_iter_init(&it, p->names);
 	while (g_hash_table_iter_next(&it, &inc, &name)) {
 		if (relays || !relays_is_relay(p->relays, name))
-			limit_fact_send(p->peers, *(uint64_t *)inc, server, l);
+			tell_host(p, *(uint64_t *)inc, f);
 	}
 }
 
 /* Tells a server's keeper of its limit, and the other hosts if hosts is set. */
 void peering_tell_limit(peering_t *p, const backend_t *b, bool hosts)
 {
+	word_fact_t f = { .server = b->id, .limit = b->limit };
+
 	if (b->keeper)
-		limit_fact_send(p->peers, b->keeper, b->id, &b->limit);
+		tell_host(p, b->keeper, &f);
 	if (hosts)
-		tell_hosts(p, b->id, &b->limit, true);
+		tell_hosts(p, &f, true);
+}
+
+/* Tells the other hosts that a server says that it leaves. */
+void peering_tell_leaving(peering_t *p, const backend_t *b)
+{
+	word_fact_t f = { .server = b->id,
+			  .leaving = true,
+			  .started_unix = b->started_unix };
+
+	tell_hosts(p, &f, true);
 }
 
 /*
- * Takes a limit that a host has read. A host that is no relay has told all
- * relays, and they tell the others.
+ * Takes a server's word that a host has read. A host that is no relay has told
+ * all relays, and they tell the others.
  */
-void peering_take_limit(peering_t *p, const char *from, const fact_kv_t *kv)
+void peering_take_word(peering_t *p, const char *from, const fact_kv_t *kv)
 {
-	server_limit_t limit;
-	char *server = limit_fact_read(kv, &limit);
+	word_fact_t f = word_fact_read(kv);
 
-	if (!server)
+	if (!f.server)
 		return;
-	edge_host_limit(p->edge, server, &limit, clock_now());
+	if (f.leaving)
+		edge_host_leaving(p->edge, f.server, f.started_unix);
+	else
+		edge_host_limit(p->edge, f.server, &f.limit, clock_now());
 	if (relays_self(p->relays) && !relays_is_relay(p->relays, from))
-		tell_hosts(p, server, &limit, false);
-	g_free(server);
+		tell_hosts(p, &f, false);
+	g_free(f.server);
 }
 
 /* Keeps up connections and sends what is due. */
--- a/cmd/chestnuthinged/peering.h
+++ b/cmd/chestnuthinged/peering.h
@@ -35,6 +35,7 @@
 void peering_keeper(peering_t *p, const addr_t *server, bool wanted);
 void peering_request_slot(peering_t *p, const backend_t *b, const request_t *r,
 			  ms_t target_ms, ms_t now);
+void peering_tell_leaving(peering_t *p, const backend_t *b);
 void peering_tell_limit(peering_t *p, const backend_t *b, bool hosts);
 void peering_release_slot(peering_t *p, uint64_t keeper, const request_t *r,
 			  bool unreached);
--- a/cmd/chestnuthinged/peering_priv.h
+++ b/cmd/chestnuthinged/peering_priv.h
@@ -36,7 +36,7 @@
 };
 
 /* peering.c */
-void peering_take_limit(peering_t *p, const char *from, const fact_kv_t *kv);
+void peering_take_word(peering_t *p, const char *from, const fact_kv_t *kv);
 
 /* reports.c */
 void peering_take_facts(peering_t *p, uint64_t inc, const char *name,
--- a/cmd/chestnuthinged/reports.c
+++ b/cmd/chestnuthinged/reports.c
@@ -144,7 +144,7 @@
 			g_hash_table_remove(p->reported_to, &inc);
 			p->hosts_changed = true;
 		} else {
-			peering_take_limit(p, name, &f->kv[i]);
+			peering_take_word(p, name, &f->kv[i]);
 		}
 	}
 }
--- a/lib/edge/dat.h
+++ b/lib/edge/dat.h
@@ -132,7 +132,8 @@
 /* What a server asks of the hosts in the head of an answer. */
 typedef struct server_word {
 	server_limit_t limit;
-	bool bad; /* malformed: it says nothing */
+	bool leaving; /* it stops soon and takes nothing new */
+	bool bad;     /* malformed: it says nothing */
 } server_word_t;
 
 /* Least-squares line of the first event latency over the prompt's length. */
@@ -153,10 +154,12 @@
 	addr_t addr;
 	int64_t started_unix;
 	unsigned int slots;
-	bool draining;
-	uint64_t seq;	/* of its newest entry */
-	bool displaced; /* another server has its address now */
-	bool gone;	/* no longer listed; freed when its last request ends */
+	bool listed_draining; /* by its entry */
+	bool leaving;	      /* by its own word */
+	bool draining;	      /* by either */
+	uint64_t seq;	      /* of its newest entry */
+	bool displaced;	      /* another server has its address now */
+	bool gone; /* no longer listed; freed when its last request ends */
 	unsigned int running;	 /* requests of this host that run there */
 	unsigned int other_load; /* requests of other hosts, by the server's
 				    last answer */
@@ -343,6 +346,8 @@
 	 * hosts is set: the server's limit, or that it has none.
 	 */
 	void (*limit_named)(void *ctx, const backend_t *b, bool hosts);
+	/* To the other hosts: the server says that it leaves. */
+	void (*leaving_said)(void *ctx, const backend_t *b);
 	/*
 	 * Another server takes a request whose server is silent: ends the
 	 * attempt, by edge_attempt_ended with ATTEMPT_SILENT. Returns false if
--- a/lib/edge/fleet.c
+++ b/lib/edge/fleet.c
@@ -58,6 +58,16 @@
 	backend_free(b);
 }
 
+/* Takes a server out of use when it drains, by its entry or by its word. */
+void backend_set_draining(backend_t *b)
+{
+	bool draining = b->listed_draining || b->leaving;
+
+	b->pool->subset_changed =
+		b->pool->subset_changed || b->draining != draining;
+	b->draining = draining;
+}
+
 static void remove_server(edge_t *e, backend_t *b, const char *why)
 {
 	log_line(LOG_INFO, "server_gone",
@@ -147,18 +157,17 @@
 	if (!b)
 		b = backend_new(e, info);
 	changed = !known || b->slots != info->slots ||
-		  b->draining != info->draining ||
+		  b->listed_draining != info->draining ||
 		  (b->displaced && info->seq > b->seq);
-	if (info->draining && !b->draining)
+	if (info->draining && !b->listed_draining)
 		log_line(LOG_INFO, "server_leaving", "server=%s running=%u",
 			 b->id, b->running);
 	if (info->seq > b->seq)
 		b->displaced = false;
 	b->seq = MAX(b->seq, info->seq);
 	b->slots = info->slots;
-	b->pool->subset_changed =
-		b->pool->subset_changed || b->draining != info->draining;
-	b->draining = info->draining;
+	b->listed_draining = info->draining;
+	backend_set_draining(b);
 	if (!known)
 		displace_older(e, b);
 	return changed;
--- a/lib/edge/priv.h
+++ b/lib/edge/priv.h
@@ -118,6 +118,7 @@
 /* fleet.c */
 pool_t *pool_get(edge_t *e, const char *service);
 void backend_release(edge_t *e, backend_t *b);
+void backend_set_draining(backend_t *b);
 void server_remove(edge_t *e, const char *id);
 
 /* shift.c */
--- a/lib/edge/word.c
+++ b/lib/edge/word.c
@@ -8,7 +8,11 @@
  * connection to the keeper few of them have a part, as each may send a whole
  * request at any time.
  *
- * Load it answers: a server in need, among others that are not.
+ * A server that says that it leaves is out of use for the rest of its life,
+ * whatever its entry in the store says; hosts tell each other of it too.
+ *
+ * Load it answers: a server in need or about to stop, among others that are
+ * not.
  */
 #include <string.h>
 #include "edge/priv.h"
@@ -108,6 +112,14 @@
 	e->ops->limit_named(e->ctx, b, hosts);
 }
 
+static void set_leaving(backend_t *b, const char *by)
+{
+	b->leaving = true;
+	backend_set_draining(b);
+	log_line(LOG_INFO, "server_leaving", "server=%s by=%s running=%u",
+		 b->id, by, b->running);
+}
+
 /* A server's answer has come with its word, or without one. */
 void edge_server_word(edge_t *e, backend_t *b, const server_word_t *w, ms_t now)
 {
@@ -119,6 +131,10 @@
 		log_line(LOG_WARN, "server_word_bad", "server=%s", b->id);
 		return;
 	}
+	if (w->leaving && !b->leaving) {
+		set_leaving(b, "answer");
+		e->ops->leaving_said(e->ctx, b);
+	}
 	if (!same)
 		set_limit(e, b, &w->limit, "answer", now);
 	/* A keeper may know the limit of an earlier life of the server. */
@@ -147,3 +163,12 @@
 	if (b->keeper)
 		tell(e, b, false, now);
 }
+
+/* Another host has read that this life of a server leaves. */
+void edge_host_leaving(edge_t *e, const char *server, int64_t started_unix)
+{
+	backend_t *b = g_hash_table_lookup(e->by_id, server);
+
+	if (b && !b->leaving && b->started_unix == started_unix)
+		set_leaving(b, "host");
+}
--- a/test/adapter.c
+++ b/test/adapter.c
@@ -312,6 +312,18 @@
 	  "12",
 	  503,
 	  { .word.limit = { true, 12000 } } },
+	{ "leaving", "Server-Leaving", "1", 200, { .word.leaving = true } },
+	{ "leaving, a failure",
+	  "server-leaving",
+	  "1",
+	  500,
+	  { .word.leaving = true } },
+	{ "not leaving", "Server-Leaving", "0", 200, { .id = { NULL, 0 } } },
+	{ "leaving, not a number",
+	  "Server-Leaving",
+	  "yes",
+	  200,
+	  { .id = { NULL, 0 } } },
 	{ "limit 0", "Server-Limit", "0", 200, { .word.limit = { true, 0 } } },
 	{ "limit below 0",
 	  "Server-Limit",
@@ -366,6 +378,7 @@
 			      a.idle_timeout == c->want.idle_timeout &&
 			      a.has_signature == c->want.has_signature &&
 			      a.word.bad == c->want.word.bad &&
+			      a.word.leaving == c->want.word.leaving &&
 			      limit_equal(&a.word.limit, &c->want.word.limit),
 		      "%s", c->name);
 }
--- a/test/limited.c
+++ b/test/limited.c
@@ -236,6 +236,7 @@
 				     .crash_seen = ignore_crash_seen,
 				     .part_answered = ignore_part_answered,
 				     .limit_named = play_limit,
+				     .leaving_said = ignore_leaving_said,
 				     .leave_silent = ignore_leave_silent };
 
 static void on_grant(void *ctx, uint64_t host, rid_t rid)
--- a/test/quarantine.c
+++ b/test/quarantine.c
@@ -250,6 +250,7 @@
 				     .crash_seen = play_crash_seen,
 				     .part_answered = play_part_answered,
 				     .limit_named = ignore_limit_named,
+				     .leaving_said = ignore_leaving_said,
 				     .leave_silent = ignore_leave_silent };
 
 /* Lists a server that has started, at all hosts. */
--- a/test/world.h
+++ b/test/world.h
@@ -115,6 +115,10 @@
 {
 }
 
+static inline void ignore_leaving_said(void *ctx, const backend_t *b)
+{
+}
+
 static inline void ignore_limit_named(void *ctx, const backend_t *b, bool hosts)
 {
 }
@@ -154,6 +158,7 @@
 				ignore_crash_seen,
 				ignore_part_answered,
 				ignore_limit_named,
+				ignore_leaving_said,
 				on_leave_silent };
 
 static inline void world_open(world_t *w, double retry_ratio,
