Servers' words: one that turns a request away is left alone for as long as it says

Change: seconds, fractions too, an hour at most; the server gets nothing from this host before the end, and a shorter time later does not shorten it. When all servers in use pause for longer than a request may wait, callers are told at once, with the end of the first pause and up to half the usual pause more, so that they don't come back together. A negative time or a date is counted and logged as malformed.

T: word, seven cases (fails when the pause is not looked at); T: adapter, five.

--- a/lib/edge/admission.c
+++ b/lib/edge/admission.c
@@ -48,10 +48,14 @@
 /* Returns when a refused caller should retry, in ms from now. */
 ms_t admission_retry_after(edge_t *e, pool_t *p, const request_t *r, ms_t now)
 {
+	ms_t paused_until = word_all_paused(p, now);
 	double wait = expected_wait(p, r, now);
 
 	if (wait <= 0)
 		wait = RETRY_AFTER_DEFAULT_MS;
+	if (paused_until > 0)
+		return paused_until - now +
+		       (ms_t)(wait * jitter * g_rand_double(e->rand));
 	wait *= 1 + jitter * (g_rand_double(e->rand) - 0.5);
 	return CLAMP((ms_t)wait, RETRY_AFTER_MIN_MS, RETRY_AFTER_MAX_MS);
 }
@@ -60,7 +64,10 @@
 bool admission_too_late(pool_t *p, const request_t *r, ms_t now)
 {
 	ms_t until = MIN(r->deadline, r->give_up_at);
+	ms_t paused_until = word_all_paused(p, now);
 	double wait = expected_wait(p, r, now);
 
+	if (paused_until > 0)
+		wait = MAX(wait, (double)(paused_until - now));
 	return (double)now + wait + p->first_event_mean > (double)until;
 }
--- a/lib/edge/dat.h
+++ b/lib/edge/dat.h
@@ -133,6 +133,7 @@
 typedef struct server_word {
 	server_limit_t limit;
 	bool leaving; /* it stops soon and takes nothing new */
+	ms_t pause;   /* wants nothing from this host for so long; 0: none */
 	bool bad;     /* malformed: it says nothing */
 } server_word_t;
 
@@ -178,6 +179,7 @@
 	ms_t ejected_until;
 	ms_t ejection_ms;
 	bool probing;		  /* after an ejection: one request at a time */
+	ms_t paused_until;	  /* it wants nothing from this host before */
 	bool word_known;	  /* an answer has come */
 	server_limit_t limit;	  /* by its answers, or another host */
 	pace_t pace;		  /* this host's part of the limit */
--- a/lib/edge/health.c
+++ b/lib/edge/health.c
@@ -46,7 +46,8 @@
 /* Whether new requests may go to the server now. */
 bool health_usable(const backend_t *b, ms_t now)
 {
-	if (b->draining || b->gone || b->displaced || now < b->ejected_until)
+	if (b->draining || b->gone || b->displaced || now < b->ejected_until ||
+	    now < b->paused_until)
 		return false;
 	if (b->probing && b->running > 0)
 		return false;
--- a/lib/edge/priv.h
+++ b/lib/edge/priv.h
@@ -172,6 +172,7 @@
 /* word.c */
 bool word_allows(const edge_t *e, backend_t *b, ms_t now);
 void word_sent(backend_t *b);
+ms_t word_all_paused(const pool_t *p, ms_t now);
 double word_penalty(const edge_t *e, backend_t *b, ms_t now);
 void word_keeper_changed(edge_t *e, backend_t *b);
 
--- a/lib/edge/word.c
+++ b/lib/edge/word.c
@@ -11,6 +11,9 @@
  * A server that says that it leaves is out of use for the rest of its life,
  * whatever its entry in the store says; hosts tell each other of it too.
  *
+ * A server that turns a request away may say for how long it wants nothing from
+ * this host. When all do, callers are told at once.
+ *
  * Load it answers: a server in need or about to stop, among others that are
  * not.
  */
@@ -120,6 +123,37 @@
 		 b->id, by, b->running);
 }
 
+static void set_pause(edge_t *e, backend_t *b, ms_t pause, ms_t now)
+{
+	if (now + pause <= b->paused_until)
+		return;
+	b->paused_until = now + pause;
+	counter_get(e->counters, "edge_server_pauses_total", NULL)->value++;
+	log_line(LOG_INFO, "server_pause", "server=%s for_ms=%lld running=%u",
+		 b->id, (long long)pause, b->running);
+}
+
+/*
+ * Returns when the first server of a pool ends its pause, if all that are in
+ * use have one; else 0.
+ */
+ms_t word_all_paused(const pool_t *p, ms_t now)
+{
+	ms_t first = 0;
+
+	for (list_t *l = p->servers.next; l != &p->servers; l = l->next) {
+		const backend_t *b = list_entry(l, backend_t, link);
+
+		if (b->draining)
+			continue;
+		if (now >= b->paused_until)
+			return 0;
+		if (!first || b->paused_until < first)
+			first = b->paused_until;
+	}
+	return first;
+}
+
 /* A server's answer has come with its word, or without one. */
 void edge_server_word(edge_t *e, backend_t *b, const server_word_t *w, ms_t now)
 {
@@ -131,6 +165,8 @@
 		log_line(LOG_WARN, "server_word_bad", "server=%s", b->id);
 		return;
 	}
+	if (w->pause > 0)
+		set_pause(e, b, w->pause, now);
 	if (w->leaving && !b->leaving) {
 		set_leaving(b, "answer");
 		e->ops->leaving_said(e->ctx, b);
--- a/test/adapter.c
+++ b/test/adapter.c
@@ -312,6 +312,23 @@
 	  "12",
 	  503,
 	  { .word.limit = { true, 12000 } } },
+	{ "pause", "Retry-After", "2.5", 503, { .word.pause = 2500 } },
+	{ "pause without end",
+	  "Retry-After",
+	  "99999999",
+	  503,
+	  { .word.pause = 3600000 } },
+	{ "pause, negative", "Retry-After", "-1", 503, { .word.bad = true } },
+	{ "pause, a date",
+	  "Retry-After",
+	  "Fri, 04 Dec 2026 14:00:00 GMT",
+	  503,
+	  { .word.bad = true } },
+	{ "no pause but with 503",
+	  "Retry-After",
+	  "2",
+	  429,
+	  { .id = { NULL, 0 } } },
 	{ "leaving", "Server-Leaving", "1", 200, { .word.leaving = true } },
 	{ "leaving, a failure",
 	  "server-leaving",
@@ -379,6 +396,7 @@
 			      a.has_signature == c->want.has_signature &&
 			      a.word.bad == c->want.word.bad &&
 			      a.word.leaving == c->want.word.leaving &&
+			      a.word.pause == c->want.word.pause &&
 			      limit_equal(&a.word.limit, &c->want.word.limit),
 		      "%s", c->name);
 }
--- a/test/word.c
+++ b/test/word.c
@@ -71,6 +71,73 @@
 }
 END_TEST
 
+/* Servers that want nothing for a while: what a request gets at some time. */
+typedef struct pause_case {
+	const char *name;
+	ms_t pauses[2][2]; /* of each server: as said at 10 ms and at 20 ms */
+	ms_t at;
+	unsigned int servers; /* 1, or 2 */
+	const char *to;	      /* NULL: it is refused */
+	ms_t after;	      /* told to callers, at least */
+} pause_case_t;
+
+static const pause_case_t pause_cases[] = {
+	{ "one of two pauses", { { 1000, 0 } }, 500, 2, "t", 0 },
+	{ "to the end", { { 1000, 0 } }, 1009, 2, "t", 0 },
+	{ "after the end", { { 1000, 0 }, { 9000, 0 } }, 1010, 2, "s", 0 },
+	{ "a shorter one later", { { 1000, 100 } }, 500, 2, "t", 0 },
+	{ "a longer one later", { { 100, 1000 } }, 500, 2, "t", 0 },
+	{ "all pause for longer than the request waits",
+	  { { 5000, 0 }, { 6000, 0 } },
+	  500,
+	  2,
+	  NULL,
+	  4510 },
+	{ "the only one pauses", { { 9000, 0 } }, 500, 1, NULL, 8510 },
+};
+
+START_TEST(test_paused_server_got_requests)
+{
+	const pause_case_t *c = &pause_cases[_i];
+	static const char *const ids[] = { "s", "t" };
+	unsigned int n = MIN(c->servers, G_N_ELEMENTS(ids));
+	request_t r[2];
+	request_t next;
+	world_t w;
+
+	world_init(&w, 0);
+	for (unsigned int i = 0; i < n; i++) {
+		put_server(&w, ids[i], i ? "10.0.0.2" : "10.0.0.1", 1, false, 1,
+			   0);
+		request_init(&r[i], &route, 1);
+		edge_submit(w.edge, &r[i], 1);
+	}
+	for (unsigned int i = 0; i < n; i++) {
+		for (int k = 0; k < 2; k++) {
+			int which = strcmp(r[i].server->id, "t") == 0;
+			server_word_t says = { .pause = c->pauses[which][k] };
+
+			edge_server_word(w.edge, r[i].server, &says,
+					 10 + (ms_t)k * 10);
+		}
+		answer(&w, &r[i], 30);
+	}
+	request_init(&next, &route, c->at);
+	edge_submit(w.edge, &next, c->at);
+	if (c->to) {
+		ck_assert_msg(next.state == REQUEST_RUNNING, "%s", c->name);
+		ck_assert_msg(strcmp(next.server->id, c->to) == 0, "%s: to %s",
+			      c->name, next.server->id);
+		answer(&w, &next, c->at + 1);
+	} else {
+		ck_assert_msg(w.refused == 1, "%s", c->name);
+		ck_assert_msg(w.last_after >= c->after, "%s: %d", c->name,
+			      (int)w.last_after);
+	}
+	world_clear(&w);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("word");
@@ -82,6 +149,8 @@
 	suite_add_tcase(s, t);
 	tcase_add_loop_test(t, test_server_that_leaves_got_requests, 0,
 			    G_N_ELEMENTS(leave_cases));
+	tcase_add_loop_test(t, test_paused_server_got_requests, 0,
+			    G_N_ELEMENTS(pause_cases));
 	srunner_run_all(r, CK_NORMAL);
 	failed = srunner_ntests_failed(r);
 	srunner_free(r);
