--- a/test/soak/dat.h
+++ b/test/soak/dat.h
@@ -90,6 +90,29 @@
 	store_state_t state;
 } store_t;
 
+/* What a server says of itself in its answers. */
+typedef enum said {
+	SAID_NOTHING,
+	SAID_LIMIT,
+	SAID_LEAVING,
+	SAID_PAUSE,
+	SAIDS,
+} said_t;
+
+/* A request that has reached a server. */
+typedef struct arrival {
+	ms_t at;
+	unsigned int edge;
+} arrival_t;
+
+typedef struct word_s {
+	said_t says;
+	ms_t from;
+	ms_t told[EDGES_MAX];		 /* the first answer with it; 0 none */
+	unsigned int reached[EDGES_MAX]; /* requests in the pause */
+	GArray *arrivals;		 /* arrival_t since from */
+} word_s_t;
+
 /* A backend server, for streams or plain calls. */
 typedef struct server {
 	soak_t *s;
@@ -115,6 +138,7 @@
 	double extra;	  /* share of answers that come twice */
 	double unframed;  /* share of answers without a length */
 	double floods;	  /* share of answers that do not end */
+	word_s_t word;
 } server_t;
 
 /* Where the bytes of an answer that does not end come. */
@@ -249,6 +273,7 @@
 	unsigned int nfaults;
 	size_t memory_most; /* bytes of any daemon */
 	bool pauses_only;   /* servers that pause are the only fault */
+	bool words_only;    /* what servers say is the only fault */
 	unsigned int violations;
 	unsigned int done[KINDS];
 	unsigned int good[KINDS];
--- a/test/soak/fault.c
+++ b/test/soak/fault.c
@@ -247,6 +247,10 @@
 	s->next_fault =
 		now + 50 + g_rand_int_range(s->faults, 0, FAULT_EVERY_MS);
 	s->nfaults++;
+	if (s->words_only) {
+		words_fault(s);
+		return;
+	}
 	if (s->pauses_only) {
 		fault_pause(s);
 		return;
--- a/test/soak/fns.h
+++ b/test/soak/fns.h
@@ -61,6 +61,14 @@
 void poison_reached(soak_t *s, const fate_t *f);
 void poison_ends(server_t *v);
 
+/* words.c */
+void words_fault(soak_t *s);
+void words_tick(server_t *v, ms_t now);
+void words_put(server_t *v, const char *id, GString *out);
+bool words_turn_away(server_t *v, const char *id);
+char *words_turn_fields(const char *id);
+void words_arrived(server_t *v, const char *id);
+
 /* move.c */
 void move_order(soak_t *s);
 void move_status(soak_t *s, const char *text);
--- a/test/soak/main.c
+++ b/test/soak/main.c
@@ -25,6 +25,7 @@
 	gint callers;
 	gboolean pauses;
 	gboolean stops;
+	gboolean words;
 	gint poison;
 	gboolean verbose;
 	char *dir;
@@ -134,6 +135,10 @@
 		  "Program to run", "FILE" },
 		{ "pauses", 0, 0, G_OPTION_ARG_NONE, &opt.pauses,
 		  "Servers that pause, and no other fault", NULL },
+		{ "words", 0, 0, G_OPTION_ARG_NONE, &opt.words,
+		  "Servers that name limits, leave or pause, and no other "
+		  "fault",
+		  NULL },
 		{ "stops", 0, 0, G_OPTION_ARG_NONE, &opt.stops,
 		  "Only planned stops of edges, under long requests", NULL },
 		{ "verbose", 'v', 0, G_OPTION_ARG_NONE, &opt.verbose,
@@ -162,6 +167,7 @@
 	s->floods = g_rand_new_with_seed((guint32)opt.seed + 3);
 	s->daemon = opt.daemon;
 	s->pauses_only = opt.pauses;
+	s->words_only = opt.words;
 	s->dir = opt.dir;
 	s->stops = opt.stops;
 	s->grace = opt.stops ? LONG_GRACE_MS : GRACE_MS;
--- a/test/soak/server.c
+++ b/test/soak/server.c
@@ -38,8 +38,9 @@
 }
 
 /* Header fields that every answer of a server bears. */
-static void put_fields(GString *out, const server_t *v, const char *id)
+static void put_fields(GString *out, server_t *v, const char *id)
 {
+	words_put(v, id, out);
 	g_string_append_printf(out,
 			       "X-Request-Id: %s\r\nX-Server-Stamp: %s/%s\r\n"
 			       "X-Server-Load: %u,%zu,%d\r\n",
@@ -277,6 +278,17 @@
 			  (int)left.n, left.p);
 }
 
+/* Answers that a request was not run; frees the fields. */
+static void turn_away(job_t *j, char *fields)
+{
+	sconn_t *c = j->c;
+
+	g_free(j->id);
+	g_free(j);
+	sconn_reply(c, 503, fields, str_of(""));
+	g_free(fields);
+}
+
 static void on_request(sconn_t *c)
 {
 	server_t *v = c->at->owner;
@@ -297,14 +309,15 @@
 	check_request(v, h, j->id);
 	if (j->poison)
 		poison_reached(v->s, fate_get(v->s, j->id));
+	words_arrived(v, j->id);
+	if (words_turn_away(v, j->id)) {
+		turn_away(j, words_turn_fields(j->id));
+		return;
+	}
 	if (list_len(&v->queued) >= QUEUE_MAX) {
-		char *fields = g_strdup_printf(
-			"X-Not-Executed: 1\r\nX-Request-Id: %s\r\n", j->id);
-
-		g_free(j->id);
-		g_free(j);
-		sconn_reply(c, 503, fields, str_of(""));
-		g_free(fields);
+		turn_away(j, g_strdup_printf("X-Not-Executed: 1\r\n"
+					     "X-Request-Id: %s\r\n",
+					     j->id));
 		return;
 	}
 	j->next = 1;
@@ -415,6 +428,7 @@
 /* Lets the entry of a server that died lapse, and starts it again. */
 void server_tick(server_t *v, ms_t now)
 {
+	words_tick(v, now);
 	if (v->lapse_at && now >= v->lapse_at) {
 		v->lapse_at = 0;
 		store_put(&v->s->store, "keyed.servers", v->id, NULL);
