--- a/lib/edge/dat.h
+++ b/lib/edge/dat.h
@@ -134,7 +134,7 @@
 	server_limit_t limit;
 	bool leaving; /* it stops soon and takes nothing new */
 	ms_t pause;   /* wants nothing from this host for so long; 0: none */
-	bool bad;     /* malformed: it says nothing */
+	bool bad;     /* a malformed field: the known limit holds */
 } server_word_t;
 
 /* Least-squares line of the first event latency over the prompt's length. */
--- a/lib/edge/reroute.c
+++ b/lib/edge/reroute.c
@@ -62,7 +62,8 @@
 bool reroute_granted(edge_t *e, request_t *r, backend_t *b, uint64_t keeper,
 		     ms_t now)
 {
-	if (!edge_stalled(r, now) || !choose(e, r, b, keeper, now))
+	if (now >= r->deadline || !edge_stalled(r, now) ||
+	    !choose(e, r, b, keeper, now))
 		return false;
 	if (e->ops->leave_silent(e->ctx, r))
 		return true;
--- a/lib/edge/word.c
+++ b/lib/edge/word.c
@@ -154,30 +154,35 @@
 	return first;
 }
 
+static void take_limit(edge_t *e, backend_t *b, const server_limit_t *l,
+		       ms_t now)
+{
+	bool same = limit_equal(l, &b->limit);
+
+	if (!same)
+		set_limit(e, b, l, "answer", now);
+	/* A keeper may know the limit of an earlier life of the server. */
+	if (!same || !b->word_known ||
+	    (b->limit.set && now - b->limit_told_at >= RETELL_MS))
+		tell(e, b, !same, now);
+	b->word_known = true;
+}
+
 /* A server's answer has come with its word, or without one. */
 void edge_server_word(edge_t *e, backend_t *b, const server_word_t *w, ms_t now)
 {
-	bool same = limit_equal(&w->limit, &b->limit);
-
-	if (w->bad) {
-		counter_get(e->counters, "edge_server_words_bad_total", NULL)
-			->value++;
-		log_line(LOG_WARN, "server_word_bad", "server=%s", b->id);
-		return;
-	}
 	if (w->pause > 0)
 		set_pause(e, b, w->pause, now);
 	if (w->leaving && !b->leaving) {
 		set_leaving(b, "answer");
 		e->ops->leaving_said(e->ctx, b);
 	}
-	if (!same)
-		set_limit(e, b, &w->limit, "answer", now);
-	/* A keeper may know the limit of an earlier life of the server. */
-	if (!same || !b->word_known ||
-	    (b->limit.set && now - b->limit_told_at >= RETELL_MS))
-		tell(e, b, !same, now);
-	b->word_known = true;
+	if (!w->bad) {
+		take_limit(e, b, &w->limit, now);
+		return;
+	}
+	counter_get(e->counters, "edge_server_words_bad_total", NULL)->value++;
+	log_line(LOG_WARN, "server_word_bad", "server=%s", b->id);
 }
 
 /* The server has another keeper, which may not know its limit. */
--- a/lib/forward/exchange.c
+++ b/lib/forward/exchange.c
@@ -685,6 +685,12 @@
 		local_reply(x, 504, 0, "time is up");
 }
 
+static void leave_silent(exchange_t *x, ms_t now)
+{
+	server_conn_close(x->conn);
+	exchange_attempt_end(x, ATTEMPT_SILENT, now);
+}
+
 /*
  * Ends an attempt for its server's silence. Returns false if bytes have come
  * from the server after all.
@@ -693,8 +699,7 @@
 {
 	if (!x->conn || hconn_unread(x->conn->conn))
 		return false;
-	server_conn_close(x->conn);
-	exchange_attempt_end(x, ATTEMPT_SILENT, now);
+	leave_silent(x, now);
 	return true;
 }
 
@@ -721,6 +726,6 @@
 		exchange_attempt_end(x, ATTEMPT_NOT_SENT, now);
 	} else if (edge_stalled(r, now) && !hconn_unread(c->conn) &&
 		   edge_give_up_silent(f->edge, r, is_resumable(x), now)) {
-		exchange_leave_silent(x, now);
+		leave_silent(x, now);
 	}
 }
--- a/test/word.c
+++ b/test/word.c
@@ -10,15 +10,17 @@
 	int64_t listed;	    /* again, with this start; 0: not */
 	bool answers_after; /* without the word, a late answer */
 	bool used;	    /* gets requests afterwards */
+	bool bad;	    /* beside a malformed field */
 } leave_case_t;
 
 static const leave_case_t leave_cases[] = {
-	{ "said in an answer", false, 1, 0, false, false },
-	{ "its entry says that it is ready", false, 1, 1, false, false },
-	{ "an older answer comes later", false, 1, 0, true, false },
-	{ "its next life", false, 1, 2, false, true },
-	{ "told by another host", true, 1, 0, false, false },
-	{ "told of an earlier life", true, 3, 0, false, true },
+	{ "said in an answer", false, 1, 0, false, false, false },
+	{ "beside a malformed field", false, 1, 0, false, false, true },
+	{ "its entry says that it is ready", false, 1, 1, false, false, false },
+	{ "an older answer comes later", false, 1, 0, true, false, false },
+	{ "its next life", false, 1, 2, false, true, false },
+	{ "told by another host", true, 1, 0, false, false, false },
+	{ "told of an earlier life", true, 3, 0, false, true, false },
 };
 
 static void answer(world_t *w, request_t *r, ms_t now)
@@ -45,9 +47,9 @@
 
 START_TEST(test_server_that_leaves_got_requests)
 {
-	const server_word_t says = { .leaving = true };
-	const server_word_t none = { .leaving = false };
 	const leave_case_t *c = &leave_cases[_i];
+	const server_word_t says = { .leaving = true, .bad = c->bad };
+	const server_word_t none = { .leaving = false };
 	request_t r;
 	world_t w;
 
