--- a/lib/edge/dat.h
+++ b/lib/edge/dat.h
@@ -251,8 +251,9 @@
 	/* Its prompt's parts, without the last, which no other request has */
 	const prompt_part_t *parts;
 	size_t nparts;
-	double cost;		   /* in the unit of the customer's quota */
-	bool charged;		   /* the cost is counted as sent */
+	uint64_t content; /* hash of what it asks, and for whom; 0: unknown */
+	double cost;	  /* in the unit of the customer's quota */
+	bool charged;	  /* the cost is counted as sent */
 	unsigned int executions;   /* attempts that may have run */
 	unsigned int dispatches;   /* all attempts */
 	bool retry_reserved;	   /* taken from the budget for the next one */
--- a/lib/forward/exchange.c
+++ b/lib/forward/exchange.c
@@ -1,4 +1,5 @@
 /* One caller's request: routed, sent to a server, its answer passed on. */
+#include <inttypes.h>
 #include <string.h>
 #include "forward/priv.h"
 
@@ -55,6 +56,7 @@
 	x->call.key = str_or_empty(x->key);
 	x->call.host = str_or_empty(x->host);
 	x->call.target = str_or_empty(x->target);
+	x->head_content = content_of_head(h, &x->call);
 	x->is_head_request = http_name_is(h->method, "HEAD");
 	x->has_body = h->chunked || h->has_length;
 	x->close_after = !h->keep_alive;
@@ -250,18 +252,22 @@
 	r->output = x->call.output_tokens > 0 ? x->call.output_tokens
 					      : x->call.output_tokens_max;
 	r->tokens = x->call.prompt_tokens + x->call.output_tokens_max;
+	r->content =
+		content_of(x->head_content,
+			   r->customer ? r->customer->name : NULL, x->body);
 	parts = trace_parts(x);
 	trace_add(x, now, "accepted",
 		  "route=%s priority=%u customer=%s config=%llu prompt=%.0f "
 		  "output=%.0f tokens=%.0f timeout_ms=%lld giveup_ms=%lld "
-		  "target_ms=%lld body=%u parts=%s parts_omitted=%u",
+		  "target_ms=%lld body=%u content=%" PRIx64
+		  " parts=%s parts_omitted=%u",
 		  r->route->name, r->priority,
 		  r->customer ? r->customer->name : "-",
 		  (unsigned long long)d->version, r->prompt, r->output,
 		  r->tokens, (long long)(r->deadline - now),
 		  (long long)(r->give_up_at - now),
-		  (long long)(r->first_event_by - now), x->body->len, parts,
-		  x->call.parts_omitted);
+		  (long long)(r->first_event_by - now), x->body->len,
+		  r->content, parts, x->call.parts_omitted);
 	g_free(parts);
 	edge_submit(x->forward->edge, r, now);
 }
--- a/lib/forward/priv.h
+++ b/lib/forward/priv.h
@@ -67,6 +67,7 @@
 	bool close_after; /* the caller asks to close after the answer */
 	GByteArray *request_head; /* request line and fields of every attempt */
 	GByteArray *body;	  /* of the request */
+	uint64_t head_content;	  /* hash; the rest of it follows */
 
 	server_conn_t *conn; /* of the attempt in progress; NULL none */
 	int status;
@@ -136,6 +137,11 @@
 void caller_tick(caller_t *c, ms_t now);
 ms_t caller_keep_for(caller_t *c);
 
+/* content.c */
+uint64_t content_of_head(const http_head_t *h, const call_info_t *call);
+uint64_t content_of(uint64_t head, const char *customer,
+		    const GByteArray *body);
+
 /* exchange.c */
 exchange_t *exchange_new(caller_t *c, const http_head_t *h);
 void exchange_start(exchange_t *x, ms_t now);
