--- a/bench/edges/dat.h
+++ b/bench/edges/dat.h
@@ -79,7 +79,7 @@
 	bool over;
 	bool poison;
 	bool at_engine;
-	prompt_part_t parts[3];
+	trait_t parts[3];
 } item_t;
 
 /* A message on its way, or a report of loads. */
@@ -117,7 +117,7 @@
 	const char *host; /* NULL: answered */
 	char *server;
 	int64_t started;
-	GArray *parts; /* of prompt_part_t */
+	GArray *parts; /* of trait_t */
 } record_t;
 
 typedef struct world {
--- a/bench/edges/poison.c
+++ b/bench/edges/poison.c
@@ -27,11 +27,10 @@
 	g_array_free(w->records, TRUE);
 }
 
-static void add_record(world_t *w, record_t rec, const prompt_part_t *parts,
-		       size_t n)
+static void add_record(world_t *w, record_t rec, const trait_t *parts, size_t n)
 {
 	rec.at = w->now;
-	rec.parts = g_array_new(FALSE, FALSE, sizeof(prompt_part_t));
+	rec.parts = g_array_new(FALSE, FALSE, sizeof(trait_t));
 	g_array_append_vals(rec.parts, parts, (guint)n);
 	g_array_append_val(w->records, rec);
 }
@@ -43,11 +42,11 @@
 		   (record_t){ .host = h->name,
 			       .server = g_strdup(c->server),
 			       .started = c->started_unix },
-		   c->parts, c->nparts);
+		   c->traits, c->ntraits);
 }
 
 /* A host reports that requests with a part are answered. */
-void poison_answered(world_t *w, prompt_part_t part)
+void poison_answered(world_t *w, trait_t part)
 {
 	add_record(w, (record_t){ .host = NULL }, &part, 1);
 }
@@ -105,12 +104,11 @@
 	for (; h->read < w->records->len; h->read++) {
 		const record_t *rec =
 			&g_array_index(w->records, record_t, h->read);
-		const prompt_part_t *parts =
-			(const prompt_part_t *)rec->parts->data;
+		const trait_t *parts = (const trait_t *)rec->parts->data;
 		crash_report_t c = { .server = rec->server,
 				     .started_unix = rec->started,
-				     .parts = parts,
-				     .nparts = rec->parts->len };
+				     .traits = parts,
+				     .ntraits = rec->parts->len };
 
 		if (rec->at + STORE_MS > w->now)
 			return;
@@ -118,8 +116,8 @@
 			edge_crash_reported(h->edge, rec->host, &c, h->read + 1,
 					    w->now);
 		else
-			edge_part_answered(h->edge, parts[0], h->read + 1,
-					   w->now);
+			edge_trait_answered(h->edge, parts[0], h->read + 1,
+					    w->now);
 	}
 }
 
--- a/bench/edges/world.c
+++ b/bench/edges/world.c
@@ -133,7 +133,7 @@
 	poison_seen(h->w, h, c);
 }
 
-static void on_part_answered(void *ctx, prompt_part_t part)
+static void on_trait_answered(void *ctx, trait_t part)
 {
 	poison_answered(((host_t *)ctx)->w, part);
 }
@@ -154,7 +154,7 @@
 static const edge_ops_t edge_ops = {
 	on_send,	  on_refuse,	   on_note,	   on_ask,
 	on_release,	  on_quota_join,   on_quota_leave, on_quota_take,
-	on_keeper_wanted, on_forget,	   on_crash_seen,  on_part_answered,
+	on_keeper_wanted, on_forget,	   on_crash_seen,  on_trait_answered,
 	on_limit_named,	  on_leaving_said, on_leave_silent
 };
 
--- a/cmd/chestnuthinged/crashd.c
+++ b/cmd/chestnuthinged/crashd.c
@@ -1,9 +1,9 @@
 /*
- * Connects the quarantine of prompt parts with the platform's store. A report
- * of a server that ended has the key SERVER.STARTED/HOST and the suspect parts
- * as its value; answered/PART says that requests with the part are answered. A
- * report takes effect, on the host that wrote it too, once it is read back, so
- * that all hosts go by the same records in the same order.
+ * Connects the quarantine of requests with the platform's store. A report
+ * of a server that ended has the key SERVER.STARTED/HOST and the suspect traits
+ * as its value; answered/TRAIT says that requests with the trait are answered.
+ * A report takes effect, on the host that wrote it too, once it is read back,
+ * so that all hosts go by the same records in the same order.
  */
 #include <inttypes.h>
 #include <string.h>
@@ -110,31 +110,32 @@
 static bool take_report(crashd_t *c, const char *key, str_t value,
 			uint64_t number)
 {
-	GArray *parts = g_array_new(FALSE, FALSE, sizeof(prompt_part_t));
+	GArray *traits = g_array_new(FALSE, FALSE, sizeof(trait_t));
 	char *copy = g_strdup(key);
 	crash_report_t r = { 0 };
 	const char *host;
-	bool ok = parse_report_key(copy, &r, &host) &&
-		  (value.n == 0 || crash_parts_parse(value, parts) == CODE_OK);
+	bool ok =
+		parse_report_key(copy, &r, &host) &&
+		(value.n == 0 || crash_traits_parse(value, traits) == CODE_OK);
 
 	if (ok) {
-		r.parts = (const prompt_part_t *)(void *)parts->data;
-		r.nparts = parts->len;
+		r.traits = (const trait_t *)(void *)traits->data;
+		r.ntraits = traits->len;
 		edge_crash_reported(c->edge, host, &r, number, clock_now());
 	}
 	g_free(copy);
-	g_array_free(parts, TRUE);
+	g_array_free(traits, TRUE);
 	return ok;
 }
 
 static bool take_answered(crashd_t *c, const char *text, uint64_t number)
 {
-	guint64 part;
+	guint64 trait;
 
-	if (!g_ascii_string_to_unsigned(text, RADIX, 0, G_MAXUINT64, &part,
+	if (!g_ascii_string_to_unsigned(text, RADIX, 0, G_MAXUINT64, &trait,
 					NULL))
 		return false;
-	edge_part_answered(c->edge, part, number, clock_now());
+	edge_trait_answered(c->edge, trait, number, clock_now());
 	return true;
 }
 
@@ -229,7 +230,7 @@
 {
 	char *key = g_strdup_printf("%s.%" PRId64 "/%s", r->server,
 				    r->started_unix, c->host);
-	char *text = crash_parts_format(r);
+	char *text = crash_traits_format(r);
 
 	c->own_until = clock_now() + OWN_REPORT_MS;
 	if (strlen(key) <= KEY_BYTES_MAX)
@@ -240,10 +241,10 @@
 	g_free(text);
 }
 
-/* Writes that a request with the part is answered. */
-void crashd_part_answered(crashd_t *c, prompt_part_t part)
+/* Writes that a request with the trait is answered. */
+void crashd_trait_answered(crashd_t *c, trait_t trait)
 {
-	char *key = g_strdup_printf(KEY_ANSWERED "%" PRIx64, part);
+	char *key = g_strdup_printf(KEY_ANSWERED "%" PRIx64, trait);
 
 	append_put(c->append, adapter_topic_crashes(), key, VALUE_ANSWERED,
 		   NULL);
--- a/cmd/chestnuthinged/edged.c
+++ b/cmd/chestnuthinged/edged.c
@@ -110,12 +110,12 @@
 		crashd_seen(d->crashes, c);
 }
 
-static void on_part_answered(void *ctx, prompt_part_t part)
+static void on_trait_answered(void *ctx, trait_t trait)
 {
 	edged_t *d = ctx;
 
 	if (d->crashes)
-		crashd_part_answered(d->crashes, part);
+		crashd_trait_answered(d->crashes, trait);
 }
 
 static void on_leaving_said(void *ctx, const backend_t *b)
@@ -135,7 +135,7 @@
 static const edge_ops_t edge_ops = {
 	on_send,	  on_refuse,	   on_note,	   on_slot_request,
 	on_release,	  on_quota_join,   on_quota_leave, on_quota_take,
-	on_keeper_wanted, on_forget,	   on_crash_seen,  on_part_answered,
+	on_keeper_wanted, on_forget,	   on_crash_seen,  on_trait_answered,
 	on_limit_named,	  on_leaving_said, on_leave_silent
 };
 
--- a/lib/edge/crash.c
+++ b/lib/edge/crash.c
@@ -1,6 +1,6 @@
 /*
- * Noticing that a server crashed, and which parts of prompts may be the cause:
- * those of the requests that waited for their first event there.
+ * Noticing that a server crashed, and which traits may be the cause: those of
+ * the requests that waited for their first event there.
  */
 #include "edge/priv.h"
 
@@ -11,9 +11,9 @@
 	LATE_BYTES_MS = 20,
 	/* A server may end within this after the first bytes of an answer */
 	FIRST_BYTES_MS = 100,
-	/* A part in a whole answer is no suspect for this long */
+	/* A trait in a whole answer is no suspect for this long */
 	SOUND_MS = 10000,
-	SOUND_MAX = 16384, /* parts remembered as sound */
+	SOUND_MAX = 16384, /* traits remembered as sound */
 	LOSSES_MAX = 256,  /* servers that are looked at at the same time */
 	SWEEP_MS = 1000,   /* between removals of what is outdated */
 };
@@ -26,13 +26,13 @@
 	int64_t started_unix;
 	ms_t at;
 	unsigned int requests; /* that waited for their first event */
-	GArray *suspects;      /* prompt_part_t */
+	GArray *suspects;      /* trait_t */
 } loss_t;
 
 struct crashes {
 	list_t losses; /* loss_t, the oldest first */
 	unsigned int nlosses;
-	GHashTable *sound; /* time of the last whole answer by part */
+	GHashTable *sound; /* time of the last whole answer by trait */
 	ms_t swept_at;
 	counter_t *seen;
 	counter_t *left_out;
@@ -73,20 +73,20 @@
 	g_free(cs);
 }
 
-static bool is_sound(const crashes_t *cs, prompt_part_t part, ms_t now)
+static bool is_sound(const crashes_t *cs, trait_t trait, ms_t now)
 {
-	const ms_t *at = g_hash_table_lookup(cs->sound, &part);
+	const ms_t *at = g_hash_table_lookup(cs->sound, &trait);
 
 	return at && now - *at < SOUND_MS;
 }
 
-static void add_suspect(loss_t *l, prompt_part_t part)
+static void add_suspect(loss_t *l, trait_t trait)
 {
 	for (guint i = 0; i < l->suspects->len; i++) {
-		if (g_array_index(l->suspects, prompt_part_t, i) == part)
+		if (g_array_index(l->suspects, trait_t, i) == trait)
 			return;
 	}
-	g_array_append_val(l->suspects, part);
+	g_array_append_val(l->suspects, trait);
 }
 
 /* Whether the answer has not begun, or only just. */
@@ -133,7 +133,7 @@
 	l->serial = b->serial;
 	l->started_unix = b->started_unix;
 	l->at = now;
-	l->suspects = g_array_new(FALSE, FALSE, sizeof(prompt_part_t));
+	l->suspects = g_array_new(FALSE, FALSE, sizeof(trait_t));
 	add_suspects(cs, l, lost, now);
 	for (const list_t *p = b->requests.next; p != &b->requests;
 	     p = p->next) {
@@ -146,27 +146,27 @@
 	cs->nlosses++;
 }
 
-/* Reports a crash to all hosts, unless there is no part to suspect. */
+/* Reports a crash to all hosts, unless there is no trait to suspect. */
 static void report(edge_t *e, loss_t *l, const char *evidence, ms_t now)
 {
 	crash_report_t c = {
 		.server = l->server,
 		.started_unix = l->started_unix,
-		.parts = (const prompt_part_t *)l->suspects->data,
-		.nparts = MIN(l->suspects->len, CRASH_PARTS_MAX),
+		.traits = (const trait_t *)l->suspects->data,
+		.ntraits = MIN(l->suspects->len, CRASH_TRAITS_MAX),
 	};
 	char *text;
 
 	e->crashes->seen->value++;
-	e->crashes->left_out->value += l->suspects->len - c.nparts;
-	text = crash_parts_format(&c);
+	e->crashes->left_out->value += l->suspects->len - c.ntraits;
+	text = crash_traits_format(&c);
 	log_line(LOG_INFO, "crash_seen",
 		 "server=%s started=%lld evidence=%s after_ms=%lld requests=%u "
 		 "suspects=%u parts=%s",
 		 l->server, (long long)l->started_unix, evidence,
 		 (long long)(now - l->at), l->requests, l->suspects->len, text);
 	g_free(text);
-	if (c.nparts > 0 && e->ops->crash_seen)
+	if (c.ntraits > 0 && e->ops->crash_seen)
 		e->ops->crash_seen(e->ctx, &c);
 }
 
@@ -248,7 +248,7 @@
 	}
 }
 
-static gboolean is_outdated(gpointer part, gpointer at, gpointer now)
+static gboolean is_outdated(gpointer trait, gpointer at, gpointer now)
 {
 	return *(const ms_t *)now - *(const ms_t *)at >= SOUND_MS;
 }
--- a/lib/edge/dat.h
+++ b/lib/edge/dat.h
@@ -209,21 +209,24 @@
 };
 
 enum {
-	CRASH_PARTS_MAX = 64, /* parts in one report */
+	CRASH_TRAITS_MAX = 64, /* in one report */
 };
 
-/* A part of a prompt that requests may share: the hash of its name. */
-typedef uint64_t prompt_part_t;
+/*
+ * What several requests may have in common, as a hash: the name of a part of
+ * their prompts.
+ */
+typedef uint64_t trait_t;
 
 /*
- * A server that ended while requests with these parts waited for their first
- * event: each of the parts may be the cause.
+ * A server that ended while requests with these traits waited for their first
+ * event: each of the traits may be the cause.
  */
 typedef struct crash_report {
 	const char *server;   /* its id */
 	int64_t started_unix; /* with the id, one life of the server */
-	const prompt_part_t *parts;
-	size_t nparts;
+	const trait_t *traits;
+	size_t ntraits;
 } crash_report_t;
 
 /* A caller's request, from arrival to final answer. */
@@ -249,7 +252,7 @@
 	double output;	 /* expected output tokens */
 	double tokens;	 /* charged to a quota in tokens */
 	/* Its prompt's parts, without the last, which no other request has */
-	const prompt_part_t *parts;
+	const trait_t *parts;
 	size_t nparts;
 	uint64_t content; /* hash of what it asks, and for whom; 0: unknown */
 	double cost;	  /* in the unit of the customer's quota */
@@ -339,11 +342,11 @@
 	/* A server is about to be freed: close its connections. */
 	void (*forget)(void *ctx, backend_t *b);
 	/*
-	 * To all hosts: a server ended, or requests with a part that was
+	 * To all hosts: a server ended, or requests with a trait that was
 	 * reported are answered.
 	 */
 	void (*crash_seen)(void *ctx, const crash_report_t *c);
-	void (*part_answered)(void *ctx, prompt_part_t part);
+	void (*trait_answered)(void *ctx, trait_t trait);
 	/*
 	 * To the server's keeper, if it is connected, and to the other hosts if
 	 * hosts is set: the server's limit, or that it has none.
--- a/lib/edge/fns.h
+++ b/lib/edge/fns.h
@@ -95,8 +95,7 @@
 void edge_crashes_listing(edge_t *e);
 void edge_crash_reported(edge_t *e, const char *host, const crash_report_t *c,
 			 uint64_t number, ms_t now);
-void edge_part_answered(edge_t *e, prompt_part_t part, uint64_t number,
-			ms_t now);
+void edge_trait_answered(edge_t *e, trait_t trait, uint64_t number, ms_t now);
 bool edge_crashes_pending(const edge_t *e, ms_t now);
 /*
  * Calls drop for each record that is no longer needed, by the number with which
@@ -135,8 +134,8 @@
 /* record.c: decisions as text in the store. */
 char *shift_step_format(const shift_step_t *s);
 code_t shift_step_parse(str_t text, shift_step_t *out);
-char *crash_parts_format(const crash_report_t *c);
-code_t crash_parts_parse(str_t text, GArray *parts); /* of prompt_part_t */
+char *crash_traits_format(const crash_report_t *c);
+code_t crash_traits_parse(str_t text, GArray *traits); /* of trait_t */
 
 /* canary.c */
 typedef struct canary canary_t;
--- a/lib/edge/quarantine.c
+++ b/lib/edge/quarantine.c
@@ -1,14 +1,14 @@
 /*
- * Quarantine of parts of prompts that crash servers, from what hosts report to
- * each other. Which parts are in quarantine is a function of the set of records
- * alone, so that all hosts that have read the same agree on it.
+ * Quarantine of requests that crash servers, by their traits, from what hosts
+ * report to each other. Which traits are in quarantine is a function of the set
+ * of records alone, so that all hosts that have read the same agree on it.
  */
 #include <inttypes.h>
 #include <string.h>
 #include "edge/priv.h"
 
 enum {
-	/* Lives of servers that ended with a part */
+	/* Lives of servers that ended with a trait */
 	CRASHES_MIN = 3,
 	/* The same, whatever else ends meanwhile */
 	CRASHES_ENOUGH = 5,
@@ -33,24 +33,24 @@
 	char *life; /* server and start */
 	uint64_t number;
 	ms_t seen_at; /* by this process */
-	size_t nparts;
-	prompt_part_t parts[CRASH_PARTS_MAX];
+	size_t ntraits;
+	trait_t traits[CRASH_TRAITS_MAX];
 } report_t;
 
-/* The newest record of a whole answer to a request with a part. */
+/* The newest record of a whole answer to a request with a trait. */
 typedef struct answered {
-	prompt_part_t part;
+	trait_t trait;
 	uint64_t number;
 	ms_t seen_at;
 } answered_t;
 
-/* A part that reports name, as this process knows it. */
+/* A trait that reports name, as this process knows it. */
 typedef struct suspected {
-	prompt_part_t part;
+	trait_t trait;
 	unsigned int crashes; /* lives that ended with it since an answer */
 	uint64_t newest;      /* of its reports */
 	ms_t newest_seen;
-	/* Of prompt_part_t: what explains its crashes, with it; NULL: none */
+	/* Of trait_t: what explains its crashes, with it; NULL: none */
 	GArray *group;
 	uint64_t counted; /* newest report at the last start of its term */
 	ms_t until;	  /* end of the quarantine */
@@ -65,9 +65,9 @@
 struct quarantine {
 	GHashTable *reports;  /* report_t by key */
 	GHashTable *former;   /* the same before the last listing */
-	GHashTable *answered; /* answered_t by part */
-	GHashTable *parts;    /* suspected_t by part */
-	bool changed;	      /* records, since parts was derived */
+	GHashTable *answered; /* answered_t by trait */
+	GHashTable *suspects; /* suspected_t by trait */
+	bool changed;	      /* records, since traits was derived */
 	unsigned int nactive;
 	counter_t *refused;
 	counter_t *gauge;
@@ -107,8 +107,8 @@
 	q->former = reports_new();
 	q->answered = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
 					    g_free);
-	q->parts = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
-					 suspected_free);
+	q->suspects = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
+					    suspected_free);
 	q->refused = counter_get(counters, "edge_quarantined_total", NULL);
 	q->gauge = gauge_get(counters, "edge_parts_quarantined", NULL);
 	q->left_out =
@@ -122,28 +122,28 @@
 	g_hash_table_destroy(q->reports);
 	g_hash_table_destroy(q->former);
 	g_hash_table_destroy(q->answered);
-	g_hash_table_destroy(q->parts);
+	g_hash_table_destroy(q->suspects);
 	g_free(q);
 }
 
-/* Whether a part's report still counts: no later answer is known. */
-static bool counts(const quarantine_t *q, const report_t *r, prompt_part_t part)
+/* Whether a trait's report still counts: no later answer is known. */
+static bool counts(const quarantine_t *q, const report_t *r, trait_t trait)
 {
-	const answered_t *a = g_hash_table_lookup(q->answered, &part);
+	const answered_t *a = g_hash_table_lookup(q->answered, &trait);
 
 	return !a || r->number > a->number;
 }
 
-static suspected_t *suspected_get(quarantine_t *q, prompt_part_t part)
+static suspected_t *suspected_get(quarantine_t *q, trait_t trait)
 {
-	suspected_t *s = g_hash_table_lookup(q->parts, &part);
+	suspected_t *s = g_hash_table_lookup(q->suspects, &trait);
 
 	if (s)
 		return s;
 	s = g_new0(suspected_t, 1);
-	s->part = part;
+	s->trait = trait;
 	s->term = QUARANTINE_MS;
-	g_hash_table_insert(q->parts, &s->part, s);
+	g_hash_table_insert(q->suspects, &s->trait, s);
 	return s;
 }
 
@@ -171,13 +171,13 @@
 }
 
 /*
- * Counts a life of a server for one part of a report. unexplained: no group
+ * Counts a life of a server for one trait of a report. unexplained: no group
  * explains it yet.
  */
-static void tally_part(quarantine_t *q, const report_t *r, prompt_part_t part,
-		       bool unexplained)
+static void tally_trait(quarantine_t *q, const report_t *r, trait_t trait,
+			bool unexplained)
 {
-	suspected_t *s = suspected_get(q, part);
+	suspected_t *s = suspected_get(q, trait);
 	bool first = !s->last_life || strcmp(s->last_life, r->life) != 0;
 
 	s->crashes += first;
@@ -194,7 +194,7 @@
 	GHashTableIter it;
 	gpointer v;
 
-	g_hash_table_iter_init(&it, q->parts);
+	g_hash_table_iter_init(&it, q->suspects);
 	while (g_hash_table_iter_next(&it, NULL, &v)) {
 		suspected_t *s = v;
 
@@ -207,51 +207,51 @@
 		const report_t *r = all->pdata[i];
 		bool unexplained = !g_hash_table_contains(explained, r->life);
 
-		for (size_t k = 0; k < r->nparts; k++) {
-			if (counts(q, r, r->parts[k]))
-				tally_part(q, r, r->parts[k], unexplained);
+		for (size_t k = 0; k < r->ntraits; k++) {
+			if (counts(q, r, r->traits[k]))
+				tally_trait(q, r, r->traits[k], unexplained);
 		}
 	}
 }
 
-/* Whether a part of a report still counts. */
+/* Whether a trait of a report still counts. */
 static bool is_live(const quarantine_t *q, const report_t *r)
 {
-	for (size_t i = 0; i < r->nparts; i++) {
-		if (counts(q, r, r->parts[i]))
+	for (size_t i = 0; i < r->ntraits; i++) {
+		if (counts(q, r, r->traits[i]))
 			return true;
 	}
 	return false;
 }
 
-static bool names(const quarantine_t *q, const report_t *r, prompt_part_t part)
+static bool names(const quarantine_t *q, const report_t *r, trait_t trait)
 {
-	for (size_t i = 0; i < r->nparts; i++) {
-		if (r->parts[i] == part)
-			return counts(q, r, part);
+	for (size_t i = 0; i < r->ntraits; i++) {
+		if (r->traits[i] == trait)
+			return counts(q, r, trait);
 	}
 	return false;
 }
 
-/* Returns the set of unexplained lives that ended with a part. */
+/* Returns the set of unexplained lives that ended with a trait. */
 static GHashTable *lives_with(const quarantine_t *q, const GPtrArray *all,
-			      GHashTable *explained, prompt_part_t part)
+			      GHashTable *explained, trait_t trait)
 {
 	GHashTable *lives = g_hash_table_new(g_str_hash, g_str_equal);
 
 	for (guint i = 0; i < all->len; i++) {
 		const report_t *r = all->pdata[i];
 
-		if (names(q, r, part) &&
+		if (names(q, r, trait) &&
 		    !g_hash_table_contains(explained, r->life))
 			g_hash_table_add(lives, r->life);
 	}
 	return lives;
 }
 
-/* The first and the last report of the unexplained lives that name a part. */
+/* The first and the last report of the unexplained lives that name a trait. */
 static void span_of(const quarantine_t *q, const GPtrArray *all,
-		    GHashTable *explained, prompt_part_t part, uint64_t *from,
+		    GHashTable *explained, trait_t trait, uint64_t *from,
 		    uint64_t *to)
 {
 	*from = G_MAXUINT64;
@@ -259,7 +259,7 @@
 	for (guint i = 0; i < all->len; i++) {
 		const report_t *r = all->pdata[i];
 
-		if (!names(q, r, part) ||
+		if (!names(q, r, trait) ||
 		    g_hash_table_contains(explained, r->life))
 			continue;
 		*from = MIN(*from, r->number);
@@ -268,7 +268,7 @@
 }
 
 /*
- * Whether a part has enough of the unexplained lives that were reported from
+ * Whether a trait has enough of the unexplained lives that were reported from
  * the first to the last of its own.
  */
 static bool has_share(const quarantine_t *q, const GPtrArray *all,
@@ -279,7 +279,7 @@
 	uint64_t from;
 	uint64_t to;
 
-	span_of(q, all, explained, s->part, &from, &to);
+	span_of(q, all, explained, s->trait, &from, &to);
 	for (guint i = 0; i < all->len; i++) {
 		const report_t *r = all->pdata[i];
 
@@ -293,8 +293,8 @@
 }
 
 /*
- * Returns the most lives that a part has which no group explains, of the parts
- * that have enough of them; the others are passed over.
+ * Returns the most lives that a trait has which no group explains, of the
+ * traits that have enough of them; the others are passed over.
  */
 static unsigned int most_unexplained(const quarantine_t *q,
 				     const GPtrArray *all,
@@ -304,7 +304,7 @@
 	GHashTableIter it;
 	gpointer v;
 
-	g_hash_table_iter_init(&it, q->parts);
+	g_hash_table_iter_init(&it, q->suspects);
 	while (g_hash_table_iter_next(&it, NULL, &v)) {
 		suspected_t *s = v;
 
@@ -332,47 +332,47 @@
 	return true;
 }
 
-/* Of the parts with that many lives, returns the one with the lowest value. */
+/* Of the traits with that many lives, returns the one with the lowest value. */
 static suspected_t *first_with(const quarantine_t *q, unsigned int lives)
 {
 	suspected_t *first = NULL;
 	GHashTableIter it;
 	gpointer v;
 
-	g_hash_table_iter_init(&it, q->parts);
+	g_hash_table_iter_init(&it, q->suspects);
 	while (g_hash_table_iter_next(&it, NULL, &v)) {
 		suspected_t *s = v;
 
 		if (s->unexplained == lives &&
-		    (!first || s->part < first->part))
+		    (!first || s->trait < first->trait))
 			first = s;
 	}
 	return first;
 }
 
 /*
- * Makes the group of a part: all that ended the same lives, so that nothing
+ * Makes the group of a trait: all that ended the same lives, so that nothing
  * tells which of them is the cause. Its lives are explained from then on.
  */
 static void make_group(quarantine_t *q, const GPtrArray *all,
 		       GHashTable *explained, const suspected_t *first)
 {
-	GArray *group = g_array_new(FALSE, FALSE, sizeof(prompt_part_t));
-	GHashTable *lives = lives_with(q, all, explained, first->part);
+	GArray *group = g_array_new(FALSE, FALSE, sizeof(trait_t));
+	GHashTable *lives = lives_with(q, all, explained, first->trait);
 	GHashTableIter it;
 	gpointer v;
 
-	g_hash_table_iter_init(&it, q->parts);
+	g_hash_table_iter_init(&it, q->suspects);
 	while (g_hash_table_iter_next(&it, NULL, &v)) {
 		suspected_t *s = v;
 		GHashTable *own;
 
 		if (s->unexplained != first->unexplained)
 			continue;
-		own = lives_with(q, all, explained, s->part);
+		own = lives_with(q, all, explained, s->trait);
 		if (same_lives(own, lives)) {
 			s->group = g_array_ref(group);
-			g_array_append_val(group, s->part);
+			g_array_append_val(group, s->trait);
 		}
 		g_hash_table_destroy(own);
 	}
@@ -388,17 +388,17 @@
 	GHashTableIter it;
 	gpointer v;
 
-	g_hash_table_iter_init(&it, q->parts);
+	g_hash_table_iter_init(&it, q->suspects);
 	while (g_hash_table_iter_next(&it, NULL, &v))
 		g_clear_pointer(&((suspected_t *)v)->group, g_array_unref);
 }
 
 /*
- * Chooses the parts that explain the crashes: always those that most of the
- * lives not explained yet have in common. A part that is only ever named beside
- * a chosen one with more lives is not chosen.
+ * Chooses the traits that explain the crashes: always those that most of the
+ * lives not explained yet have in common. A trait that is only ever named
+ * beside a chosen one with more lives is not chosen.
  */
-static void choose_parts(quarantine_t *q)
+static void choose_traits(quarantine_t *q)
 {
 	GPtrArray *all = sorted_reports(q);
 	GHashTable *explained = g_hash_table_new(g_str_hash, g_str_equal);
@@ -425,8 +425,8 @@
 	s->until = MAX(s->until, s->newest_seen + s->term);
 }
 
-/* Returns the reports that name a part as text; the caller frees it. */
-static char *lives_of(const quarantine_t *q, prompt_part_t part)
+/* Returns the reports that name a trait as text; the caller frees it. */
+static char *lives_of(const quarantine_t *q, trait_t trait)
 {
 	GString *out = g_string_new(NULL);
 	GPtrArray *all = sorted_reports(q);
@@ -434,7 +434,7 @@
 	for (guint i = 0; i < all->len && out->len < NAMES_BYTES; i++) {
 		const report_t *r = all->pdata[i];
 
-		if (names(q, r, part))
+		if (names(q, r, trait))
 			g_string_append_printf(out, "%s%s", out->len ? "," : "",
 					       r->key);
 	}
@@ -445,11 +445,11 @@
 static void log_quarantined(const quarantine_t *q, const suspected_t *s,
 			    ms_t now)
 {
-	char *lives = lives_of(q, s->part);
+	char *lives = lives_of(q, s->trait);
 
 	log_line(LOG_WARN, "part_quarantined",
 		 "part=%" PRIx64 " crashes=%u beside=%u for_ms=%lld reports=%s",
-		 s->part, s->crashes, s->group->len - 1,
+		 s->trait, s->crashes, s->group->len - 1,
 		 (long long)(s->until - now), lives);
 	g_free(lives);
 }
@@ -461,8 +461,8 @@
 	return s->crashes > 0 ? "another_part" : "answered";
 }
 
-/* Sets whether a part is in quarantine now, and logs a change. */
-static void settle_part(quarantine_t *q, suspected_t *s, ms_t now)
+/* Sets whether a trait is in quarantine now, and logs a change. */
+static void settle_trait(quarantine_t *q, suspected_t *s, ms_t now)
 {
 	bool active;
 
@@ -473,32 +473,32 @@
 		log_quarantined(q, s, now);
 	else if (!active && s->active)
 		log_line(LOG_INFO, "part_released",
-			 "part=%" PRIx64 " crashes=%u why=%s", s->part,
+			 "part=%" PRIx64 " crashes=%u why=%s", s->trait,
 			 s->crashes, why_released(s));
 	s->active = active;
 	q->nactive += active;
 }
 
-/* Whether nothing is left to know of a part. */
+/* Whether nothing is left to know of a trait. */
 static bool is_forgotten(const suspected_t *s, ms_t now)
 {
 	return s->crashes == 0 &&
 	       (s->until == 0 || now >= s->until + QUARANTINE_MAX_MS);
 }
 
-/* Derives from the records which parts are in quarantine. */
+/* Derives from the records which traits are in quarantine. */
 static void refresh(quarantine_t *q, ms_t now)
 {
 	GHashTableIter it;
 	gpointer v;
 
 	if (q->changed)
-		choose_parts(q);
+		choose_traits(q);
 	q->changed = false;
 	q->nactive = 0;
-	g_hash_table_iter_init(&it, q->parts);
+	g_hash_table_iter_init(&it, q->suspects);
 	while (g_hash_table_iter_next(&it, NULL, &v)) {
-		settle_part(q, v, now);
+		settle_trait(q, v, now);
 		if (is_forgotten(v, now))
 			g_hash_table_iter_remove(&it);
 	}
@@ -553,7 +553,7 @@
 static void log_report(const report_t *r, const char *host,
 		       const crash_report_t *c)
 {
-	char *text = crash_parts_format(c);
+	char *text = crash_traits_format(c);
 
 	log_line(LOG_INFO, "part_suspected",
 		 "server=%s started=%lld host=%s number=%" PRIu64 " parts=%s",
@@ -563,7 +563,7 @@
 
 /*
  * A host's report of a server that ended. One with an older number than the
- * report known of that host and life is ignored. Without parts: the record was
+ * report known of that host and life is ignored. Without traits: the record was
  * deleted.
  */
 void edge_crash_reported(edge_t *e, const char *host, const crash_report_t *c,
@@ -586,15 +586,15 @@
 	r->life = life;
 	r->number = number;
 	r->seen_at = first_seen(q, r, now);
-	r->nparts = MIN(c->nparts, CRASH_PARTS_MAX);
+	r->ntraits = MIN(c->ntraits, CRASH_TRAITS_MAX);
 	q->changed = true;
-	if (r->nparts == 0) {
+	if (r->ntraits == 0) {
 		g_hash_table_remove(q->reports, key);
 		report_free(r);
 		return;
 	}
-	q->left_out->value += c->nparts - r->nparts;
-	memcpy(r->parts, c->parts, r->nparts * sizeof(*r->parts));
+	q->left_out->value += c->ntraits - r->ntraits;
+	memcpy(r->traits, c->traits, r->ntraits * sizeof(*r->traits));
 	log_report(r, host, c);
 	g_hash_table_replace(q->reports, r->key, r);
 	bound_reports(q);
@@ -618,33 +618,32 @@
 	g_assert(oldest);
 	q->left_out->value++;
 	log_line(LOG_WARN, "answer_left_out",
-		 "part=%" PRIx64 " number=%" PRIu64, oldest->part,
+		 "part=%" PRIx64 " number=%" PRIu64, oldest->trait,
 		 oldest->number);
-	g_hash_table_remove(q->answered, &oldest->part);
+	g_hash_table_remove(q->answered, &oldest->trait);
 }
 
 /*
- * Some host has had a whole answer to a request with the part: reports with a
+ * Some host has had a whole answer to a request with the trait: reports with a
  * lower number no longer name it.
  */
-void edge_part_answered(edge_t *e, prompt_part_t part, uint64_t number,
-			ms_t now)
+void edge_trait_answered(edge_t *e, trait_t trait, uint64_t number, ms_t now)
 {
 	quarantine_t *q = e->quarantine;
-	answered_t *a = g_hash_table_lookup(q->answered, &part);
+	answered_t *a = g_hash_table_lookup(q->answered, &trait);
 
 	if (a && a->number >= number)
 		return;
 	if (!a) {
 		a = g_new0(answered_t, 1);
-		a->part = part;
-		g_hash_table_insert(q->answered, &a->part, a);
+		a->trait = trait;
+		g_hash_table_insert(q->answered, &a->trait, a);
 	}
 	a->number = number;
 	a->seen_at = now;
 	q->changed = true;
 	log_line(LOG_INFO, "part_cleared", "part=%" PRIx64 " number=%" PRIu64,
-		 part, number);
+		 trait, number);
 	bound_answered(q);
 }
 
@@ -667,20 +666,20 @@
 	return false;
 }
 
-/* Whether a part of the report is in quarantine. */
+/* Whether a trait of the report is in quarantine. */
 static bool is_needed(const quarantine_t *q, const report_t *r)
 {
-	for (size_t i = 0; i < r->nparts; i++) {
+	for (size_t i = 0; i < r->ntraits; i++) {
 		const suspected_t *s =
-			g_hash_table_lookup(q->parts, &r->parts[i]);
+			g_hash_table_lookup(q->suspects, &r->traits[i]);
 
-		if (s && s->active && counts(q, r, r->parts[i]))
+		if (s && s->active && counts(q, r, r->traits[i]))
 			return true;
 	}
 	return false;
 }
 
-/* Whether an older report still names a part that was answered. */
+/* Whether an older report still names a trait that was answered. */
 static bool clears_some(const quarantine_t *q, const answered_t *a)
 {
 	GHashTableIter it;
@@ -690,8 +689,8 @@
 	while (g_hash_table_iter_next(&it, NULL, &v)) {
 		const report_t *r = v;
 
-		for (size_t i = 0; i < r->nparts; i++) {
-			if (r->parts[i] == a->part && r->number < a->number)
+		for (size_t i = 0; i < r->ntraits; i++) {
+			if (r->traits[i] == a->trait && r->number < a->number)
 				return true;
 		}
 	}
@@ -700,7 +699,7 @@
 
 /*
  * Calls drop for each record that is no longer needed, by its number: reports
- * that are cleared or older than the longest quarantine, then answers to parts
+ * that are cleared or older than the longest quarantine, then answers to traits
  * that no older report names. Only the host of the lowest rank names any.
  */
 void edge_crashes_expired(edge_t *e, void (*drop)(void *ctx, uint64_t number),
@@ -730,35 +729,35 @@
 	}
 }
 
-static bool has_part(const request_t *r, prompt_part_t part)
+static bool has_part(const request_t *r, trait_t trait)
 {
 	for (size_t i = 0; i < r->nparts; i++) {
-		if (r->parts[i] == part)
+		if (r->parts[i] == trait)
 			return true;
 	}
 	return false;
 }
 
-/* Whether the request has all parts of a group, and all are in quarantine. */
+/* Whether the request has all traits of a group, and all are in quarantine. */
 static bool has_group(const quarantine_t *q, const request_t *r,
 		      const GArray *group, ms_t now)
 {
 	for (guint i = 0; i < group->len; i++) {
-		prompt_part_t part = g_array_index(group, prompt_part_t, i);
-		const suspected_t *s = g_hash_table_lookup(q->parts, &part);
+		trait_t trait = g_array_index(group, trait_t, i);
+		const suspected_t *s = g_hash_table_lookup(q->suspects, &trait);
 
-		if (!s->active || now >= s->until || !has_part(r, part))
+		if (!s->active || now >= s->until || !has_part(r, trait))
 			return false;
 	}
 	return true;
 }
 
 /*
- * Returns a part of the request that is in quarantine, or NULL. Of parts that
+ * Returns a trait of the request that is in quarantine, or NULL. Of traits that
  * no crash tells apart, the request must have all.
  */
-static const suspected_t *quarantined_part(quarantine_t *q, const request_t *r,
-					   ms_t now)
+static const suspected_t *quarantined_trait(quarantine_t *q, const request_t *r,
+					    ms_t now)
 {
 	if (q->changed)
 		refresh(q, now);
@@ -766,7 +765,7 @@
 		return NULL;
 	for (size_t i = 0; i < r->nparts; i++) {
 		const suspected_t *s =
-			g_hash_table_lookup(q->parts, &r->parts[i]);
+			g_hash_table_lookup(q->suspects, &r->parts[i]);
 
 		if (s && s->active && has_group(q, r, s->group, now))
 			return s;
@@ -777,16 +776,16 @@
 /* Whether the request must not be sent. */
 bool quarantine_holds(edge_t *e, const request_t *r, ms_t now)
 {
-	return quarantined_part(e->quarantine, r, now) != NULL;
+	return quarantined_trait(e->quarantine, r, now) != NULL;
 }
 
 /*
- * Refuses a request that is in no queue if it has a part in quarantine. Returns
- * whether it did.
+ * Refuses a request that is in no queue if it has a trait in quarantine.
+ * Returns whether it did.
  */
 bool quarantine_refuse(edge_t *e, request_t *r, ms_t now)
 {
-	const suspected_t *s = quarantined_part(e->quarantine, r, now);
+	const suspected_t *s = quarantined_trait(e->quarantine, r, now);
 
 	if (!s)
 		return false;
@@ -794,13 +793,13 @@
 	edge_log_step(e, r, now, "refused",
 		      "why=quarantined part=%" PRIx64
 		      " crashes=%u left_ms=%lld",
-		      s->part, s->crashes, (long long)(s->until - now));
+		      s->trait, s->crashes, (long long)(s->until - now));
 	r->state = REQUEST_ENDED;
 	e->ops->refuse(e->ctx, r, CODE_QUARANTINED, s->until - now);
 	return true;
 }
 
-/* A request was answered whole: tells all hosts of parts that reports name. */
+/* A request was answered whole: tells all hosts of traits that reports name. */
 void quarantine_answered(edge_t *e, const request_t *r, ms_t now)
 {
 	quarantine_t *q = e->quarantine;
@@ -808,18 +807,18 @@
 	if (q->changed)
 		refresh(q, now);
 	for (size_t i = 0; i < r->nparts; i++) {
-		suspected_t *s = g_hash_table_lookup(q->parts, &r->parts[i]);
+		suspected_t *s = g_hash_table_lookup(q->suspects, &r->parts[i]);
 
 		if (!s || s->crashes == 0 ||
 		    (s->told_at && now - s->told_at < ANSWER_AGAIN_MS))
 			continue;
 		s->told_at = now;
-		if (e->ops->part_answered)
-			e->ops->part_answered(e->ctx, s->part);
+		if (e->ops->trait_answered)
+			e->ops->trait_answered(e->ctx, s->trait);
 	}
 }
 
-/* Refuses the requests of a queue that have a part in quarantine. */
+/* Refuses the requests of a queue that have a trait in quarantine. */
 static void refuse_waiting(edge_t *e, GHashTable *waiting, ms_t now,
 			   void (*take_out)(edge_t *e, request_t *r))
 {
@@ -849,13 +848,13 @@
 	refuse_waiting(e, e->waiting, now, queue_remove);
 }
 
-/* Appends one line per part that was in quarantine at the last tick. */
+/* Appends one line per trait that was in quarantine at the last tick. */
 void quarantine_print(const edge_t *e, GString *out, ms_t now)
 {
 	GHashTableIter it;
 	gpointer v;
 
-	g_hash_table_iter_init(&it, e->quarantine->parts);
+	g_hash_table_iter_init(&it, e->quarantine->suspects);
 	while (g_hash_table_iter_next(&it, NULL, &v)) {
 		const suspected_t *s = v;
 
@@ -864,7 +863,7 @@
 				out,
 				"quarantined=%" PRIx64
 				" crashes=%u beside=%u left_ms=%lld\n",
-				s->part, s->crashes, s->group->len - 1,
+				s->trait, s->crashes, s->group->len - 1,
 				(long long)(s->until - now));
 	}
 }
--- a/lib/edge/record.c
+++ b/lib/edge/record.c
@@ -1,6 +1,6 @@
 /*
  * Formats of records in the store: a rollout decision is one line of key=value
- * pairs, the suspect parts of a crash are hexadecimal numbers between commas.
+ * pairs, the suspect traits of a crash are hexadecimal numbers between commas.
  */
 #include <inttypes.h>
 #include <stdlib.h>
@@ -10,7 +10,7 @@
 enum {
 	PAIRS = 5,
 	SHARE_MAX = 1000, /* thousandths */
-	RADIX = 16,	  /* of parts */
+	RADIX = 16,	  /* of traits */
 	DIGITS = 16,
 };
 
@@ -76,52 +76,53 @@
 	return CODE_OK;
 }
 
-/* Returns the text of a report's parts, in their order; the caller frees it. */
-char *crash_parts_format(const crash_report_t *c)
+/* Returns the text of a report's traits, in their order; the caller frees it.
+ */
+char *crash_traits_format(const crash_report_t *c)
 {
 	GString *out = g_string_new(NULL);
 
-	for (size_t i = 0; i < c->nparts; i++)
+	for (size_t i = 0; i < c->ntraits; i++)
 		g_string_append_printf(out, "%s%" PRIx64, i ? "," : "",
-				       c->parts[i]);
+				       c->traits[i]);
 	return g_string_free(out, FALSE);
 }
 
-static bool parse_part(const char *text, prompt_part_t *out)
+static bool parse_trait(const char *text, trait_t *out)
 {
-	guint64 part;
+	guint64 trait;
 
 	if (strlen(text) > DIGITS ||
-	    !g_ascii_string_to_unsigned(text, RADIX, 0, G_MAXUINT64, &part,
+	    !g_ascii_string_to_unsigned(text, RADIX, 0, G_MAXUINT64, &trait,
 					NULL))
 		return false;
-	*out = part;
+	*out = trait;
 	return true;
 }
 
 /*
- * Appends a report's parts. CODE_BAD_RECORD: the text is malformed or has more
- * than CRASH_PARTS_MAX parts; then nothing is appended.
+ * Appends a report's traits. CODE_BAD_RECORD: the text is malformed or has more
+ * than CRASH_TRAITS_MAX traits; then nothing is appended.
  */
-code_t crash_parts_parse(str_t text, GArray *parts)
+code_t crash_traits_parse(str_t text, GArray *traits)
 {
 	char *copy = str_dup(text);
-	char **word = g_strsplit(copy, ",", CRASH_PARTS_MAX + 1);
-	guint before = parts->len;
+	char **word = g_strsplit(copy, ",", CRASH_TRAITS_MAX + 1);
+	guint before = traits->len;
 	bool ok = g_strv_length(word) > 0 &&
-		  g_strv_length(word) <= CRASH_PARTS_MAX &&
+		  g_strv_length(word) <= CRASH_TRAITS_MAX &&
 		  strlen(copy) == text.n;
-	prompt_part_t part;
+	trait_t trait;
 
 	for (char **w = word; ok && *w; w++) {
-		ok = parse_part(*w, &part);
+		ok = parse_trait(*w, &trait);
 		if (ok)
-			g_array_append_val(parts, part);
+			g_array_append_val(traits, trait);
 	}
 	g_strfreev(word);
 	g_free(copy);
 	if (ok)
 		return CODE_OK;
-	g_array_set_size(parts, before);
+	g_array_set_size(traits, before);
 	return CODE_BAD_RECORD;
 }
--- a/lib/forward/dat.h
+++ b/lib/forward/dat.h
@@ -32,7 +32,7 @@
 	bool resumes; /* continues a stream after last_event_id */
 	uint64_t last_event_id;
 	/* The prompt's parts, each once, in order, without the last. */
-	prompt_part_t parts[PROMPT_PARTS_MAX];
+	trait_t parts[PROMPT_PARTS_MAX];
 	size_t nparts;
 	unsigned int parts_omitted; /* malformed, or beyond the bound */
 } call_info_t;
--- a/test/limited.c
+++ b/test/limited.c
@@ -234,7 +234,7 @@
 				     .keeper_wanted = on_keeper_wanted,
 				     .forget = ignore_forget,
 				     .crash_seen = ignore_crash_seen,
-				     .part_answered = ignore_part_answered,
+				     .trait_answered = ignore_part_answered,
 				     .limit_named = play_limit,
 				     .leaving_said = ignore_leaving_said,
 				     .leave_silent = ignore_leave_silent };
--- a/test/prop_quarantine.cc
+++ b/test/prop_quarantine.cc
@@ -14,7 +14,7 @@
 namespace
 {
 
-constexpr prompt_part_t parts_max = 6;
+constexpr trait_t parts_max = 6;
 constexpr ms_t start = 1000;
 
 void on_send(void *, request_t *)
@@ -39,7 +39,7 @@
 	int kind; // 0, 1: report; 2: deleted; 3: answered
 	unsigned int server;
 	unsigned int host;
-	std::vector<prompt_part_t> parts;
+	std::vector<trait_t> parts;
 };
 
 struct numbered_t {
@@ -91,13 +91,14 @@
 		crash_report_t c = {};
 
 		if (n.r.kind == 3) {
-			edge_part_answered(edge, n.r.parts[0], n.number, start);
+			edge_trait_answered(edge, n.r.parts[0], n.number,
+					    start);
 			return;
 		}
 		c.server = server.c_str();
 		c.started_unix = 1;
-		c.parts = n.r.parts.data();
-		c.nparts = n.r.kind == 2 ? 0 : n.r.parts.size();
+		c.traits = n.r.parts.data();
+		c.ntraits = n.r.kind == 2 ? 0 : n.r.parts.size();
 		edge_crash_reported(edge, host.c_str(), &c, n.number, start);
 	}
 
@@ -109,10 +110,10 @@
 	// Whether a request with the parts of a bit set is held.
 	bool holds(unsigned int set)
 	{
-		std::vector<prompt_part_t> parts;
+		std::vector<trait_t> parts;
 		request_t r = {};
 
-		for (prompt_part_t p = 0; p < parts_max; p++) {
+		for (trait_t p = 0; p < parts_max; p++) {
 			if (set & (1U << p))
 				parts.push_back(p);
 		}
@@ -156,12 +157,11 @@
 				{ { 6, 0 }, { 6, 1 }, { 1, 2 }, { 2, 3 } })),
 		rc::gen::set(&record_t::server, rc::gen::inRange(0U, 8U)),
 		rc::gen::set(&record_t::host, rc::gen::inRange(0U, 3U)),
-		rc::gen::set(
-			&record_t::parts,
-			rc::gen::nonEmpty(
-				rc::gen::container<std::vector<prompt_part_t>>(
-					rc::gen::inRange<prompt_part_t>(
-						0, parts_max)))));
+		rc::gen::set(&record_t::parts,
+			     rc::gen::nonEmpty(
+				     rc::gen::container<std::vector<trait_t>>(
+					     rc::gen::inRange<trait_t>(
+						     0, parts_max)))));
 }
 
 std::vector<numbered_t> numbered(const std::vector<record_t> &records)
@@ -218,8 +218,8 @@
 }
 
 // The servers whose newest reports name the part and are no older than that.
-unsigned int crashes_of(const std::vector<numbered_t> &listing,
-			prompt_part_t part, uint64_t answered)
+unsigned int crashes_of(const std::vector<numbered_t> &listing, trait_t part,
+			uint64_t answered)
 {
 	std::map<unsigned int, bool> servers;
 
@@ -241,7 +241,7 @@
 
 	for (const numbered_t &n : records)
 		host.read(n);
-	for (prompt_part_t p = 0; p < parts_max; p++) {
+	for (trait_t p = 0; p < parts_max; p++) {
 		uint64_t answered = 0;
 
 		for (const numbered_t &n : listing) {
--- a/test/quarantine.c
+++ b/test/quarantine.c
@@ -43,10 +43,10 @@
 typedef struct play_case {
 	const char *name;
 	bool poison;
-	prompt_part_t twin; /* before the bad part; 0: none */
-	ms_t twin_every;    /* between sound requests with it; 0: none */
-	bool twin_behind;   /* it comes after the bad part */
-	ms_t sound_every;   /* between sound requests of all hosts */
+	trait_t twin;	  /* before the bad part; 0: none */
+	ms_t twin_every;  /* between sound requests with it; 0: none */
+	bool twin_behind; /* it comes after the bad part */
+	ms_t sound_every; /* between sound requests of all hosts */
 	ms_t poison_from;
 	unsigned int attempts;
 	bool same_id;		/* of a server's second life */
@@ -148,7 +148,7 @@
 
 typedef struct item {
 	request_t r;
-	prompt_part_t parts[PARTS];
+	trait_t parts[PARTS];
 	host_t *host;
 	unsigned int server;
 	bool poison;
@@ -165,8 +165,8 @@
 	char *host;
 	char *server;
 	int64_t started;
-	char *text;	    /* NULL: an answered part */
-	prompt_part_t part; /* answered */
+	char *text;   /* NULL: an answered part */
+	trait_t part; /* answered */
 } record_t;
 
 /* What was counted. */
@@ -223,13 +223,13 @@
 			 .host = g_strdup(h->name),
 			 .server = g_strdup(c->server),
 			 .started = c->started_unix,
-			 .text = crash_parts_format(c) };
+			 .text = crash_traits_format(c) };
 
 	h->p->counts.reports++;
 	g_array_append_val(h->p->records, rec);
 }
 
-static void play_part_answered(void *ctx, prompt_part_t part)
+static void play_trait_answered(void *ctx, trait_t part)
 {
 	host_t *h = ctx;
 	record_t rec = { .at = h->p->now, .part = part };
@@ -248,7 +248,7 @@
 				     .keeper_wanted = on_keeper_wanted,
 				     .forget = ignore_forget,
 				     .crash_seen = play_crash_seen,
-				     .part_answered = play_part_answered,
+				     .trait_answered = play_trait_answered,
 				     .limit_named = ignore_limit_named,
 				     .leaving_said = ignore_leaving_said,
 				     .leave_silent = ignore_leave_silent };
@@ -390,12 +390,12 @@
 	i->host = &p->hosts[g_rand_int_range(p->rand, 0, HOSTS)];
 	i->poison = poison;
 	i->twin = twin;
-	i->parts[n++] = FIRST_PART + (prompt_part_t)p->nitems % 4;
+	i->parts[n++] = FIRST_PART + (trait_t)p->nitems % 4;
 	if (twin || (poison && p->c->twin && !p->c->twin_behind))
 		i->parts[n++] = p->c->twin;
 	if (p->c->documents)
 		i->parts[n++] =
-			DOCUMENT + (prompt_part_t)g_rand_int_range(
+			DOCUMENT + (trait_t)g_rand_int_range(
 					   p->rand, 0, (gint32)p->c->documents);
 	if (poison)
 		i->parts[n++] = POISON;
@@ -418,17 +418,17 @@
 		    p->now)
 			return;
 		if (!rec->text) {
-			edge_part_answered(h->edge, rec->part, h->read + 1,
-					   p->now);
+			edge_trait_answered(h->edge, rec->part, h->read + 1,
+					    p->now);
 			continue;
 		}
-		parts = g_array_new(FALSE, FALSE, sizeof(prompt_part_t));
-		ck_assert_int_eq(crash_parts_parse(str_of(rec->text), parts),
+		parts = g_array_new(FALSE, FALSE, sizeof(trait_t));
+		ck_assert_int_eq(crash_traits_parse(str_of(rec->text), parts),
 				 CODE_OK);
 		c.server = rec->server;
 		c.started_unix = rec->started;
-		c.parts = (const prompt_part_t *)parts->data;
-		c.nparts = parts->len;
+		c.traits = (const trait_t *)parts->data;
+		c.ntraits = parts->len;
 		edge_crash_reported(h->edge, rec->host, &c, h->read + 1,
 				    p->now);
 		g_array_free(parts, TRUE);
--- a/test/suspects.c
+++ b/test/suspects.c
@@ -22,7 +22,7 @@
 	uint64_t number; /* of the last record */
 	ms_t now;
 	request_t r[REQUESTS];
-	prompt_part_t parts[REQUESTS][LETTERS];
+	trait_t parts[REQUESTS][LETTERS];
 } lab_t;
 
 /* Appends the letters of a report's parts. */
@@ -32,11 +32,11 @@
 
 	if (l->reports->len)
 		g_string_append_c(l->reports, ' ');
-	for (size_t i = 0; i < c->nparts; i++)
-		g_string_append_c(l->reports, (char)c->parts[i]);
+	for (size_t i = 0; i < c->ntraits; i++)
+		g_string_append_c(l->reports, (char)c->traits[i]);
 }
 
-static void lab_part_answered(void *ctx, prompt_part_t part)
+static void lab_trait_answered(void *ctx, trait_t part)
 {
 	g_string_append_c(((lab_t *)ctx)->answers, (char)part);
 }
@@ -54,7 +54,7 @@
 	memset(l, 0, sizeof(*l));
 	*lab_ops = ops;
 	lab_ops->crash_seen = lab_crash_seen;
-	lab_ops->part_answered = lab_part_answered;
+	lab_ops->trait_answered = lab_trait_answered;
 	l->now = 1000 * MS;
 	l->w.counters = counters_new();
 	l->w.edge = edge_new(&conf, lab_ops, l, l->w.counters);
@@ -73,19 +73,19 @@
 	g_string_free(l->answers, TRUE);
 }
 
-static size_t letters(const char *text, prompt_part_t *out)
+static size_t letters(const char *text, trait_t *out)
 {
 	size_t n = 0;
 
 	for (; *text; text++)
-		out[n++] = (prompt_part_t)*text;
+		out[n++] = (trait_t)*text;
 	return n;
 }
 
 /* Whether a request with these parts is refused on arrival. */
 static bool is_held(lab_t *l, const char *text)
 {
-	prompt_part_t parts[LETTERS];
+	trait_t parts[LETTERS];
 	request_t r;
 	unsigned int refused = l->w.refused;
 
@@ -113,13 +113,13 @@
 {
 	char server[] = { word[0], 0 };
 	char host[] = { word[2], 0 };
-	prompt_part_t parts[LETTERS];
+	trait_t parts[LETTERS];
 	crash_report_t c = { .server = server,
 			     .started_unix = word[1],
-			     .parts = parts };
+			     .traits = parts };
 
 	if (word[3] == ':')
-		c.nparts = letters(word + 4, parts);
+		c.ntraits = letters(word + 4, parts);
 	edge_crash_reported(l->w.edge, host, &c, ++l->number, l->now);
 }
 
@@ -131,8 +131,8 @@
 {
 	switch (word[0]) {
 	case '=':
-		edge_part_answered(l->w.edge, (prompt_part_t)word[1],
-				   ++l->number, l->now);
+		edge_trait_answered(l->w.edge, (trait_t)word[1], ++l->number,
+				    l->now);
 		break;
 	case 'L':
 		edge_crashes_listing(l->w.edge);
@@ -544,20 +544,20 @@
 
 	lab_open(&l, &lab_ops);
 	for (unsigned int i = 0; i < MANY; i++) {
-		prompt_part_t parts[CRASH_PARTS_MAX + 1];
+		trait_t parts[CRASH_TRAITS_MAX + 1];
 		char server[16];
 		crash_report_t c = { .server = server,
 				     .started_unix = 1,
-				     .parts = parts,
-				     .nparts = i % 100 ? 1
-						       : G_N_ELEMENTS(parts) };
+				     .traits = parts,
+				     .ntraits = i % 100 ? 1
+							: G_N_ELEMENTS(parts) };
 
 		g_snprintf(server, sizeof(server), "s%u", i);
 		for (size_t k = 0; k < G_N_ELEMENTS(parts); k++)
-			parts[k] = 1000 + (prompt_part_t)i * 100 + k;
+			parts[k] = 1000 + (trait_t)i * 100 + k;
 		edge_crash_reported(l.w.edge, "h", &c, ++l.number, l.now);
-		edge_part_answered(l.w.edge, MANY * 1000 + i, ++l.number,
-				   l.now);
+		edge_trait_answered(l.w.edge, MANY * 1000 + i, ++l.number,
+				    l.now);
 	}
 	run_words(&l, THREE, take_record);
 	ck_assert(is_held(&l, "p"));
@@ -690,9 +690,9 @@
 START_TEST(malformed_parts_are_rejected)
 {
 	const text_case_t *c = &text_cases[_i];
-	GArray *parts = g_array_new(FALSE, FALSE, sizeof(prompt_part_t));
+	GArray *parts = g_array_new(FALSE, FALSE, sizeof(trait_t));
 
-	ck_assert_msg(crash_parts_parse(str_of(c->text), parts) == c->code,
+	ck_assert_msg(crash_traits_parse(str_of(c->text), parts) == c->code,
 		      "%s", c->text);
 	ck_assert_uint_eq(parts->len, c->nparts);
 	g_array_free(parts, TRUE);
@@ -702,26 +702,27 @@
 /* As many parts as fit come back from the text; one more is rejected. */
 START_TEST(the_text_holds_all_parts)
 {
-	prompt_part_t in[CRASH_PARTS_MAX + 1];
-	GArray *out = g_array_new(FALSE, FALSE, sizeof(prompt_part_t));
+	trait_t in[CRASH_TRAITS_MAX + 1];
+	GArray *out = g_array_new(FALSE, FALSE, sizeof(trait_t));
 	crash_report_t c = { .server = "s",
-			     .parts = in,
-			     .nparts = CRASH_PARTS_MAX };
+			     .traits = in,
+			     .ntraits = CRASH_TRAITS_MAX };
 	char *text;
 	str_t cut = { "1\0002", 3 };
 
 	for (size_t i = 0; i < G_N_ELEMENTS(in); i++)
 		in[i] = G_MAXUINT64 - i;
-	text = crash_parts_format(&c);
-	ck_assert_int_eq(crash_parts_parse(str_of(text), out), CODE_OK);
-	ck_assert_uint_eq(out->len, CRASH_PARTS_MAX);
+	text = crash_traits_format(&c);
+	ck_assert_int_eq(crash_traits_parse(str_of(text), out), CODE_OK);
+	ck_assert_uint_eq(out->len, CRASH_TRAITS_MAX);
 	ck_assert_int_eq(memcmp(out->data, in, sizeof(in) - sizeof(in[0])), 0);
 	g_free(text);
-	c.nparts++;
-	text = crash_parts_format(&c);
-	ck_assert_int_eq(crash_parts_parse(str_of(text), out), CODE_BAD_RECORD);
-	ck_assert_int_eq(crash_parts_parse(cut, out), CODE_BAD_RECORD);
-	ck_assert_uint_eq(out->len, CRASH_PARTS_MAX);
+	c.ntraits++;
+	text = crash_traits_format(&c);
+	ck_assert_int_eq(crash_traits_parse(str_of(text), out),
+			 CODE_BAD_RECORD);
+	ck_assert_int_eq(crash_traits_parse(cut, out), CODE_BAD_RECORD);
+	ck_assert_uint_eq(out->len, CRASH_TRAITS_MAX);
 	g_free(text);
 	g_array_free(out, TRUE);
 }
--- a/test/world.h
+++ b/test/world.h
@@ -127,7 +127,7 @@
 {
 }
 
-static inline void ignore_part_answered(void *ctx, prompt_part_t part)
+static inline void ignore_part_answered(void *ctx, trait_t part)
 {
 }
 
