--- a/test/quarantine.c
+++ b/test/quarantine.c
@@ -1,6 +1,6 @@
 /*
- * Parts of prompts that crash servers: hosts that report crashes to each other,
- * and servers that end when they begin to answer a request with such a part.
+ * Parts of prompts and requests that crash servers: hosts that report crashes
+ * to each other, and servers that end when they begin to answer such a request.
  */
 #include <check.h>
 #include <stdio.h>
@@ -15,17 +15,22 @@
 	STORE_MS = 60,	    /* from a report until all hosts have it */
 	FIRST_MS = 60,	    /* of a request, from the send */
 	RUN_MS = 400,	    /* the same to its end */
+	PLAIN_MS = 30,	    /* of a plain request, to its answer */
 	RESTART_MS = 4000,  /* of a server */
 	PLAY_MS = 30000,    /* in which requests come */
 	POISON_FROM = 3000, /* ms */
 	POISON_EVERY = 300, /* ms between requests with the bad part */
-	STABLE_MS = 3000,   /* after the fifth crash */
+	STABLE_MS = 3000,   /* after the last crash that may happen */
 	CRASHES = 5,	    /* that may happen before anything is asked */
-	SENDS_MAX = 3,	    /* later than STABLE_MS after the fifth crash */
-	CRASHES_MAX = 20,   /* five, and what comes within STABLE_MS */
+	REPEAT_CRASHES = 3, /* the same where one request repeats */
+	SENDS_MAX = 3,	    /* later than STABLE_MS after these */
+	REPEAT_MS = 50,	    /* until callers repeat a request that failed */
+	CRASHES_MAX = 20,   /* these, and what comes within STABLE_MS */
 	SOUND_EVERY = 10,   /* ms between sound requests, if not given */
 	PARTS = 4,
 	ITEMS = 20000,
+	BAD_MAX = 2, /* parts or requests that end servers */
+	CUT_HOST = 0,
 	RESET_AT = 5000,
 	RESET_EVERY = 500,
 	RESETS = 10,
@@ -37,6 +42,9 @@
 	POISON = 0xbad,
 	DOCUMENT = 0x1000,
 	TWIN = 0xbae, /* comes with the bad part and alone */
+	BAD_CONTENT = 0xbadc,
+	HOT_CONTENT = 0x20000, /* of several sound requests */
+	CONTENT = 0x1000000,   /* of one request and its repeat */
 };
 
 /* What a part of the requests holds, and what happens to the hosts. */
@@ -54,7 +62,14 @@
 	unsigned int documents; /* parts that few sound requests share */
 	unsigned int rack;	/* servers that end together, again and again */
 	ms_t store_ms;		/* until a report is read; 0: STORE_MS */
-	bool resets; /* of half of all connections, again and again */
+	bool resets;  /* of half of all connections, again and again */
+	bool repeats; /* the bad requests are repeats of one, with sound parts
+		       */
+	unsigned int bad; /* such requests; 0: one */
+	bool plain;
+	unsigned int servers; /* 0: SERVERS */
+	unsigned int hot;     /* contents that sound requests share */
+	bool cut;	      /* the first host does not reach the store */
 } play_case_t;
 
 static const play_case_t play_cases[] = {
@@ -130,6 +145,99 @@
 	  .poison_from = 1 },
 };
 
+/* Requests that come again and end each server that runs them. */
+static const play_case_t repeat_cases[] = {
+	{ .name = "a plain request, four servers",
+	  .poison = true,
+	  .repeats = true,
+	  .plain = true,
+	  .servers = 4,
+	  .attempts = 2 },
+	{ .name = "the same, run once at most",
+	  .poison = true,
+	  .repeats = true,
+	  .plain = true,
+	  .servers = 4 },
+	{ .name = "two servers",
+	  .poison = true,
+	  .repeats = true,
+	  .plain = true,
+	  .servers = 2,
+	  .attempts = 2 },
+	{ .name = "two such requests",
+	  .poison = true,
+	  .repeats = true,
+	  .bad = 2,
+	  .plain = true,
+	  .servers = 4,
+	  .attempts = 2 },
+	{ .name = "sound requests that are alike",
+	  .poison = true,
+	  .repeats = true,
+	  .plain = true,
+	  .servers = 4,
+	  .attempts = 2,
+	  .hot = 40 },
+	{ .name = "the second life has the same id",
+	  .poison = true,
+	  .repeats = true,
+	  .plain = true,
+	  .servers = 4,
+	  .attempts = 2,
+	  .same_id = true },
+	{ .name = "a slow store",
+	  .poison = true,
+	  .repeats = true,
+	  .plain = true,
+	  .servers = 4,
+	  .attempts = 2,
+	  .store_ms = 1500 },
+	{ .name = "a store that one host does not reach",
+	  .poison = true,
+	  .repeats = true,
+	  .plain = true,
+	  .servers = 4,
+	  .attempts = 2,
+	  .cut = true },
+	{ .name = "the hosts restart after it",
+	  .poison = true,
+	  .repeats = true,
+	  .plain = true,
+	  .servers = 4,
+	  .attempts = 2,
+	  .hosts_restart = 12000 },
+	{ .name = "from the start, little traffic",
+	  .poison = true,
+	  .repeats = true,
+	  .plain = true,
+	  .servers = 4,
+	  .attempts = 2,
+	  .sound_every = 200,
+	  .poison_from = 1 },
+	{ .name = "a stream", .poison = true, .repeats = true },
+	{ .name = "a stream with rare parts",
+	  .poison = true,
+	  .repeats = true,
+	  .documents = 200 },
+	{ .name = "a stream, few servers",
+	  .poison = true,
+	  .repeats = true,
+	  .servers = 4,
+	  .attempts = 2,
+	  .sound_every = 60 },
+	{ .name = "plain, resets of half of all connections",
+	  .plain = true,
+	  .servers = 4,
+	  .attempts = 2,
+	  .resets = true },
+	{ .name = "the same, requests that are alike",
+	  .plain = true,
+	  .servers = 4,
+	  .attempts = 2,
+	  .hot = 200,
+	  .resets = true },
+};
+
 typedef struct play play_t;
 
 typedef struct host {
@@ -140,6 +248,13 @@
 	size_t read; /* records */
 } host_t;
 
+/* A part or request that ends servers. */
+typedef struct bad {
+	unsigned int crashes;
+	ms_t known; /* the last crash that may happen; 0: not yet */
+	unsigned int late;
+} bad_t;
+
 typedef struct server {
 	char id[16];
 	int64_t started;
@@ -152,11 +267,14 @@
 	host_t *host;
 	unsigned int server;
 	bool poison;
+	unsigned int bad; /* of play_t.bads */
 	bool twin;
 	bool at_server;
 	bool begun;
 	bool over;
 	bool was_refused;
+	bool again;	/* repeats one that failed */
+	ms_t repeat_at; /* 0: it is not repeated */
 } item_t;
 
 /* A record of the store. */
@@ -173,7 +291,7 @@
 typedef struct counts {
 	unsigned int crashes;
 	unsigned int reports;
-	unsigned int poison_late; /* sent later than allowed */
+	unsigned int poison_late; /* sent later than allowed, the most of one */
 	unsigned int sound;	  /* sound requests after the crashes */
 	unsigned int sound_begun;
 	unsigned int twins;
@@ -184,8 +302,9 @@
 struct play {
 	const play_case_t *c;
 	ms_t now;
-	ms_t fifth;	 /* crash; 0: not yet */
-	ms_t last_crash; /* of the first five */
+	bad_t bads[BAD_MAX];
+	ms_t last_crash; /* of those that may happen */
+	unsigned int nservers;
 	host_t hosts[HOSTS];
 	server_t servers[SERVERS];
 	GArray *records;
@@ -195,6 +314,21 @@
 	counts_t counts;
 };
 
+static void record_clear(gpointer v)
+{
+	record_t *rec = v;
+
+	g_free(rec->host);
+	g_free(rec->server);
+	g_free(rec->text);
+}
+
+/* Whether a host does not reach the store. */
+static bool is_cut(const host_t *h)
+{
+	return h->p->c->cut && h == &h->p->hosts[CUT_HOST];
+}
+
 static void play_send(void *ctx, request_t *r)
 {
 	host_t *h = ctx;
@@ -204,8 +338,9 @@
 	i->at_server = true;
 	i->begun = false;
 	i->server = (unsigned int)atoi(r->server->id + 1) % SERVERS;
-	if (i->poison && p->fifth && p->now > p->fifth + STABLE_MS)
-		p->counts.poison_late++;
+	if (i->poison && p->bads[i->bad].known && !is_cut(h) &&
+	    p->now > p->bads[i->bad].known + STABLE_MS)
+		p->bads[i->bad].late++;
 }
 
 static void play_refuse(void *ctx, request_t *r, code_t code, ms_t after)
@@ -226,6 +361,10 @@
 			 .text = crash_traits_format(c) };
 
 	h->p->counts.reports++;
+	if (is_cut(h)) {
+		record_clear(&rec);
+		return;
+	}
 	g_array_append_val(h->p->records, rec);
 }
 
@@ -234,6 +373,8 @@
 	host_t *h = ctx;
 	record_t rec = { .at = h->p->now, .part = part };
 
+	if (is_cut(h))
+		return;
 	g_array_append_val(h->p->records, rec);
 }
 
@@ -307,13 +448,29 @@
 	counters_free(h->counters);
 }
 
-static void count_crash(play_t *p)
+static void count_crash(play_t *p, unsigned int bad)
 {
+	bad_t *b = &p->bads[bad];
+	unsigned int allowed = p->c->repeats ? REPEAT_CRASHES : CRASHES;
+
 	p->counts.crashes++;
-	if (p->counts.crashes <= CRASHES)
+	if (++b->crashes <= allowed)
 		p->last_crash = p->now;
-	if (p->counts.crashes == CRASHES)
-		p->fifth = p->now;
+	if (b->crashes == allowed)
+		b->known = p->now;
+}
+
+static void end_item(item_t *i, attempt_result_t how)
+{
+	const play_t *p = i->host->p;
+
+	i->at_server = false;
+	if (edge_attempt_ended(i->host->edge, &i->r, how, false, p->now) !=
+	    NEXT_ANSWER)
+		return;
+	i->over = true;
+	if (p->c->plain && how == ATTEMPT_LOST && !i->poison && !i->again)
+		i->repeat_at = p->now + REPEAT_MS;
 }
 
 /* Ends what runs at a server: its process has ended. */
@@ -329,9 +486,7 @@
 		    it->r.sent_at >= p->now)
 			continue;
 		it->at_server = false;
-		if (edge_attempt_ended(it->host->edge, &it->r, ATTEMPT_LOST,
-				       false, p->now) == NEXT_ANSWER)
-			it->over = true;
+		end_item(it, ATTEMPT_LOST);
 	}
 }
 
@@ -349,14 +504,6 @@
 	list_server(p, n, before);
 }
 
-static void end_item(item_t *i, attempt_result_t how)
-{
-	i->at_server = false;
-	if (edge_attempt_ended(i->host->edge, &i->r, how, false,
-			       i->host->p->now) == NEXT_ANSWER)
-		i->over = true;
-}
-
 /* What a server does with a request in this step. */
 static void run_item(play_t *p, item_t *i)
 {
@@ -366,8 +513,13 @@
 		if (ran >= STEP)
 			end_item(i, ATTEMPT_NOT_SENT);
 	} else if (ran >= FIRST_MS && i->poison) {
-		count_crash(p);
+		count_crash(p, i->bad);
 		server_ends(p, i->server);
+	} else if (p->c->plain && !i->poison) {
+		if (ran >= PLAIN_MS) {
+			edge_first_event(i->host->edge, &i->r, p->now);
+			end_item(i, ATTEMPT_ANSWERED);
+		}
 	} else if (ran >= RUN_MS) {
 		end_item(i, ATTEMPT_ANSWERED);
 	} else if (ran >= FIRST_MS && !i->begun) {
@@ -380,18 +532,33 @@
 
 static edge_route_t play_route;
 
-static void submit(play_t *p, bool poison, bool twin)
+static item_t *new_item(play_t *p)
 {
 	item_t *i = &p->items[p->nitems++];
-	unsigned int n = 0;
 
 	ck_assert_uint_le(p->nitems, ITEMS);
 	request_init(&i->r, &play_route, p->now);
 	i->host = &p->hosts[g_rand_int_range(p->rand, 0, HOSTS)];
-	i->poison = poison;
-	i->twin = twin;
+	return i;
+}
+
+/* A hash of what is asked: repeats of the bad request ask the same. */
+static uint64_t content(const play_t *p, const item_t *i)
+{
+	if (i->poison && p->c->repeats)
+		return BAD_CONTENT + i->bad;
+	if (!i->poison && p->c->hot)
+		return HOT_CONTENT + p->nitems % p->c->hot;
+	return CONTENT + p->nitems;
+}
+
+static void add_parts(play_t *p, item_t *i)
+{
+	bool poison = i->poison && !p->c->repeats;
+	unsigned int n = 0;
+
 	i->parts[n++] = FIRST_PART + (trait_t)p->nitems % 4;
-	if (twin || (poison && p->c->twin && !p->c->twin_behind))
+	if (i->twin || (poison && p->c->twin && !p->c->twin_behind))
 		i->parts[n++] = p->c->twin;
 	if (p->c->documents)
 		i->parts[n++] =
@@ -403,9 +570,39 @@
 		i->parts[n++] = p->c->twin;
 	i->r.parts = i->parts;
 	i->r.nparts = n;
+}
+
+static void submit(play_t *p, bool poison, bool twin)
+{
+	item_t *i = new_item(p);
+
+	i->poison = poison;
+	i->twin = twin;
+	if (poison && p->c->bad)
+		i->bad = p->nitems % p->c->bad;
+	i->r.content = content(p, i);
+	if (!p->c->plain)
+		add_parts(p, i);
 	edge_submit(i->host->edge, &i->r, p->now);
 }
 
+/* Has callers come back, each to any host. */
+static void repeat_failed(play_t *p)
+{
+	unsigned int before = p->nitems;
+
+	for (unsigned int k = 0; k < before; k++) {
+		item_t *i;
+
+		if (p->items[k].repeat_at != p->now)
+			continue;
+		i = new_item(p);
+		i->again = true;
+		i->r.content = p->items[k].r.content;
+		edge_submit(i->host->edge, &i->r, p->now);
+	}
+}
+
 static void deliver(play_t *p, host_t *h)
 {
 	for (; h->read < p->records->len; h->read++) {
@@ -459,7 +656,7 @@
 		host_close(&p->hosts[k]);
 		host_open(p, k);
 	}
-	for (unsigned int n = 0; n < SERVERS; n++) {
+	for (unsigned int n = 0; n < p->nservers; n++) {
 		if (!p->servers[n].up_at)
 			list_server(p, n, NULL);
 	}
@@ -489,13 +686,16 @@
 {
 	if (p->c->hosts_restart && p->now == p->c->hosts_restart)
 		restart_hosts(p);
-	for (unsigned int n = 0; n < SERVERS; n++) {
+	for (unsigned int n = 0; n < p->nservers; n++) {
 		if (p->servers[n].up_at && p->now >= p->servers[n].up_at)
 			server_starts(p, n);
 	}
-	for (unsigned int k = 0; k < HOSTS; k++)
-		deliver(p, &p->hosts[k]);
+	for (unsigned int k = 0; k < HOSTS; k++) {
+		if (!is_cut(&p->hosts[k]))
+			deliver(p, &p->hosts[k]);
+	}
 	load(p);
+	repeat_failed(p);
 	for (unsigned int i = 0; i < p->nitems; i++) {
 		if (p->items[i].at_server)
 			run_item(p, &p->items[i]);
@@ -523,29 +723,21 @@
 	}
 }
 
-static void record_clear(gpointer v)
-{
-	record_t *rec = v;
-
-	g_free(rec->host);
-	g_free(rec->server);
-	g_free(rec->text);
-}
-
 static counts_t play(const play_case_t *c)
 {
-	play_t p = { .c = c };
+	play_t p = { .c = c, .nservers = c->servers ? c->servers : SERVERS };
 	const char *seed = g_getenv("SEED");
 
 	play_route = route;
 	play_route.attempts = MAX(c->attempts, 1);
+	play_route.stream = !c->plain;
 	p.rand = g_rand_new_with_seed(seed ? (guint32)atoi(seed) : 1);
 	p.items = g_new0(item_t, ITEMS);
 	p.records = g_array_new(FALSE, FALSE, sizeof(record_t));
 	g_array_set_clear_func(p.records, record_clear);
 	for (unsigned int k = 0; k < HOSTS; k++)
 		host_open(&p, k);
-	for (unsigned int n = 0; n < SERVERS; n++) {
+	for (unsigned int n = 0; n < p.nservers; n++) {
 		g_snprintf(p.servers[n].id, sizeof(p.servers[n].id), "s%u", n);
 		p.servers[n].started = 1;
 		list_server(&p, n, NULL);
@@ -553,6 +745,9 @@
 	for (p.now = STEP; p.now < PLAY_MS + 2 * MS; p.now += STEP)
 		step(&p);
 	count_items(&p);
+	for (unsigned int k = 0; k < BAD_MAX; k++)
+		p.counts.poison_late =
+			MAX(p.counts.poison_late, p.bads[k].late);
 	for (unsigned int k = 0; k < HOSTS; k++)
 		host_close(&p.hosts[k]);
 	g_array_free(p.records, TRUE);
@@ -561,9 +756,8 @@
 	return p.counts;
 }
 
-START_TEST(crashes_of_one_part_stop_over_all_hosts)
+static void check_play(const play_case_t *c)
 {
-	const play_case_t *c = &play_cases[_i];
 	counts_t n = play(c);
 
 	printf("%s: %u crashes, %u reports, %u late, sound %u of %u, twins %u "
@@ -572,7 +766,8 @@
 	       n.sound, n.twins_begun, n.twins, n.refused);
 	ck_assert_msg(n.poison_late <= SENDS_MAX, "%s: %u sent", c->name,
 		      n.poison_late);
-	ck_assert_msg(n.crashes <= (c->poison ? CRASHES_MAX : 0),
+	ck_assert_msg(n.crashes <=
+			      (c->poison ? CRASHES_MAX * MAX(c->bad, 1) : 0),
 		      "%s: %u crashes", c->name, n.crashes);
 	ck_assert_msg(n.sound_begun * 2 >= n.sound, "%s: %u of %u sound",
 		      c->name, n.sound_begun, n.sound);
@@ -581,6 +776,17 @@
 	ck_assert_msg(c->poison || n.refused == 0, "%s: %u refused", c->name,
 		      n.refused);
 }
+
+START_TEST(crashes_of_one_part_stop_over_all_hosts)
+{
+	check_play(&play_cases[_i]);
+}
+END_TEST
+
+START_TEST(a_repeated_request_stops_crashing_servers)
+{
+	check_play(&repeat_cases[_i]);
+}
 END_TEST
 
 int main(void)
@@ -594,6 +800,8 @@
 	tcase_set_timeout(t, 120);
 	tcase_add_loop_test(t, crashes_of_one_part_stop_over_all_hosts, 0,
 			    G_N_ELEMENTS(play_cases));
+	tcase_add_loop_test(t, a_repeated_request_stops_crashing_servers, 0,
+			    G_N_ELEMENTS(repeat_cases));
 	suite_add_tcase(s, t);
 	srunner_run_all(r, CK_NORMAL);
 	failed = srunner_ntests_failed(r);
