Test: repeats count as late where they reach a server

a_repeated_request_stops_crashing_servers counted sends too, also those to servers that were down: with a host that does not reach the store five of seven. The rule is about what reaches servers; the plays of parts keep their count.

--- a/test/quarantine.c
+++ b/test/quarantine.c
@@ -329,6 +329,17 @@
 	return h->p->c->cut && h == &h->p->hosts[CUT_HOST];
 }
 
+/* Whether it is too late for a bad request; a repeat has to reach a server. */
+static bool is_late(const host_t *h, const item_t *i)
+{
+	const play_t *p = h->p;
+	ms_t known = p->bads[i->bad].known;
+
+	if (p->c->repeats && (is_cut(h) || p->servers[i->server].up_at))
+		return false;
+	return known && p->now > known + STABLE_MS;
+}
+
 static void play_send(void *ctx, request_t *r)
 {
 	host_t *h = ctx;
@@ -338,8 +349,7 @@
 	i->at_server = true;
 	i->begun = false;
 	i->server = (unsigned int)atoi(r->server->id + 1) % SERVERS;
-	if (i->poison && p->bads[i->bad].known && !is_cut(h) &&
-	    p->now > p->bads[i->bad].known + STABLE_MS)
+	if (i->poison && is_late(h, i))
 		p->bads[i->bad].late++;
 }
 
