Quarantine: a request that comes again and crashes servers is held by its content

Cause: a request that ends its worker is handed to the next one (a poison message), and the quarantine that is there goes by parts of prompts: a plain request has none, and a stream whose parts are all sound leaves no suspect. Ruled out: retries of one attempt (dispatches: two at most). Change: the content of a request (method, host, path, customer, body) is a trait like a part: suspected, reported, cleared and held in the same way. Contents that no crash tells apart are each held, since no request has two; parts still go by all of a group. An answer to a content is written to the store from the second crash on, as most contents come again only after a failure.

--- a/lib/edge/crash.c
+++ b/lib/edge/crash.c
@@ -99,9 +99,9 @@
 			 ms_t now)
 {
 	l->requests++;
-	for (size_t i = 0; i < r->nparts; i++) {
-		if (!is_sound(cs, r->parts[i], now))
-			add_suspect(l, r->parts[i]);
+	for (size_t i = 0; i < traits_count(r); i++) {
+		if (!is_sound(cs, traits_at(r, i), now))
+			add_suspect(l, traits_at(r, i));
 	}
 }
 
@@ -201,16 +201,16 @@
 
 static void remember_sound(crashes_t *cs, const request_t *r, ms_t now)
 {
-	for (size_t i = 0; i < r->nparts; i++) {
-		ms_t *at = g_hash_table_lookup(cs->sound, &r->parts[i]);
+	for (size_t i = 0; i < traits_count(r); i++) {
+		trait_t trait = traits_at(r, i);
+		ms_t *at = g_hash_table_lookup(cs->sound, &trait);
 
 		if (at)
 			*at = now;
 		else if (g_hash_table_size(cs->sound) < SOUND_MAX)
-			g_hash_table_insert(
-				cs->sound,
-				g_memdup2(&r->parts[i], sizeof(r->parts[i])),
-				g_memdup2(&now, sizeof(now)));
+			g_hash_table_insert(cs->sound,
+					    g_memdup2(&trait, sizeof(trait)),
+					    g_memdup2(&now, sizeof(now)));
 		else
 			cs->left_out->value++;
 	}
@@ -242,7 +242,7 @@
 	} else if (how == ATTEMPT_NOT_SENT && l && now > l->at) {
 		report(e, l, "refused", now);
 		loss_free(cs, l);
-	} else if (broken_off(r, how) && !l && r->nparts > 0 &&
+	} else if (broken_off(r, how) && !l && traits_count(r) > 0 &&
 		   is_beginning(r, now)) {
 		add_loss(cs, r, now);
 	}
--- a/lib/edge/dat.h
+++ b/lib/edge/dat.h
@@ -214,7 +214,7 @@
 
 /*
  * What several requests may have in common, as a hash: the name of a part of
- * their prompts.
+ * their prompts, or their whole content.
  */
 typedef uint64_t trait_t;
 
@@ -254,9 +254,9 @@
 	/* Its prompt's parts, without the last, which no other request has */
 	const trait_t *parts;
 	size_t nparts;
-	uint64_t content; /* hash of what it asks, and for whom; 0: unknown */
-	double cost;	  /* in the unit of the customer's quota */
-	bool charged;	  /* the cost is counted as sent */
+	trait_t content;	   /* what it asks, and for whom; 0: unknown */
+	double cost;		   /* in the unit of the customer's quota */
+	bool charged;		   /* the cost is counted as sent */
 	unsigned int executions;   /* attempts that may have run */
 	unsigned int dispatches;   /* all attempts */
 	bool retry_reserved;	   /* taken from the budget for the next one */
--- a/lib/edge/priv.h
+++ b/lib/edge/priv.h
@@ -246,6 +246,10 @@
 void hosts_init(edge_t *e);
 void hosts_clear(edge_t *e);
 
+/* trait.c */
+size_t traits_count(const request_t *r);
+trait_t traits_at(const request_t *r, size_t place);
+
 /* crash.c */
 crashes_t *crashes_new(counters_t *counters);
 void crashes_free(crashes_t *cs);
--- a/lib/edge/quarantine.c
+++ b/lib/edge/quarantine.c
@@ -10,6 +10,9 @@
 enum {
 	/* Lives of servers that ended with a trait */
 	CRASHES_MIN = 3,
+	/* After so many an answer to a request's content is told: most contents
+	   come once, and again only after a failure */
+	CONTENT_TOLD_CRASHES = CRASHES_MIN - 1,
 	/* The same, whatever else ends meanwhile */
 	CRASHES_ENOUGH = 5,
 	/* One in so many lives that ended meanwhile: servers that end together
@@ -753,19 +756,24 @@
 }
 
 /*
- * Returns a trait of the request that is in quarantine, or NULL. Of traits that
- * no crash tells apart, the request must have all.
+ * Returns a trait of the request that is in quarantine, or NULL. Of parts that
+ * no crash tells apart, the request must have all; its content is enough, since
+ * no request has that of another.
  */
 static const suspected_t *quarantined_trait(quarantine_t *q, const request_t *r,
 					    ms_t now)
 {
+	const suspected_t *s;
+
 	if (q->changed)
 		refresh(q, now);
 	if (q->nactive == 0)
 		return NULL;
+	s = g_hash_table_lookup(q->suspects, &r->content);
+	if (r->content != 0 && s && s->active && now < s->until)
+		return s;
 	for (size_t i = 0; i < r->nparts; i++) {
-		const suspected_t *s =
-			g_hash_table_lookup(q->suspects, &r->parts[i]);
+		s = g_hash_table_lookup(q->suspects, &r->parts[i]);
 
 		if (s && s->active && has_group(q, r, s->group, now))
 			return s;
@@ -806,10 +814,13 @@
 
 	if (q->changed)
 		refresh(q, now);
-	for (size_t i = 0; i < r->nparts; i++) {
-		suspected_t *s = g_hash_table_lookup(q->suspects, &r->parts[i]);
+	for (size_t i = 0; i < traits_count(r); i++) {
+		trait_t trait = traits_at(r, i);
+		suspected_t *s = g_hash_table_lookup(q->suspects, &trait);
+		unsigned int crashes =
+			i == 0 && r->content ? CONTENT_TOLD_CRASHES : 1;
 
-		if (!s || s->crashes == 0 ||
+		if (!s || s->crashes < crashes ||
 		    (s->told_at && now - s->told_at < ANSWER_AGAIN_MS))
 			continue;
 		s->told_at = now;
--- a/test/prop_quarantine.cc
+++ b/test/prop_quarantine.cc
@@ -107,8 +107,9 @@
 		edge_crashes_listing(edge);
 	}
 
-	// Whether a request with the parts of a bit set is held.
-	bool holds(unsigned int set)
+	// Whether a request with the parts of a bit set, and a content, is
+	// held.
+	bool holds(unsigned int set, trait_t content = 0)
 	{
 		std::vector<trait_t> parts;
 		request_t r = {};
@@ -121,6 +122,7 @@
 		r.route = &route;
 		r.parts = parts.data();
 		r.nparts = parts.size();
+		r.content = content;
 		r.deadline = start + 10000;
 		r.give_up_at = r.deadline;
 		code = CODE_OK;
@@ -134,8 +136,10 @@
 	{
 		std::vector<bool> out;
 
-		for (unsigned int set = 0; set < 1U << parts_max; set++)
-			out.push_back(holds(set));
+		for (unsigned int set = 0; set < 1U << parts_max; set++) {
+			for (trait_t c = 0; c < parts_max; c++)
+				out.push_back(holds(set, c));
+		}
 		return out;
 	}
 
@@ -252,8 +256,13 @@
 			harmless |= 1U << p;
 	}
 	for (unsigned int set = 0; set < 1U << parts_max; set++) {
-		if ((set & ~harmless) == 0)
-			RC_ASSERT(!host.holds(set));
+		if ((set & ~harmless) != 0)
+			continue;
+		RC_ASSERT(!host.holds(set));
+		for (trait_t c = 1; c < parts_max; c++) {
+			if (harmless & (1U << c))
+				RC_ASSERT(!host.holds(set, c));
+		}
 	}
 	RC_CLASSIFY(harmless != (1U << parts_max) - 1, "some may be held");
 }
--- a/test/suspects.c
+++ b/test/suspects.c
@@ -82,7 +82,19 @@
 	return n;
 }
 
-/* Whether a request with these parts is refused on arrival. */
+/* Lower-case letters are a request's parts, an upper-case one its content. */
+static void set_traits(request_t *r, trait_t *parts, const char *text)
+{
+	r->parts = parts;
+	for (; *text; text++) {
+		if (g_ascii_isupper(*text))
+			r->content = (trait_t)*text;
+		else
+			parts[r->nparts++] = (trait_t)*text;
+	}
+}
+
+/* Whether a request with these traits is refused on arrival. */
 static bool is_held(lab_t *l, const char *text)
 {
 	trait_t parts[LETTERS];
@@ -90,8 +102,7 @@
 	unsigned int refused = l->w.refused;
 
 	request_init(&r, &route, l->now);
-	r.parts = parts;
-	r.nparts = letters(text, parts);
+	set_traits(&r, parts, text);
 	edge_submit(l->w.edge, &r, l->now);
 	if (r.state != REQUEST_ENDED)
 		edge_abandon(l->w.edge, &r, l->now);
@@ -161,8 +172,8 @@
 typedef struct records_case {
 	const char *name;
 	const char *records;
-	const char *held; /* the parts that are held alone */
-	const char *pair; /* parts that are held together */
+	const char *held; /* the parts and contents that are held alone */
+	const char *pair; /* what is held together */
 } records_case_t;
 
 #define THREE	   "a1h:p b1h:p c1h:p"
@@ -242,6 +253,15 @@
 	{ "a listing does not prolong it",
 	  "@1 " THREE " +599 L @1 " THREE " +1", "", "" },
 	{ "answered while back", THREE " +600 d1h:p =p", "", "" },
+	{ "one content", "a1h:C b1h:C c1h:C", "C", "" },
+	{ "a content with a sound part", "a1h:pC b1h:pC c1h:pC =p", "C", "pC" },
+	{ "a content with a part", "a1h:pC b1h:pC c1h:pC", "C", "pC" },
+	{ "that is answered", "a1h:pC b1h:pC c1h:pC =C", "p", "pD" },
+	{ "a part of several contents", "a1h:pC b1h:pD c1h:pE", "p", "pF" },
+	{ "two contents always together", "a1h:CD b1h:CD c1h:CD", "CD", "" },
+	{ "one of them ends one server more", "a1h:CD b1h:CD c1h:CD d1h:C", "C",
+	  "" },
+	{ "one of them is answered", "a1h:CD b1h:CD c1h:CD =D", "C", "" },
 };
 
 START_TEST(records_decide_what_is_held)
@@ -253,11 +273,11 @@
 
 	lab_open(&l, &lab_ops);
 	run_words(&l, c->records, take_record);
-	for (int part = 'a'; part <= 'z'; part++) {
-		char text[] = { (char)part, 0 };
+	for (int letter = 'A'; letter <= 'z'; letter++) {
+		char text[] = { (char)letter, 0 };
 
 		if (is_held(&l, text))
-			g_string_append_c(held, (char)part);
+			g_string_append_c(held, (char)letter);
 	}
 	ck_assert_msg(strcmp(held->str, c->held) == 0, "%s: %s", c->name,
 		      held->str);
@@ -298,8 +318,7 @@
 		edge_server_gone(l->w.edge, "s", l->now);
 	} else if (word[1] == ':') {
 		request_init(r, &route, l->now);
-		r->parts = l->parts[r - l->r];
-		r->nparts = letters(word + 2, l->parts[r - l->r]);
+		set_traits(r, l->parts[r - l->r], word + 2);
 		edge_submit(l->w.edge, r, l->now);
 		ck_assert_int_eq(r->state, REQUEST_RUNNING);
 	} else if (word[0] == 'f') {
@@ -344,6 +363,11 @@
 	{ "sound long ago", "1:p +50 f1 w1 +10000 2:pq +50 !2 +150", "pq" },
 	{ "whole without a byte", "1:p +50 w1 2:pq +50 !2 +150", "pq" },
 	{ "two lives", "1:p +50 !1 X +150 2:q +50 !2 +150", "p q" },
+	{ "a request without parts", "1:C +50 !1 +150", "C" },
+	{ "a request with parts", "1:pqC +50 !1 +150", "Cpq" },
+	{ "two requests with a part", "1:pC 2:pD +50 !1 !2 +150", "CpD" },
+	{ "the content of one answered", "1:C +50 f1 w1 2:C +50 !2 +150", "" },
+	{ "answered long ago", "1:C +50 f1 w1 +10000 2:C +50 !2 +150", "C" },
 };
 
 /* The same on other routes. */
@@ -414,6 +438,24 @@
 }
 END_TEST
 
+/* An answer to a content is told once two servers ended under it. */
+START_TEST(answers_to_a_content_are_told_before_it_is_held)
+{
+	edge_ops_t lab_ops;
+	lab_t l;
+
+	lab_open(&l, &lab_ops);
+	put_server(&l.w, "s", "10.0.0.1", 9, false, 1, l.now);
+	run_words(&l, "a1h:C", take_record);
+	run_words(&l, "1:C +50 f1 w1", take_event);
+	ck_assert_str_eq(l.answers->str, "");
+	run_words(&l, "b1h:C", take_record);
+	run_words(&l, "2:C +50 f2 w2", take_event);
+	ck_assert_str_eq(l.answers->str, "C");
+	lab_close(&l);
+}
+END_TEST
+
 /* Where a request waits when its part gets into quarantine. */
 typedef enum wait_for {
 	FOR_SLOT,
@@ -744,6 +786,7 @@
 	tcase_add_loop_test(t, crashes_are_noticed_by_route, 0,
 			    G_N_ELEMENTS(route_cases));
 	tcase_add_test(t, answers_are_told_for_reported_parts_only);
+	tcase_add_test(t, answers_to_a_content_are_told_before_it_is_held);
 	tcase_add_loop_test(t, a_waiting_request_is_refused, 0, WAITS);
 	tcase_add_test(t, a_refused_request_costs_no_quota);
 	tcase_add_test(t, a_stream_is_not_resumed_with_a_held_part);
