Soak: one request of each kind that comes again and ends servers

--repeats N: callers who repeat one plain request, one that may run once and one stream, each of which ends every server that runs it.

--- a/test/soak/caller.c
+++ b/test/soak/caller.c
@@ -171,7 +171,7 @@
 		violation(c->s, "denied", "%s got %d", c->id, c->status);
 	if (c->s->pauses_only)
 		check_paused(c, answered);
-	if (!c->limited && !c->poison)
+	if (!c->limited && !c->bane)
 		count(c, answered && c->status == 200);
 	if (c->s->stops && c->conn && g_rand_double(c->s->rand) < eager_share)
 		ask_next(c);
@@ -237,6 +237,7 @@
 	GByteArray *out = g_byte_array_new();
 	char *text;
 	char *parts;
+	char *path;
 	bool post = c->kind != KIND_SAFE;
 	fate_t *fate;
 
@@ -247,17 +248,19 @@
 	fate->to = c->to;
 	fate->sent_at = now;
 	parts = poison_parts(c);
+	path = poison_path(c);
 	text = g_strdup_printf(
-		"%s /a/%s HTTP/1.1\r\nHost: %s\r\n"
+		"%s %s HTTP/1.1\r\nHost: %s\r\n"
 		"X-Request-Id: %s\r\nX-Timeout-Ms: %d\r\n"
 		"Authorization: Bearer %s\r\n"
 		"X-Prompt-Prefix: %s\r\n%s\r\n%s",
-		post ? "POST" : "GET", c->id, hosts[c->kind], c->id,
+		post ? "POST" : "GET", path, hosts[c->kind], c->id,
 		(int)c->s->timeout, c->limited ? "guild" : "key", parts,
 		post ? "Content-Length: 4\r\n" : "", post ? "body" : "");
 	http_put(out, text);
 	g_free(text);
 	g_free(parts);
+	g_free(path);
 	c->status = 0;
 	c->waiting = true;
 	c->sent_at = now;
@@ -274,8 +277,11 @@
 {
 	if (c->s->ended)
 		return;
-	c->kind = c->poison ? KIND_STREAM
-			    : (kind_t)g_rand_int_range(c->s->rand, 0, KINDS);
+	if (c->bane)
+		c->kind = c->bane == BANE_PART ? KIND_STREAM
+					       : (kind_t)(c->bane - BANE_SAFE);
+	else
+		c->kind = (kind_t)g_rand_int_range(c->s->rand, 0, KINDS);
 	if (c->conn && !hconn_reusable(c->conn)) {
 		hconn_close(c->conn);
 		c->conn = NULL;
@@ -298,7 +304,7 @@
 
 static void think(caller_s_t *c)
 {
-	int most = c->poison ? POISON_THINK_MS : THINK_MS;
+	int most = c->bane ? POISON_THINK_MS : THINK_MS;
 
 	uv_timer_start(&c->timer, on_timer,
 		       1 + (uint64_t)g_rand_int_range(c->s->rand, 0, most), 0);
@@ -322,17 +328,18 @@
 	over(c, false);
 }
 
-/* Starts n sound callers, and those with the part that ends servers. */
+/* Starts n sound callers, and those whose requests end servers. */
 void callers_start(soak_t *s, unsigned int n)
 {
-	s->ncallers = MIN(n + s->poison.callers, CALLERS_MAX);
+	s->ncallers =
+		MIN(n + s->poison.callers + s->poison.repeats, CALLERS_MAX);
 	for (unsigned int i = 0; i < s->ncallers; i++) {
 		caller_s_t *c = &s->callers[i];
 
 		c->s = s;
-		c->poison = i >= n;
-		c->limited =
-			!c->poison && i % LIMITED_EVERY == LIMITED_EVERY - 1;
+		if (i >= n)
+			c->bane = poison_bane(&s->poison, i - n);
+		c->limited = !c->bane && i % LIMITED_EVERY == LIMITED_EVERY - 1;
 		c->body = g_string_new(NULL);
 		c->stamp = g_string_new(NULL);
 		uv_timer_init(&s->loop, &c->timer);
--- a/test/soak/dat.h
+++ b/test/soak/dat.h
@@ -150,6 +150,16 @@
 	FLOODS,
 } flood_t;
 
+/* What of a request ends the servers that run it. */
+typedef enum bane {
+	BANE_NONE,
+	BANE_PART, /* of its prompt */
+	BANE_SAFE, /* it is a repeat of one request, of a kind each */
+	BANE_ONCE,
+	BANE_STREAM,
+	BANES,
+} bane_t;
+
 /* A run of a request at a server. */
 typedef struct job {
 	list_t link;
@@ -160,7 +170,7 @@
 	unsigned int next; /* event to send */
 	flood_t flood;
 	bool started;
-	bool poison; /* has the part that ends servers */
+	bane_t bane;
 	bool counted;
 	ms_t gone_at; /* its connection closed; 0 not */
 } job_t;
@@ -202,7 +212,7 @@
 	GString *body;
 	GString *stamp;
 	bool limited; /* of the customer with a limit */
-	bool poison;  /* sends the part that ends servers */
+	bane_t bane;  /* of its requests */
 	bool quits;   /* leaves before the answer */
 	bool waiting;
 	ms_t sent_at;
@@ -223,13 +233,14 @@
 	bool answered;
 } fate_t;
 
-/* What a part that ends servers has done. */
+/* What requests that end servers have done. */
 typedef struct poison {
 	GRand *rand;
-	unsigned int callers; /* that send it */
-	unsigned int crashes; /* of servers */
-	ms_t known_at;	      /* it must be known from here on; 0 not yet */
-	unsigned int reached; /* requests with it that reached servers since */
+	unsigned int callers;	     /* with the part */
+	unsigned int repeats;	     /* callers that repeat a request */
+	unsigned int crashes[BANES]; /* of servers */
+	ms_t known_at[BANES];	     /* must be known from here on; 0 not yet */
+	unsigned int reached[BANES]; /* requests that reached servers since */
 } poison_t;
 
 /* The operator's move of the plain servers to another version. */
--- a/test/soak/fns.h
+++ b/test/soak/fns.h
@@ -57,9 +57,11 @@
 
 /* poison.c */
 char *poison_parts(const caller_s_t *c);
-bool poison_in(const http_head_t *h);
-void poison_reached(soak_t *s, const fate_t *f);
-void poison_ends(server_t *v);
+char *poison_path(const caller_s_t *c);
+bane_t poison_bane(const poison_t *p, unsigned int i);
+bane_t poison_in(const http_head_t *h, kind_t kind);
+void poison_reached(soak_t *s, const fate_t *f, bane_t bane);
+void poison_ends(server_t *v, bane_t bane);
 
 /* words.c */
 void words_fault(soak_t *s);
--- a/test/soak/main.c
+++ b/test/soak/main.c
@@ -27,6 +27,7 @@
 	gboolean stops;
 	gboolean words;
 	gint poison;
+	gint repeats;
 	gboolean verbose;
 	char *dir;
 	char *daemon;
@@ -128,7 +129,9 @@
 		{ "callers", 0, 0, G_OPTION_ARG_INT, &opt.callers, "Callers",
 		  "N" },
 		{ "poison", 0, 0, G_OPTION_ARG_INT, &opt.poison,
-		  "Callers whose requests end servers", "N" },
+		  "Callers whose prompts end servers", "N" },
+		{ "repeats", 0, 0, G_OPTION_ARG_INT, &opt.repeats,
+		  "Callers who repeat a request that ends servers", "N" },
 		{ "dir", 0, 0, G_OPTION_ARG_STRING, &opt.dir,
 		  "For settings and logs", "DIR" },
 		{ "daemon", 0, 0, G_OPTION_ARG_STRING, &opt.daemon,
@@ -164,6 +167,7 @@
 	s->faults = g_rand_new_with_seed((guint32)opt.seed + 1);
 	s->poison.rand = g_rand_new_with_seed((guint32)opt.seed + 2);
 	s->poison.callers = (unsigned int)CLAMP(opt.poison, 0, CALLERS_MAX);
+	s->poison.repeats = (unsigned int)CLAMP(opt.repeats, 0, CALLERS_MAX);
 	s->floods = g_rand_new_with_seed((guint32)opt.seed + 3);
 	s->daemon = opt.daemon;
 	s->pauses_only = opt.pauses;
@@ -198,6 +202,15 @@
 			  s->calm_good, s->calm_done);
 }
 
+static unsigned int sum_of(const unsigned int *counts)
+{
+	unsigned int sum = 0;
+
+	for (int i = 0; i < BANES; i++)
+		sum += counts[i];
+	return sum;
+}
+
 static void report(const soak_t *s)
 {
 	printf("soak seed=%d faults=%u safe=%u/%u once=%u/%u stream=%u/%u "
@@ -206,8 +219,8 @@
 	       opt.seed, s->nfaults, s->good[KIND_SAFE], s->done[KIND_SAFE],
 	       s->good[KIND_ONCE], s->done[KIND_ONCE], s->good[KIND_STREAM],
 	       s->done[KIND_STREAM], s->calm_good, s->calm_done,
-	       s->poison.reached, s->poison.crashes, s->memory_most >> 20,
-	       s->violations);
+	       sum_of(s->poison.reached), sum_of(s->poison.crashes),
+	       s->memory_most >> 20, s->violations);
 }
 
 int main(int argc, char **argv)
--- a/test/soak/server.c
+++ b/test/soak/server.c
@@ -169,8 +169,8 @@
 		flood_step(j);
 		return;
 	}
-	if (j->poison && v->stream) {
-		poison_ends(v);
+	if (j->bane) {
+		poison_ends(v, j->bane);
 		return;
 	}
 	if (!v->stream) {
@@ -240,7 +240,7 @@
 	if (f->said_not_run)
 		violation(v->s, "refused", "%s runs after it was refused",
 			  j->id);
-	if (j->c && !j->poison && flood_begins(j))
+	if (j->c && !j->bane && flood_begins(j))
 		start_flood(j);
 	else if (v->stream && j->c)
 		stream_head(j);
@@ -305,10 +305,10 @@
 	j->at = v;
 	j->c = c;
 	j->id = str_dup(http_value(h, "X-Request-Id"));
-	j->poison = poison_in(h);
+	j->bane = poison_in(h, fate_get(v->s, j->id)->kind);
 	check_request(v, h, j->id);
-	if (j->poison)
-		poison_reached(v->s, fate_get(v->s, j->id));
+	if (j->bane)
+		poison_reached(v->s, fate_get(v->s, j->id), j->bane);
 	words_arrived(v, j->id);
 	if (words_turn_away(v, j->id)) {
 		turn_away(j, words_turn_fields(j->id));
