--- a/bench/edges/dat.h
+++ b/bench/edges/dat.h
@@ -13,7 +13,7 @@
 	KINDS = 3,
 	WAY_MS = 1,	/* of a message between two hosts, one way */
 	STORE_MS = 100, /* from a host through the store to all */
-	POISON = 0xbad, /* a part of prompts that crashes engines */
+	POISON = 0xbad, /* a part or content that crashes engines */
 };
 
 /* A kind of request, as the sheet of kockarna-hinge has it. */
@@ -48,6 +48,10 @@
 	unsigned int seed;
 	double poison_per_s; /* requests with the part that crashes engines */
 	bool reports;	     /* hosts read each other's reports of crashes */
+	bool repeats;  /* bad requests are one that repeats, with sound parts */
+	bool plain;    /* prompts have no parts */
+	ms_t store_ms; /* from a host through the store to all */
+	bool cut;      /* the first host does not reach the store */
 } play_t;
 
 /* What callers of a kind got. */
@@ -61,7 +65,7 @@
 	got_t kinds[KINDS];
 	unsigned int crashes;
 	unsigned int poison_late; /* bad requests sent later than 3 s after the
-				     fifth crash */
+				     last crash that may happen */
 	unsigned int sound;	  /* others, from 6 s after it */
 	unsigned int sound_begun; /* at the first attempt */
 } result_t;
@@ -131,7 +135,7 @@
 	counters_t *counters;
 	GArray *records; /* record_t */
 	result_t result;
-	ms_t last_crash; /* of the first five */
+	ms_t last_crash; /* of those that may happen */
 } world_t;
 
 #endif
--- a/bench/edges/fns.h
+++ b/bench/edges/fns.h
@@ -22,7 +22,7 @@
 void poison_open(world_t *w);
 void poison_close(world_t *w);
 void poison_seen(world_t *w, const host_t *h, const crash_report_t *c);
-void poison_answered(world_t *w, trait_t part);
+void poison_answered(world_t *w, const host_t *h, trait_t trait);
 void poison_sent(world_t *w, const item_t *i);
 void poison_step(world_t *w);
 void poison_count(world_t *w);
--- a/bench/edges/load.c
+++ b/bench/edges/load.c
@@ -8,6 +8,7 @@
 	BURSTING_PART = 5,    /* one in so many hosts, with uneven callers */
 	OUTPUT_MAX = 1200,    /* tokens */
 	DOCUMENTS = 40,	      /* that prompts share */
+	FIRST_CONTENT = 1 << 20,
 };
 
 static const double burst = 1.8;  /* times the mean rate */
@@ -93,11 +94,11 @@
 }
 
 /* Prompts begin with a part of their kind, then one of some documents. */
-static void add_parts(item_t *i, unsigned int document)
+static void add_parts(item_t *i, unsigned int document, bool bad_part)
 {
 	i->parts[i->r.nparts++] = 1 + i->kind;
 	i->parts[i->r.nparts++] = 0x100 + document;
-	if (i->poison)
+	if (bad_part)
 		i->parts[i->r.nparts++] = POISON;
 	i->r.parts = i->parts;
 }
@@ -120,7 +121,10 @@
 	i->r.output = i->output * draw(w->rand, 1, hint_off);
 	i->poison = poison;
 	i->number = w->items->len;
-	add_parts(i, i->number % DOCUMENTS);
+	i->r.content =
+		poison && w->play.repeats ? POISON : FIRST_CONTENT + i->number;
+	if (!w->play.plain)
+		add_parts(i, i->number % DOCUMENTS, poison && !w->play.repeats);
 	g_ptr_array_add(w->items, i);
 	world_take(w, i);
 }
@@ -144,7 +148,7 @@
 	}
 }
 
-/* Has a request with the bad part come. */
+/* Has a bad request come. */
 void load_poison(world_t *w)
 {
 	make(w, 0, true, false);
--- a/bench/edges/main.c
+++ b/bench/edges/main.c
@@ -143,10 +143,49 @@
 	POISON_PER_S = 3,
 	/* Five, what comes in the next 3 s, and three more */
 	CRASHES_MAX = 5 + 3 * POISON_PER_S + 3,
+	/* The same from the third on */
+	REPEAT_CRASHES_MAX = 3 + 3 * POISON_PER_S + 3,
 	POISON_LATE_MAX = 3,
+	FEW_ENGINES = 4,
 };
 
-static const double poison_loads[] = { 0.5, 0.85 };
+/* Requests that crash engines, and the fleet that they come to. */
+typedef struct bad_case {
+	const char *name;
+	double load;
+	unsigned int engines;
+	bool repeats;
+	bool plain;
+	ms_t store_ms; /* 0: as usual */
+	bool cut;
+} bad_case_t;
+
+static const bad_case_t bad_cases[] = {
+	{ .name = "poison", .load = 0.5, .engines = ENGINES },
+	{ .name = "poison", .load = 0.85, .engines = ENGINES },
+	{ .name = "repeat", .load = 0.5, .engines = ENGINES, .repeats = true },
+	{ .name = "repeat-few",
+	  .load = 0.5,
+	  .engines = FEW_ENGINES,
+	  .repeats = true },
+	{ .name = "repeat-plain",
+	  .load = 0.5,
+	  .engines = FEW_ENGINES,
+	  .repeats = true,
+	  .plain = true },
+	{ .name = "repeat-slow-store",
+	  .load = 0.5,
+	  .engines = FEW_ENGINES,
+	  .repeats = true,
+	  .plain = true,
+	  .store_ms = 1500 },
+	{ .name = "repeat-part-lost-store",
+	  .load = 0.5,
+	  .engines = FEW_ENGINES,
+	  .repeats = true,
+	  .plain = true,
+	  .cut = true },
+};
 /* Of the sound requests that begin where none are bad. */
 static const double sound_part = 0.5;
 
@@ -157,46 +196,47 @@
 	       value <= target ? "ok" : "MISSED");
 }
 
-static result_t play_poison(double load, double per_s, bool reports)
+static result_t play_bad(const bad_case_t *c, double per_s, bool reports)
 {
 	play_t play = { .way = WAY_KEEPERS,
 			.hosts = HOSTS,
-			.engines = ENGINES,
+			.engines = c->engines,
 			.subset = SUBSET,
-			.load = load,
+			.load = c->load,
 			.span = SPAN_MS,
 			.seed = SEED,
 			.poison_per_s = per_s,
-			.reports = reports };
+			.reports = reports,
+			.repeats = c->repeats,
+			.plain = c->plain,
+			.store_ms = c->store_ms,
+			.cut = c->cut };
 	result_t r = world_play(&play);
 
-	printf("%4.2f %4.1f %3s %5u %5u %6.2f %6.2f\n", load, per_s,
-	       reports ? "yes" : "no", r.crashes, r.poison_late,
+	printf("%-22s %4.2f %4.1f %3s %5u %5u %6.2f %6.2f\n", c->name, c->load,
+	       per_s, reports ? "yes" : "no", r.crashes, r.poison_late,
 	       percent(r.sound_begun, r.sound), goodput(&r));
 	fflush(stdout);
 	return r;
 }
 
-/* What one part of prompts that crashes engines costs. */
-static void print_poison(void)
+/* What a part of prompts, or a request, that crashes engines costs. */
+static void print_bad(const bad_case_t *c)
 {
-	printf("load, bad a second, reports, crashes, sent late, sound begun, "
-	       "in time\n");
-	for (size_t i = 0; i < G_N_ELEMENTS(poison_loads); i++) {
-		double load = poison_loads[i];
-		result_t none = play_poison(load, 0, true);
-		result_t r;
-
-		play_poison(load, POISON_PER_S, false);
-		r = play_poison(load, POISON_PER_S, true);
-		bound_most("edges-poison-crashes", load, r.crashes,
-			   CRASHES_MAX);
-		bound_most("edges-poison-sent-late", load, r.poison_late,
-			   POISON_LATE_MAX);
-		bound("edges-poison-sound-begun-percent", load,
-		      percent(r.sound_begun, r.sound),
-		      percent(none.sound_begun, none.sound) * sound_part);
-	}
+	result_t none = play_bad(c, 0, true);
+	result_t r;
+	char name[64];
+
+	play_bad(c, POISON_PER_S, false);
+	r = play_bad(c, POISON_PER_S, true);
+	g_snprintf(name, sizeof(name), "edges-%s-crashes", c->name);
+	bound_most(name, c->load, r.crashes,
+		   c->repeats ? REPEAT_CRASHES_MAX : CRASHES_MAX);
+	g_snprintf(name, sizeof(name), "edges-%s-sent-late", c->name);
+	bound_most(name, c->load, r.poison_late, POISON_LATE_MAX);
+	g_snprintf(name, sizeof(name), "edges-%s-sound-begun-percent", c->name);
+	bound(name, c->load, percent(r.sound_begun, r.sound),
+	      percent(none.sound_begun, none.sound) * sound_part);
 }
 
 int main(int argc, char **argv)
@@ -226,7 +266,10 @@
 			print_bounds(loads[i], r);
 	}
 	print_subsets();
-	print_poison();
+	printf("bad, load, a second, reports, crashes, sent late, sound begun, "
+	       "in time\n");
+	for (size_t i = 0; i < G_N_ELEMENTS(bad_cases); i++)
+		print_bad(&bad_cases[i]);
 	if (argc > 2)
 		plot_write(argv[2], loads, G_N_ELEMENTS(loads), plotted);
 	return EXIT_SUCCESS;
--- a/bench/edges/poison.c
+++ b/bench/edges/poison.c
@@ -4,9 +4,11 @@
 
 enum {
 	POISON_FROM_MS = 5000,
-	RESTART_MS = 4000, /* of an engine */
-	CRASHES = 5,	   /* after which the rule counts */
+	RESTART_MS = 4000,  /* of an engine */
+	CRASHES = 5,	    /* after which the rule counts */
+	REPEAT_CRASHES = 3, /* the same where one request repeats */
 	STABLE_MS = 3000,
+	CUT_HOST = 0,
 };
 
 /* Prepares the store's records. */
@@ -27,6 +29,11 @@
 	g_array_free(w->records, TRUE);
 }
 
+static bool is_cut(const world_t *w, unsigned int host)
+{
+	return w->play.cut && host == CUT_HOST;
+}
+
 static void add_record(world_t *w, record_t rec, const trait_t *parts, size_t n)
 {
 	rec.at = w->now;
@@ -38,6 +45,8 @@
 /* A host reports a crash. */
 void poison_seen(world_t *w, const host_t *h, const crash_report_t *c)
 {
+	if (is_cut(w, (unsigned int)(h - w->hosts)))
+		return;
 	add_record(w,
 		   (record_t){ .host = h->name,
 			       .server = g_strdup(c->server),
@@ -45,16 +54,24 @@
 		   c->traits, c->ntraits);
 }
 
-/* A host reports that requests with a part are answered. */
-void poison_answered(world_t *w, trait_t part)
+/* A host reports that requests with a trait are answered. */
+void poison_answered(world_t *w, const host_t *h, trait_t trait)
 {
-	add_record(w, (record_t){ .host = NULL }, &part, 1);
+	if (is_cut(w, (unsigned int)(h - w->hosts)))
+		return;
+	add_record(w, (record_t){ .host = NULL }, &trait, 1);
+}
+
+static unsigned int crashes_allowed(const world_t *w)
+{
+	return w->play.repeats ? REPEAT_CRASHES : CRASHES;
 }
 
 /* Counts a request that is sent to an engine. */
 void poison_sent(world_t *w, const item_t *i)
 {
-	w->result.poison_late += i->poison && w->result.crashes >= CRASHES &&
+	w->result.poison_late += i->poison && !is_cut(w, i->host) &&
+				 w->result.crashes >= crashes_allowed(w) &&
 				 w->now > w->last_crash + STABLE_MS;
 }
 
@@ -75,7 +92,7 @@
 	s->crashes = false;
 	s->up_at = w->now + RESTART_MS;
 	w->result.crashes++;
-	if (w->result.crashes <= CRASHES)
+	if (w->result.crashes <= crashes_allowed(w))
 		w->last_crash = w->now;
 	engine_clear(s->engine);
 	for (guint k = 0; k < w->items->len; k++) {
@@ -110,7 +127,7 @@
 				     .traits = parts,
 				     .ntraits = rec->parts->len };
 
-		if (rec->at + STORE_MS > w->now)
+		if (rec->at + w->play.store_ms > w->now)
 			return;
 		if (rec->host)
 			edge_crash_reported(h->edge, rec->host, &c, h->read + 1,
@@ -132,8 +149,10 @@
 		else if (s->up_at && w->now >= s->up_at)
 			restart(w, s);
 	}
-	for (unsigned int i = 0; i < w->play.hosts && w->play.reports; i++)
-		deliver(w, &w->hosts[i]);
+	for (unsigned int i = 0; i < w->play.hosts && w->play.reports; i++) {
+		if (!is_cut(w, i))
+			deliver(w, &w->hosts[i]);
+	}
 }
 
 /* Counts the sound requests that came after the crashes. */
--- a/bench/edges/world.c
+++ b/bench/edges/world.c
@@ -133,9 +133,11 @@
 	poison_seen(h->w, h, c);
 }
 
-static void on_trait_answered(void *ctx, trait_t part)
+static void on_trait_answered(void *ctx, trait_t trait)
 {
-	poison_answered(((host_t *)ctx)->w, part);
+	const host_t *h = ctx;
+
+	poison_answered(h->w, h, trait);
 }
 
 static void on_leaving_said(void *ctx, const backend_t *b)
@@ -451,6 +453,8 @@
 	double per_s = play->load * load_capacity(play->engines);
 	result_t res;
 
+	if (!play->store_ms)
+		w.play.store_ms = STORE_MS;
 	make_routes();
 	w.hosts = g_new0(host_t, play->hosts);
 	w.seats = g_new0(seat_t, play->engines);
