Quarantine: a host goes by its own reports before the store gives them back

A host that does not reach the store learned nothing, and ended servers at the rate at which bad requests came to it. Its own reports now count for it as if they were the newest, until they are read back, for ten minutes at most; an answer that it has clears them. T: suspects, two cases.

--- a/lib/edge/crash.c
+++ b/lib/edge/crash.c
@@ -166,7 +166,10 @@
 		 l->server, (long long)l->started_unix, evidence,
 		 (long long)(now - l->at), l->requests, l->suspects->len, text);
 	g_free(text);
-	if (c.ntraits > 0 && e->ops->crash_seen)
+	if (c.ntraits == 0)
+		return;
+	quarantine_reporting(e, &c, now);
+	if (e->ops->crash_seen)
 		e->ops->crash_seen(e->ctx, &c);
 }
 
--- a/lib/edge/priv.h
+++ b/lib/edge/priv.h
@@ -263,6 +263,7 @@
 void quarantine_free(quarantine_t *q);
 bool quarantine_holds(edge_t *e, const request_t *r, ms_t now);
 bool quarantine_refuse(edge_t *e, request_t *r, ms_t now);
+void quarantine_reporting(edge_t *e, const crash_report_t *c, ms_t now);
 void quarantine_answered(edge_t *e, const request_t *r, ms_t now);
 void quarantine_tick(edge_t *e, ms_t now);
 void quarantine_print(const edge_t *e, GString *out, ms_t now);
--- a/lib/edge/quarantine.c
+++ b/lib/edge/quarantine.c
@@ -68,6 +68,8 @@
 struct quarantine {
 	GHashTable *reports;  /* report_t by key */
 	GHashTable *former;   /* the same before the last listing */
+	GHashTable *own;      /* this host's, until they are read back */
+	uint64_t last_number; /* the highest of any record */
 	GHashTable *answered; /* answered_t by trait */
 	GHashTable *suspects; /* suspected_t by trait */
 	bool changed;	      /* records, since traits was derived */
@@ -108,6 +110,7 @@
 
 	q->reports = reports_new();
 	q->former = reports_new();
+	q->own = reports_new();
 	q->answered = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
 					    g_free);
 	q->suspects = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
@@ -124,6 +127,7 @@
 {
 	g_hash_table_destroy(q->reports);
 	g_hash_table_destroy(q->former);
+	g_hash_table_destroy(q->own);
 	g_hash_table_destroy(q->answered);
 	g_hash_table_destroy(q->suspects);
 	g_free(q);
@@ -159,16 +163,23 @@
 	return order ? order : strcmp(x->key, y->key);
 }
 
-/* Returns all reports, those of one life beside each other. */
-static GPtrArray *sorted_reports(const quarantine_t *q)
+static void add_reports(GPtrArray *all, GHashTable *reports)
 {
-	GPtrArray *all = g_ptr_array_new();
 	GHashTableIter it;
 	gpointer r;
 
-	g_hash_table_iter_init(&it, q->reports);
+	g_hash_table_iter_init(&it, reports);
 	while (g_hash_table_iter_next(&it, NULL, &r))
 		g_ptr_array_add(all, r);
+}
+
+/* Returns all reports, those of one life beside each other. */
+static GPtrArray *sorted_reports(const quarantine_t *q)
+{
+	GPtrArray *all = g_ptr_array_new();
+
+	add_reports(all, q->reports);
+	add_reports(all, q->own);
 	g_ptr_array_sort(all, by_life);
 	return all;
 }
@@ -564,6 +575,63 @@
 	g_free(text);
 }
 
+static report_t *report_new(const char *host, const crash_report_t *c)
+{
+	report_t *r = g_new0(report_t, 1);
+
+	r->life = g_strdup_printf("%s.%lld", c->server,
+				  (long long)c->started_unix);
+	r->key = g_strdup_printf("%s/%s", r->life, host);
+	r->ntraits = MIN(c->ntraits, CRASH_TRAITS_MAX);
+	memcpy(r->traits, c->traits, r->ntraits * sizeof(*r->traits));
+	return r;
+}
+
+/*
+ * This host reports a server that ended. Until the report is read back, which
+ * takes as long as the store cannot be reached, this host goes by it as if it
+ * were the newest.
+ */
+void quarantine_reporting(edge_t *e, const crash_report_t *c, ms_t now)
+{
+	quarantine_t *q = e->quarantine;
+	report_t *r = report_new(e->conf.name ? e->conf.name : "", c);
+
+	r->number = q->last_number + 1;
+	r->seen_at = now;
+	g_hash_table_replace(q->own, r->key, r);
+	q->changed = true;
+}
+
+static gboolean is_outdated(gpointer key, gpointer report, gpointer now)
+{
+	const report_t *r = report;
+
+	return *(const ms_t *)now - r->seen_at >= QUARANTINE_MS;
+}
+
+static void report_drop_trait(report_t *r, trait_t trait)
+{
+	for (size_t i = 0; i < r->ntraits; i++) {
+		if (r->traits[i] != trait)
+			continue;
+		r->traits[i] = r->traits[--r->ntraits];
+		return;
+	}
+}
+
+/* An answer to this host clears its own reports without the store. */
+static void clear_own(quarantine_t *q, trait_t trait)
+{
+	GHashTableIter it;
+	gpointer r;
+
+	g_hash_table_iter_init(&it, q->own);
+	while (g_hash_table_iter_next(&it, NULL, &r))
+		report_drop_trait(r, trait);
+	q->changed = true;
+}
+
 /*
  * A host's report of a server that ended. One with an older number than the
  * report known of that host and life is ignored. Without traits: the record was
@@ -573,31 +641,24 @@
 			 uint64_t number, ms_t now)
 {
 	quarantine_t *q = e->quarantine;
-	char *life = g_strdup_printf("%s.%lld", c->server,
-				     (long long)c->started_unix);
-	char *key = g_strdup_printf("%s/%s", life, host);
-	const report_t *known = g_hash_table_lookup(q->reports, key);
-	report_t *r;
+	report_t *r = report_new(host, c);
+	const report_t *known = g_hash_table_lookup(q->reports, r->key);
 
 	if (known && known->number >= number) {
-		g_free(key);
-		g_free(life);
+		report_free(r);
 		return;
 	}
-	r = g_new0(report_t, 1);
-	r->key = key;
-	r->life = life;
 	r->number = number;
 	r->seen_at = first_seen(q, r, now);
-	r->ntraits = MIN(c->ntraits, CRASH_TRAITS_MAX);
+	q->last_number = MAX(q->last_number, number);
 	q->changed = true;
+	g_hash_table_remove(q->own, r->key);
 	if (r->ntraits == 0) {
-		g_hash_table_remove(q->reports, key);
+		g_hash_table_remove(q->reports, r->key);
 		report_free(r);
 		return;
 	}
 	q->left_out->value += c->ntraits - r->ntraits;
-	memcpy(r->traits, c->traits, r->ntraits * sizeof(*r->traits));
 	log_report(r, host, c);
 	g_hash_table_replace(q->reports, r->key, r);
 	bound_reports(q);
@@ -644,6 +705,7 @@
 	}
 	a->number = number;
 	a->seen_at = now;
+	q->last_number = MAX(q->last_number, number);
 	q->changed = true;
 	log_line(LOG_INFO, "part_cleared", "part=%" PRIx64 " number=%" PRIu64,
 		 trait, number);
@@ -817,10 +879,13 @@
 	for (size_t i = 0; i < traits_count(r); i++) {
 		trait_t trait = traits_at(r, i);
 		suspected_t *s = g_hash_table_lookup(q->suspects, &trait);
-		unsigned int crashes =
+		unsigned int told_from =
 			i == 0 && r->content ? CONTENT_TOLD_CRASHES : 1;
 
-		if (!s || s->crashes < crashes ||
+		if (!s || s->crashes == 0)
+			continue;
+		clear_own(q, trait);
+		if (s->crashes < told_from ||
 		    (s->told_at && now - s->told_at < ANSWER_AGAIN_MS))
 			continue;
 		s->told_at = now;
@@ -852,6 +917,8 @@
 /* To be called every few tens of ms. */
 void quarantine_tick(edge_t *e, ms_t now)
 {
+	if (g_hash_table_foreach_remove(e->quarantine->own, is_outdated, &now))
+		e->quarantine->changed = true;
 	refresh(e->quarantine, now);
 	if (e->quarantine->nactive == 0)
 		return;
--- a/test/suspects.c
+++ b/test/suspects.c
@@ -456,6 +456,55 @@
 }
 END_TEST
 
+/* Ends a life of the server under a request; the report is not read back. */
+static void end_life(lab_t *l, int64_t started)
+{
+	put_server(&l->w, "s", "10.0.0.1", 9, false, started, l->now);
+	run_words(l, "1:pC +50 !1 +150", take_event);
+}
+
+START_TEST(own_reports_count_before_they_are_read_back)
+{
+	edge_route_t saved = route;
+	edge_ops_t lab_ops;
+	lab_t l;
+
+	lab_open(&l, &lab_ops);
+	route.attempts = 1;
+	run_words(&l, "@5 =q", take_record);
+	for (int64_t life = 1; life <= 3; life++) {
+		ck_assert(!is_held(&l, "C"));
+		end_life(&l, life);
+	}
+	ck_assert(is_held(&l, "C"));
+	ck_assert(!is_held(&l, "pD"));
+	run_words(&l, "@6 =C", take_record);
+	ck_assert(!is_held(&l, "C"));
+	route = saved;
+	lab_close(&l);
+}
+END_TEST
+
+/* A whole answer to this host clears its reports, whether it can tell or not.
+ */
+START_TEST(own_answers_clear_own_reports)
+{
+	edge_route_t saved = route;
+	edge_ops_t lab_ops;
+	lab_t l;
+
+	lab_open(&l, &lab_ops);
+	route.attempts = 1;
+	end_life(&l, 1);
+	end_life(&l, 2);
+	run_words(&l, "2:C +50 f2 w2 +10000", take_event);
+	end_life(&l, 3);
+	ck_assert(!is_held(&l, "C"));
+	route = saved;
+	lab_close(&l);
+}
+END_TEST
+
 /* Where a request waits when its part gets into quarantine. */
 typedef enum wait_for {
 	FOR_SLOT,
@@ -787,6 +836,8 @@
 			    G_N_ELEMENTS(route_cases));
 	tcase_add_test(t, answers_are_told_for_reported_parts_only);
 	tcase_add_test(t, answers_to_a_content_are_told_before_it_is_held);
+	tcase_add_test(t, own_reports_count_before_they_are_read_back);
+	tcase_add_test(t, own_answers_clear_own_reports);
 	tcase_add_loop_test(t, a_waiting_request_is_refused, 0, WAITS);
 	tcase_add_test(t, a_refused_request_costs_no_quota);
 	tcase_add_test(t, a_stream_is_not_resumed_with_a_held_part);
