--- a/cmd/chestnuthinge/explain.c
+++ b/cmd/chestnuthinge/explain.c
@@ -29,9 +29,9 @@
 	{ "quota-unknown", "Refused, not run: the quota server of its customer "
 			   "did not answer; another takes over within "
 			   "seconds." },
-	{ "quarantined", "Refused, not run: servers crashed under requests "
-			 "with that part of a prompt; part_suspected and "
-			 "crash_seen lines with the part say which." },
+	{ "quarantined", "Refused, not run: servers crashed under it, or under "
+			 "requests with a part of its prompt; part_suspected "
+			 "and crash_seen lines with the part say which." },
 	{ "expired-waiting", "Refused, not run: no slot came free before its "
 			     "deadline or the end of the time that the "
 			     "caller is expected to wait." },
