--- a/test/word.c
+++ b/test/word.c
@@ -140,6 +140,72 @@
 }
 END_TEST
 
+/* A server's entry lapses for a while; what it said before. */
+typedef struct lapse_case {
+	const char *name;
+	server_word_t says;
+	int64_t listed; /* start of the life that comes back; before it is 1 */
+	bool by_host;	/* another host has read the word, while it is gone */
+	ms_t at;	/* of requests; the word was said at 10 ms */
+	bool used;
+} lapse_case_t;
+
+static const lapse_case_t lapse_cases[] = {
+	{ "it wants nothing for a while",
+	  { .pause = 1000 },
+	  1,
+	  false,
+	  500,
+	  false },
+	{ "to the end", { .pause = 1000 }, 1, false, 1009, false },
+	{ "after the end", { .pause = 1000 }, 1, false, 1010, true },
+	{ "its next life", { .pause = 1000 }, 2, false, 500, true },
+	{ "it leaves", { .leaving = true }, 1, false, 500, false },
+	{ "it leaves, long ago", { .leaving = true }, 1, false, 60000, false },
+	{ "its next life does not leave",
+	  { .leaving = true },
+	  2,
+	  false,
+	  500,
+	  true },
+	{ "it leaves, by another host",
+	  { .leaving = true },
+	  1,
+	  true,
+	  500,
+	  false },
+	{ "its next life, by another host",
+	  { .leaving = true },
+	  2,
+	  true,
+	  500,
+	  true },
+};
+
+START_TEST(test_server_was_used_against_its_word_once_listed_again)
+{
+	const lapse_case_t *c = &lapse_cases[_i];
+	request_t r;
+	world_t w;
+
+	world_init(&w, 1);
+	put_server(&w, "s", "10.0.0.1", 4, false, 1, 0);
+	request_init(&r, &route, 1);
+	edge_submit(w.edge, &r, 1);
+	put_server(&w, "t", "10.0.0.2", 4, false, 1, 1);
+	if (!c->by_host)
+		edge_server_word(w.edge, r.server, &c->says, 10);
+	answer(&w, &r, 30);
+	edge_server_gone(w.edge, "s", 100);
+	if (c->by_host)
+		edge_host_leaving(w.edge, "s", 1);
+	put_server(&w, "s", "10.0.0.1", 4, false, c->listed, 200);
+	ck_assert_msg((requests_at(&w, "s", c->at) > 0) == c->used, "%s",
+		      c->name);
+	world_clear(&w);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("word");
@@ -153,6 +219,9 @@
 			    G_N_ELEMENTS(leave_cases));
 	tcase_add_loop_test(t, test_paused_server_got_requests, 0,
 			    G_N_ELEMENTS(pause_cases));
+	tcase_add_loop_test(
+		t, test_server_was_used_against_its_word_once_listed_again, 0,
+		G_N_ELEMENTS(lapse_cases));
 	srunner_run_all(r, CK_NORMAL);
 	failed = srunner_ntests_failed(r);
 	srunner_free(r);
