Servers' words: what a life said holds once it is listed again

What callers saw: none on the users' record; by T: word a host sent requests to a server in the pause that it had asked for, and to one that leaves, when its entry had lapsed and come back meanwhile. Cause: all that a host knows of a server goes with its entry, which says nothing of the server when it is the server that does not reach the store. The next life of a server is not bound.

--- a/cmd/chestnuthinged/peering.c
+++ b/cmd/chestnuthinged/peering.c
@@ -373,7 +373,8 @@
 	if (!f.server)
 		return;
 	if (f.leaving)
-		edge_host_leaving(p->edge, f.server, f.started_unix);
+		edge_host_leaving(p->edge, f.server, f.started_unix,
+				  clock_now());
 	else
 		edge_host_limit(p->edge, f.server, &f.limit, clock_now());
 	if (relays_self(p->relays) && !relays_is_relay(p->relays, from))
--- a/lib/edge/edge.c
+++ b/lib/edge/edge.c
@@ -40,6 +40,7 @@
 	e->pools =
 		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, pool_free);
 	e->by_id = g_hash_table_new(g_str_hash, g_str_equal);
+	e->recalled = recall_new();
 	e->keepers =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	e->waiting = g_hash_table_new(rid_hash, rid_equal);
@@ -74,6 +75,7 @@
 	desired_unref(e->desired);
 	g_hash_table_destroy(e->pools);
 	g_hash_table_destroy(e->by_id);
+	g_hash_table_destroy(e->recalled);
 	g_hash_table_destroy(e->waiting);
 	g_hash_table_destroy(e->rerouting);
 	g_hash_table_destroy(e->keepers);
--- a/lib/edge/fleet.c
+++ b/lib/edge/fleet.c
@@ -150,12 +150,15 @@
 	bool changed;
 
 	if (b && !same_incarnation(b, info)) {
+		recall_keep(e, b, now);
 		remove_server(e, b, "reborn");
 		b = NULL;
 	}
 	known = b != NULL;
-	if (!b)
+	if (!b) {
 		b = backend_new(e, info);
+		recall_apply(e, b, now);
+	}
 	changed = !known || b->slots != info->slots ||
 		  b->listed_draining != info->draining ||
 		  (b->displaced && info->seq > b->seq);
@@ -180,8 +183,10 @@
 {
 	backend_t *b = g_hash_table_lookup(e->by_id, id);
 
-	if (b)
-		remove_server(e, b, "unlisted");
+	if (!b)
+		return;
+	recall_keep(e, b, now);
+	remove_server(e, b, "unlisted");
 }
 
 /* Removes a server because this process stops. */
--- a/lib/edge/fns.h
+++ b/lib/edge/fns.h
@@ -73,7 +73,8 @@
 void edge_event(edge_t *e, request_t *r, ms_t now);
 void edge_server_word(edge_t *e, backend_t *b, const server_word_t *w,
 		      ms_t now);
-void edge_host_leaving(edge_t *e, const char *server, int64_t started_unix);
+void edge_host_leaving(edge_t *e, const char *server, int64_t started_unix,
+		       ms_t now);
 void edge_host_limit(edge_t *e, const char *server, const server_limit_t *l,
 		     ms_t now);
 void edge_server_load(edge_t *e, backend_t *b, unsigned int running,
--- a/lib/edge/priv.h
+++ b/lib/edge/priv.h
@@ -66,10 +66,11 @@
 	const edge_ops_t *ops;
 	void *ctx;
 	GRand *rand;
-	desired_t *desired; /* active configuration; NULL before the first */
-	GHashTable *pools;  /* pool_t by service */
-	GHashTable *by_id;  /* backend_t by id */
-	GHashTable *quotas; /* quota_t by customer */
+	desired_t *desired;   /* active configuration; NULL before the first */
+	GHashTable *pools;    /* pool_t by service */
+	GHashTable *by_id;    /* backend_t by id */
+	GHashTable *recalled; /* what lives that are not listed said */
+	GHashTable *quotas;   /* quota_t by customer */
 	/* Connected ones: incarnation by name */
 	GHashTable *quota_servers[QUOTA_KINDS];
 	ms_t quota_keeperless_at;  /* no keeper is connected since; 0: one is */
@@ -175,6 +176,15 @@
 ms_t word_all_paused(const pool_t *p, ms_t now);
 double word_penalty(const edge_t *e, backend_t *b, ms_t now);
 void word_keeper_changed(edge_t *e, backend_t *b);
+void word_restore(edge_t *e, backend_t *b, bool leaving, ms_t paused_until,
+		  const server_limit_t *l, ms_t now);
+
+/* recall.c */
+GHashTable *recall_new(void);
+void recall_keep(edge_t *e, const backend_t *b, ms_t now);
+void recall_leaving(edge_t *e, const char *server, int64_t started_unix,
+		    ms_t now);
+void recall_apply(edge_t *e, backend_t *b, ms_t now);
 
 /* slots.c */
 void slots_request_more(edge_t *e, request_t *r, ms_t now);
--- a/lib/edge/word.c
+++ b/lib/edge/word.c
@@ -192,6 +192,23 @@
 		e->ops->limit_named(e->ctx, b, false);
 }
 
+/*
+ * Takes over what an earlier listing of this life said. Its pause and limit may
+ * have ended meanwhile, which answers tell.
+ */
+void word_restore(edge_t *e, backend_t *b, bool leaving, ms_t paused_until,
+		  const server_limit_t *l, ms_t now)
+{
+	b->paused_until = paused_until;
+	log_line(LOG_INFO, "server_recalled",
+		 "server=%s leaving=%d paused_ms=%lld limited=%d", b->id,
+		 leaving, (long long)MAX(paused_until - now, 0), l->set);
+	if (leaving)
+		set_leaving(b, "recall");
+	if (l->set)
+		set_limit(e, b, l, "recall", now);
+}
+
 /* Another host has read a server's limit, or its end, in an answer. */
 void edge_host_limit(edge_t *e, const char *server, const server_limit_t *l,
 		     ms_t now)
@@ -206,10 +223,13 @@
 }
 
 /* Another host has read that this life of a server leaves. */
-void edge_host_leaving(edge_t *e, const char *server, int64_t started_unix)
+void edge_host_leaving(edge_t *e, const char *server, int64_t started_unix,
+		       ms_t now)
 {
 	backend_t *b = g_hash_table_lookup(e->by_id, server);
 
-	if (b && !b->leaving && b->started_unix == started_unix)
+	if (!b)
+		recall_leaving(e, server, started_unix, now);
+	else if (!b->leaving && b->started_unix == started_unix)
 		set_leaving(b, "host");
 }
--- a/test/word.c
+++ b/test/word.c
@@ -59,7 +59,7 @@
 	edge_submit(w.edge, &r, 1);
 	put_server(&w, "t", "10.0.0.2", 4, false, 1, 1);
 	if (c->by_host)
-		edge_host_leaving(w.edge, "s", c->said_of);
+		edge_host_leaving(w.edge, "s", c->said_of, 2);
 	else
 		edge_server_word(w.edge, r.server, &says, 2);
 	if (c->answers_after)
@@ -198,7 +198,7 @@
 	answer(&w, &r, 30);
 	edge_server_gone(w.edge, "s", 100);
 	if (c->by_host)
-		edge_host_leaving(w.edge, "s", 1);
+		edge_host_leaving(w.edge, "s", 1, 150);
 	put_server(&w, "s", "10.0.0.1", 4, false, c->listed, 200);
 	ck_assert_msg((requests_at(&w, "s", c->at) > 0) == c->used, "%s",
 		      c->name);
