Soak: the hosts' port is free on all their addresses, and stays so (a known red traced)

Cause: the hosts' one port was tried on 127.0.0.1 only and came from the system's own range, from which a server beside a keeper takes a port on the same address at each start.

--- a/test/fault/soak.sh
+++ b/test/fault/soak.sh
@@ -17,6 +17,7 @@
 		--poison "$poison" --dir "$t/$seed" \
 		--daemon "$bin/chestnuthinged" "$@" >"$t/$seed/out" 2>&1; then
 		cat "$t/$seed/out"
+		grep -h 'level=error\|^chestnuthinged:' "$t/$seed"/*.log | tail -n 10
 		echo "FAILED: seed $seed ($why)"
 		code=1
 	fi
--- a/test/soak/dat.h
+++ b/test/soak/dat.h
@@ -261,6 +261,7 @@
 	const char *daemon;
 	char *dir;
 	uint16_t port; /* of the hosts' own connections, the same everywhere */
+	unsigned int net; /* second byte of all addresses but the store's */
 	store_t store;
 	proc_t procs[EDGES_MAX + SERVERS_MAX];
 	unsigned int nprocs;
--- a/test/soak/fns.h
+++ b/test/soak/fns.h
@@ -40,6 +40,8 @@
 void caller_look(caller_s_t *c, ms_t now);
 
 /* proc.c */
+void proc_address(const soak_t *s, bool edge, unsigned int i, char *ip,
+		  size_t n);
 void procs_start(soak_t *s);
 void proc_signal(proc_t *p, int number);
 void procs_tick(soak_t *s, ms_t now);
--- a/test/soak/main.c
+++ b/test/soak/main.c
@@ -3,6 +3,7 @@
 #include <stdarg.h>
 #include <stdlib.h>
 #include <signal.h>
+#include <unistd.h>
 #include "fns.h"
 
 enum {
@@ -15,6 +16,7 @@
 	SHOWN = 20,		/* violations told in full */
 	GRACE_MS = 3000,	/* of the daemons */
 	LONG_GRACE_MS = 8000,	/* the same with planned stops only */
+	NETS = 250, /* loopback networks, so that soaks don't meet on ports */
 };
 
 typedef struct options {
@@ -170,6 +172,7 @@
 	s->poison.repeats = (unsigned int)CLAMP(opt.repeats, 0, CALLERS_MAX);
 	s->floods = g_rand_new_with_seed((guint32)opt.seed + 3);
 	s->daemon = opt.daemon;
+	s->net = 1 + (unsigned int)getpid() % NETS;
 	s->pauses_only = opt.pauses;
 	s->words_only = opt.words;
 	s->dir = opt.dir;
--- a/test/soak/proc.c
+++ b/test/soak/proc.c
@@ -9,6 +9,8 @@
 	RESTART_MS = 300,
 	KILL_AFTER_MS = 4000,	/* past the grace */
 	MEMORY_MAX = 260 << 20, /* bytes of a daemon */
+	PORT_FIRST = 20000,	/* below the system's own range */
+	PORTS = 10000,
 };
 
 static const char key[] = "000102030405060708090a0b0c0d0e0f";
@@ -100,6 +102,63 @@
 	g_free(log);
 }
 
+/* Whether nothing listens at an address. */
+static bool is_free(const char *ip, uint16_t port)
+{
+	struct sockaddr_in a;
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+	bool yes;
+
+	uv_ip4_addr(ip, port, &a);
+	yes = fd >= 0 && bind(fd, (const struct sockaddr *)&a, sizeof(a)) == 0;
+	if (fd >= 0)
+		close(fd);
+	return yes;
+}
+
+/* Writes the address of an edge, or of a server and its keeper. */
+void proc_address(const soak_t *s, bool edge, unsigned int i, char *ip,
+		  size_t n)
+{
+	snprintf(ip, n, "127.%u.%d.%u", s->net, edge ? 1 : 2, i + 1);
+}
+
+static bool free_on_all(const soak_t *s, uint16_t port)
+{
+	char ip[32];
+
+	for (unsigned int i = 0; i < s->nedges; i++) {
+		proc_address(s, true, i, ip, sizeof(ip));
+		if (!is_free(ip, port))
+			return false;
+	}
+	for (unsigned int i = 0; i < s->nservers; i++) {
+		proc_address(s, false, i, ip, sizeof(ip));
+		if (!is_free(ip, port))
+			return false;
+	}
+	return true;
+}
+
+/*
+ * Returns a port that is free on the addresses of all hosts. It is none of
+ * those that the system gives to listeners without a port: a server beside a
+ * keeper takes one of these each time it starts.
+ */
+static uint16_t free_everywhere(const soak_t *s)
+{
+	unsigned int first = (unsigned int)getpid();
+
+	for (unsigned int i = 0; i < PORTS; i++) {
+		uint16_t port = (uint16_t)(PORT_FIRST + (first + i) % PORTS);
+
+		if (free_on_all(s, port))
+			return port;
+	}
+	g_error("no port is free");
+	return 0;
+}
+
 /*
  * Finds ports that are free now on a loopback address and differ from each
  * other: listens at all of them at once. Those that are not 0 are kept.
@@ -129,7 +188,7 @@
 	snprintf(p->name, sizeof(p->name), "%s-%u", edge ? "edge" : "keeper",
 		 i);
 	p->ini = g_strdup_printf("%s/%s.ini", s->dir, p->name);
-	snprintf(ip, sizeof(ip), "127.0.%d.%u", edge ? 1 : 2, i + 1);
+	proc_address(s, edge, i, ip, sizeof(ip));
 	if (edge) {
 		free_ports(s, ip, ports, G_N_ELEMENTS(ports));
 		g_strlcpy(p->callers.ip, ip, sizeof(p->callers.ip));
@@ -148,7 +207,7 @@
 {
 	unsigned int edges = s->nedges;
 
-	free_ports(s, "127.0.0.1", &s->port, 1);
+	s->port = free_everywhere(s);
 	for (unsigned int i = 0; i < edges; i++)
 		add(s, true, i);
 	for (unsigned int i = 0; i < s->nservers; i++) {
--- a/test/soak/server.c
+++ b/test/soak/server.c
@@ -382,7 +382,7 @@
 	if (!v->keeps_id)
 		snprintf(v->id, sizeof(v->id), "i-%u-%u", v->index, v->life);
 	v->keeps_id = false;
-	snprintf(ip, sizeof(ip), "127.0.2.%u", v->index + 1);
+	proc_address(v->s, false, v->index, ip, sizeof(ip));
 	v->at.owner = v;
 	v->at.request = on_request;
 	v->at.gone = on_gone;
