--- a/test/soak/dat.h
+++ b/test/soak/dat.h
@@ -108,6 +108,7 @@
 typedef struct word_s {
 	said_t says;
 	ms_t from;
+	ms_t lapse_at; /* its entry lapses, until the next heartbeat; 0 not */
 	ms_t told[EDGES_MAX];		 /* the first answer with it; 0 none */
 	unsigned int reached[EDGES_MAX]; /* requests in the pause */
 	GArray *arrivals;		 /* arrival_t since from */
@@ -286,6 +287,7 @@
 	size_t memory_most; /* bytes of any daemon */
 	bool pauses_only;   /* servers that pause are the only fault */
 	bool words_only;    /* what servers say is the only fault */
+	bool rest_only;	    /* servers that want nothing, and killed edges */
 	unsigned int violations;
 	unsigned int done[KINDS];
 	unsigned int good[KINDS];
--- a/test/soak/fault.c
+++ b/test/soak/fault.c
@@ -251,6 +251,10 @@
 		words_fault(s);
 		return;
 	}
+	if (s->rest_only) {
+		words_rest(s);
+		return;
+	}
 	if (s->pauses_only) {
 		fault_pause(s);
 		return;
--- a/test/soak/main.c
+++ b/test/soak/main.c
@@ -28,6 +28,7 @@
 	gboolean pauses;
 	gboolean stops;
 	gboolean words;
+	gboolean rest;
 	gint poison;
 	gint repeats;
 	gboolean verbose;
@@ -144,6 +145,9 @@
 		  "Servers that name limits, leave or pause, and no other "
 		  "fault",
 		  NULL },
+		{ "rest", 0, 0, G_OPTION_ARG_NONE, &opt.rest,
+		  "Servers that want nothing for a while, all of them at times",
+		  NULL },
 		{ "stops", 0, 0, G_OPTION_ARG_NONE, &opt.stops,
 		  "Only planned stops of edges, under long requests", NULL },
 		{ "verbose", 'v', 0, G_OPTION_ARG_NONE, &opt.verbose,
@@ -175,6 +179,7 @@
 	s->net = 1 + (unsigned int)getpid() % NETS;
 	s->pauses_only = opt.pauses;
 	s->words_only = opt.words;
+	s->rest_only = opt.rest;
 	s->dir = opt.dir;
 	s->stops = opt.stops;
 	s->grace = opt.stops ? LONG_GRACE_MS : GRACE_MS;
--- a/test/soak/words.c
+++ b/test/soak/words.c
@@ -2,6 +2,7 @@
  * What servers say of themselves in their answers, and the bounds on what
  * reaches them from edges that have passed such an answer on.
  */
+#include <signal.h>
 #include <string.h>
 #include "fns.h"
 
@@ -17,6 +18,18 @@
 	TURNING_MS = 600,     /* requests are turned away for so long */
 	PAUSE_SAID_MS = 2500, /* the time given with them */
 	PAUSE_MORE = 2,	      /* requests of an edge within it */
+	LAPSE_MIN_MS = 200,   /* of an entry, after a pause began */
+	LAPSE_MAX_MS = 1500,
+};
+
+/* Which servers want nothing for a while; or what else happens. */
+enum {
+	REST_ALL,
+	REST_PLAIN,
+	REST_STREAMS,
+	REST_SECOND,
+	REST_KILL,
+	RESTS,
 };
 
 static const double limit_per_s = 2;
@@ -31,13 +44,8 @@
 	return p ? (unsigned int)(p - s->procs) % EDGES_MAX : 0;
 }
 
-/* A server that says nothing yet begins to. */
-void words_fault(soak_t *s)
+static void begin(server_t *v, said_t says)
 {
-	server_t *v = &s->servers[g_rand_int_range(s->faults, 0,
-						   (gint32)s->nservers)];
-	said_t says = (said_t)g_rand_int_range(s->faults, SAID_LIMIT, SAIDS);
-
 	if (!v->up || v->word.says != SAID_NOTHING)
 		return;
 	if (v->word.arrivals)
@@ -46,7 +54,50 @@
 	v->word.arrivals = g_array_new(FALSE, FALSE, sizeof(arrival_t));
 	v->word.says = says;
 	v->word.from = clock_now();
-	soak_note(s, "%s says %d", v->id, says);
+	soak_note(v->s, "%s says %d", v->id, says);
+}
+
+/* A server that says nothing yet begins to. */
+void words_fault(soak_t *s)
+{
+	server_t *v = &s->servers[g_rand_int_range(s->faults, 0,
+						   (gint32)s->nservers)];
+
+	begin(v, (said_t)g_rand_int_range(s->faults, SAID_LIMIT, SAIDS));
+}
+
+/* A server wants nothing for a while; its entry may lapse meanwhile. */
+static void begin_rest(server_t *v)
+{
+	ms_t after = g_rand_int_range(v->s->faults, LAPSE_MIN_MS, LAPSE_MAX_MS);
+
+	begin(v, SAID_PAUSE);
+	if (g_rand_boolean(v->s->faults))
+		v->word.lapse_at = clock_now() + after;
+}
+
+/*
+ * Servers want nothing for a while: all of them, those of one service, every
+ * second one; or an edge is killed.
+ */
+void words_rest(soak_t *s)
+{
+	int what = g_rand_int_range(s->faults, 0, RESTS);
+	int edge = g_rand_int_range(s->faults, 0, (gint32)s->nedges);
+
+	if (what == REST_KILL) {
+		soak_note(s, "kill %s", s->procs[edge].name);
+		proc_signal(&s->procs[edge], SIGKILL);
+		return;
+	}
+	for (unsigned int i = 0; i < s->nservers; i++) {
+		server_t *v = &s->servers[i];
+
+		if (what == REST_ALL || (what == REST_PLAIN && !v->stream) ||
+		    (what == REST_STREAMS && v->stream) ||
+		    (what == REST_SECOND && i % 2))
+			begin_rest(v);
+	}
 }
 
 /* Ends what a server says, when it is time to. */
@@ -59,6 +110,11 @@
 	};
 	bool leaves = v->word.says == SAID_LEAVING;
 
+	if (v->word.lapse_at && now >= v->word.lapse_at) {
+		v->word.lapse_at = 0;
+		soak_note(v->s, "the entry of %s lapses", v->id);
+		store_put(&v->s->store, "keyed.servers", v->id, NULL);
+	}
 	if (v->word.says == SAID_NOTHING ||
 	    now < v->word.from + spans[v->word.says])
 		return;
@@ -132,6 +188,10 @@
 
 	if (v->word.says == SAID_NOTHING)
 		return;
+	if (told < v->s->procs[a.edge].disturbed_at) {
+		v->word.told[a.edge] = 0;
+		told = 0;
+	}
 	g_array_append_val(v->word.arrivals, a);
 	if (v->word.says == SAID_LIMIT)
 		check_limit(v, a.at);
