--- a/bench/edges/dat.h
+++ b/bench/edges/dat.h
@@ -11,6 +11,7 @@
 
 enum {
 	KINDS = 3,
+	HOSTS_MAX = 128,
 	WAY_MS = 1,	/* of a message between two hosts, one way */
 	STORE_MS = 100, /* from a host through the store to all */
 	POISON = 0xbad, /* a part or content that crashes engines */
@@ -52,6 +53,8 @@
 	bool plain;    /* prompts have no parts */
 	ms_t store_ms; /* from a host through the store to all */
 	bool cut;      /* the first host does not reach the store */
+	unsigned int rest; /* engines that want nothing for a while */
+	bool lapses;	   /* their entries lapse and come back */
 } play_t;
 
 /* What callers of a kind got. */
@@ -68,6 +71,8 @@
 				     last crash that may happen */
 	unsigned int sound;	  /* others, from 6 s after it */
 	unsigned int sound_begun; /* at the first attempt */
+	unsigned int turned_away;
+	unsigned int rest_reached; /* the most of a host in an engine's pause */
 } result_t;
 
 /* A request and its caller's view. */
@@ -95,6 +100,12 @@
 	keeper_request_t ask;
 } note_t;
 
+/* When an engine told a host that it wants nothing, and what came since. */
+typedef struct told {
+	ms_t at; /* 0: it has not */
+	unsigned int reached;
+} told_t;
+
 /* An engine with its keeper. */
 typedef struct seat {
 	struct world *w;
@@ -105,6 +116,7 @@
 	bool crashes;	       /* at the end of this ms */
 	ms_t up_at;	       /* it has crashed until then; 0: it is up */
 	ms_t started;
+	told_t told[HOSTS_MAX];
 } seat_t;
 
 typedef struct host {
--- a/bench/edges/fns.h
+++ b/bench/edges/fns.h
@@ -27,6 +27,10 @@
 void poison_step(world_t *w);
 void poison_count(world_t *w);
 
+/* rest.c */
+bool rest_turns_away(world_t *w, item_t *i, unsigned int engine);
+void rest_step(world_t *w);
+
 /* plot.c */
 void plot_write(const char *path, const double *loads, size_t n,
 		double goodput[WAYS][16]);
--- a/bench/edges/main.c
+++ b/bench/edges/main.c
@@ -239,6 +239,62 @@
 	      percent(none.sound_begun, none.sound) * sound_part);
 }
 
+/* Engines that want nothing for a while, and the fleet. */
+typedef struct rest_case {
+	const char *name;
+	unsigned int engines;
+	unsigned int rest; /* of these */
+	bool lapses;
+	double served; /* part of what is in time when none rests */
+} rest_case_t;
+
+static const rest_case_t rest_cases[] = {
+	{ "two-of-24", ENGINES, 2, false, 0.9 },
+	{ "two-of-24-lapse", ENGINES, 2, true, 0.9 },
+	{ "two-of-four", FEW_ENGINES, 2, false, 0.5 },
+	{ "all-of-four", FEW_ENGINES, FEW_ENGINES, false, 0.5 },
+	{ "all-of-four-lapse", FEW_ENGINES, FEW_ENGINES, true, 0.5 },
+};
+
+enum {
+	REST_REACHED_MAX = 2, /* of a host, in an engine's pause */
+};
+
+static const double rest_load = 0.5;
+
+static result_t play_rest(const rest_case_t *c, unsigned int rest)
+{
+	play_t play = { .way = WAY_KEEPERS,
+			.hosts = HOSTS,
+			.engines = c->engines,
+			.subset = SUBSET,
+			.load = rest_load,
+			.span = SPAN_MS,
+			.seed = SEED,
+			.rest = rest,
+			.lapses = c->lapses };
+	result_t r = world_play(&play);
+
+	printf("%-18s %4u %6u %4u %6.2f\n", c->name, rest, r.turned_away,
+	       r.rest_reached, goodput(&r));
+	fflush(stdout);
+	return r;
+}
+
+/* What engines cost that turn requests away and want nothing for a while. */
+static void print_rest(const rest_case_t *c)
+{
+	result_t none = play_rest(c, 0);
+	result_t r = play_rest(c, c->rest);
+	char name[64];
+
+	g_snprintf(name, sizeof(name), "edges-rest-%s-reached", c->name);
+	bound_most(name, rest_load, r.rest_reached, REST_REACHED_MAX);
+	g_snprintf(name, sizeof(name), "edges-rest-%s-in-time-percent",
+		   c->name);
+	bound(name, rest_load, goodput(&r), goodput(&none) * c->served);
+}
+
 int main(int argc, char **argv)
 {
 	static double plotted[WAYS][16];
@@ -270,6 +326,9 @@
 	       "in time\n");
 	for (size_t i = 0; i < G_N_ELEMENTS(bad_cases); i++)
 		print_bad(&bad_cases[i]);
+	printf("rest, engines that do, turned away, reached, in time\n");
+	for (size_t i = 0; i < G_N_ELEMENTS(rest_cases); i++)
+		print_rest(&rest_cases[i]);
 	if (argc > 2)
 		plot_write(argv[2], loads, G_N_ELEMENTS(loads), plotted);
 	return EXIT_SUCCESS;
--- a/bench/edges/world.c
+++ b/bench/edges/world.c
@@ -3,12 +3,14 @@
 #include "fns.h"
 
 enum {
+	RETRY_WINDOW_MS = 10000,
 	TAIL_MS = 11000, /* for the last to end */
 	REPORT_MS = 500, /* between reports of the engines' loads */
 	TICK_MS = 10,
 	OVERLAP = 1, /* as keepers have it */
 };
 
+static const double retry_ratio = 0.2;
 static const char service[] = "model";
 static split_t split = { (char *)service, 1 };
 static edge_route_t routes[KINDS];
@@ -269,6 +271,8 @@
 			i->over = true;
 		return;
 	}
+	if (rest_turns_away(w, i, engine))
+		return;
 	i->engine = engine;
 	i->at_engine = true;
 	g_snprintf(body, sizeof(body), "%u %.0f %.0f 0 0", i->number,
@@ -373,7 +377,10 @@
 				     .name = w->hosts[i].name,
 				     .data_center = "a",
 				     .subset = w->play.subset,
-				     .seed = i };
+				     .seed = i,
+				     .retry_ratio =
+					     w->play.rest ? retry_ratio : 0,
+				     .retry_window = RETRY_WINDOW_MS };
 
 		g_snprintf(w->hosts[i].name, sizeof(w->hosts[i].name), "h%u",
 			   i);
@@ -473,6 +480,7 @@
 				engine_step(w.seats[i].engine);
 		}
 		poison_step(&w);
+		rest_step(&w);
 		if (w.now % TICK_MS == 0)
 			tick(&w);
 	}
