daemon.sh: a held connection is one that the entry answers on (a known red traced)

Cause: the connection of the request before, for the entry's health, may still be open at the entry when the eighth is made, which is then closed as one too many; the shell keeps its end, counts eight, and the ninth is the eighth. A held connection is now one that was answered on; that the ninth is turned away, and room made again, is checked as before.

--- a/test/fault/daemon.sh
+++ b/test/fault/daemon.sh
@@ -193,13 +193,24 @@
 run_daemon entry-3
 wait_for "entry-3 healthy" http_ok "${PORT[entry-3]}" /healthz
 fds=()
+# Holds a connection on which the entry has answered: it closes those that are
+# too many while an earlier one, of a request before, is still open.
 hold() {
-	local fd
-	exec {fd}<>"/dev/tcp/127.0.0.1/${PORT[entry-3]}" && fds+=("$fd")
+	local fd line
+	exec {fd}<>"/dev/tcp/127.0.0.1/${PORT[entry-3]}" || return 1
+	printf 'GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n' >&"$fd"
+	if read -r -t 5 -u "$fd" line && [[ $line == *' 200 '* ]]; then
+		fds+=("$fd")
+		return 0
+	fi
+	exec {fd}>&-
+	return 1
 }
+trap '' PIPE
 for _ in 1 2 3 4 5 6 7 8; do
-	hold
+	wait_for "a connection held" hold
 done
+trap - PIPE
 [ ${#fds[@]} = 8 ] || fail "${#fds[@]} of 8 connections held"
 turned_away() {
 	! http_ok "${PORT[entry-3]}" /healthz
