Quarantine: what explains crashes is derived anew only if an answer clears a report

An answer to this host marked all as changed though none of its own reports named the trait; deriving takes tens of ms with the reports of many lives.

--- a/lib/edge/quarantine.c
+++ b/lib/edge/quarantine.c
@@ -610,14 +610,16 @@
 	return *(const ms_t *)now - r->seen_at >= QUARANTINE_MS;
 }
 
-static void report_drop_trait(report_t *r, trait_t trait)
+/* Returns whether the report named the trait. */
+static bool report_drop_trait(report_t *r, trait_t trait)
 {
 	for (size_t i = 0; i < r->ntraits; i++) {
 		if (r->traits[i] != trait)
 			continue;
 		r->traits[i] = r->traits[--r->ntraits];
-		return;
+		return true;
 	}
+	return false;
 }
 
 /* An answer to this host clears its own reports without the store. */
@@ -627,9 +629,10 @@
 	gpointer r;
 
 	g_hash_table_iter_init(&it, q->own);
-	while (g_hash_table_iter_next(&it, NULL, &r))
-		report_drop_trait(r, trait);
-	q->changed = true;
+	while (g_hash_table_iter_next(&it, NULL, &r)) {
+		if (report_drop_trait(r, trait))
+			q->changed = true;
+	}
 }
 
 /*
