--- a/test/soak/dat.h
+++ b/test/soak/dat.h
@@ -287,7 +287,8 @@
 	size_t memory_most; /* bytes of any daemon */
 	bool pauses_only;   /* servers that pause are the only fault */
 	bool words_only;    /* what servers say is the only fault */
-	bool rest_only;	    /* servers that want nothing, and killed edges */
+	said_t together;    /* that many servers say at once is the only fault,
+			       beside killed edges */
 	unsigned int violations;
 	unsigned int done[KINDS];
 	unsigned int good[KINDS];
--- a/test/soak/fault.c
+++ b/test/soak/fault.c
@@ -251,8 +251,8 @@
 		words_fault(s);
 		return;
 	}
-	if (s->rest_only) {
-		words_rest(s);
+	if (s->together != SAID_NOTHING) {
+		words_together(s);
 		return;
 	}
 	if (s->pauses_only) {
--- a/test/soak/fns.h
+++ b/test/soak/fns.h
@@ -67,7 +67,7 @@
 
 /* words.c */
 void words_fault(soak_t *s);
-void words_rest(soak_t *s);
+void words_together(soak_t *s);
 void words_tick(server_t *v, ms_t now);
 void words_put(server_t *v, const char *id, GString *out);
 bool words_turn_away(server_t *v, const char *id);
--- a/test/soak/main.c
+++ b/test/soak/main.c
@@ -29,6 +29,7 @@
 	gboolean stops;
 	gboolean words;
 	gboolean rest;
+	gboolean leave;
 	gint poison;
 	gint repeats;
 	gboolean verbose;
@@ -148,6 +149,8 @@
 		{ "rest", 0, 0, G_OPTION_ARG_NONE, &opt.rest,
 		  "Servers that want nothing for a while, all of them at times",
 		  NULL },
+		{ "leave", 0, 0, G_OPTION_ARG_NONE, &opt.leave,
+		  "Servers that leave, all of them at times", NULL },
 		{ "stops", 0, 0, G_OPTION_ARG_NONE, &opt.stops,
 		  "Only planned stops of edges, under long requests", NULL },
 		{ "verbose", 'v', 0, G_OPTION_ARG_NONE, &opt.verbose,
@@ -179,7 +182,10 @@
 	s->net = 1 + (unsigned int)getpid() % NETS;
 	s->pauses_only = opt.pauses;
 	s->words_only = opt.words;
-	s->rest_only = opt.rest;
+	if (opt.rest)
+		s->together = SAID_PAUSE;
+	if (opt.leave)
+		s->together = SAID_LEAVING;
 	s->dir = opt.dir;
 	s->stops = opt.stops;
 	s->grace = opt.stops ? LONG_GRACE_MS : GRACE_MS;
--- a/test/soak/words.c
+++ b/test/soak/words.c
@@ -22,14 +22,14 @@
 	LAPSE_MAX_MS = 1500,
 };
 
-/* Which servers want nothing for a while; or what else happens. */
+/* Which servers say something at once; or what else happens. */
 enum {
-	REST_ALL,
-	REST_PLAIN,
-	REST_STREAMS,
-	REST_SECOND,
-	REST_KILL,
-	RESTS,
+	TOGETHER_ALL,
+	TOGETHER_PLAIN,
+	TOGETHER_STREAMS,
+	TOGETHER_SECOND,
+	TOGETHER_KILL,
+	TOGETHERS,
 };
 
 static const double limit_per_s = 2;
@@ -66,26 +66,26 @@
 	begin(v, (said_t)g_rand_int_range(s->faults, SAID_LIMIT, SAIDS));
 }
 
-/* A server wants nothing for a while; its entry may lapse meanwhile. */
-static void begin_rest(server_t *v)
+/* A server says what all do; its entry may lapse meanwhile. */
+static void begin_together(server_t *v)
 {
 	ms_t after = g_rand_int_range(v->s->faults, LAPSE_MIN_MS, LAPSE_MAX_MS);
 
-	begin(v, SAID_PAUSE);
+	begin(v, v->s->together);
 	if (g_rand_boolean(v->s->faults))
 		v->word.lapse_at = clock_now() + after;
 }
 
 /*
- * Servers want nothing for a while: all of them, those of one service, every
- * second one; or an edge is killed.
+ * Servers want nothing for a while, or leave: all of them, those of one
+ * service, every second one; or an edge is killed.
  */
-void words_rest(soak_t *s)
+void words_together(soak_t *s)
 {
-	int what = g_rand_int_range(s->faults, 0, RESTS);
+	int what = g_rand_int_range(s->faults, 0, TOGETHERS);
 	int edge = g_rand_int_range(s->faults, 0, (gint32)s->nedges);
 
-	if (what == REST_KILL) {
+	if (what == TOGETHER_KILL) {
 		soak_note(s, "kill %s", s->procs[edge].name);
 		proc_signal(&s->procs[edge], SIGKILL);
 		return;
@@ -93,10 +93,11 @@
 	for (unsigned int i = 0; i < s->nservers; i++) {
 		server_t *v = &s->servers[i];
 
-		if (what == REST_ALL || (what == REST_PLAIN && !v->stream) ||
-		    (what == REST_STREAMS && v->stream) ||
-		    (what == REST_SECOND && i % 2))
-			begin_rest(v);
+		if (what == TOGETHER_ALL ||
+		    (what == TOGETHER_PLAIN && !v->stream) ||
+		    (what == TOGETHER_STREAMS && v->stream) ||
+		    (what == TOGETHER_SECOND && i % 2))
+			begin_together(v);
 	}
 }
 
