Quarantine: a host's own reports are bounded like those of the store

With a store that is away for long, a host that sees many servers end kept a report of each for ten minutes, without a bound (by reading). As many as the store's, 512; what is left out is counted and logged.

--- a/lib/edge/crashrec.c
+++ b/lib/edge/crashrec.c
@@ -105,6 +105,13 @@
 	quarantine_t *q = e->quarantine;
 	report_t *r = report_new(e->conf.name ? e->conf.name : "", c);
 
+	if (g_hash_table_size(q->own) >= REPORTS_MAX) {
+		q->left_out->value++;
+		log_line(LOG_WARN, "report_left_out", "report=%s number=none",
+			 r->key);
+		report_free(r);
+		return;
+	}
 	r->number = q->last_number + 1;
 	r->seen_at = now;
 	g_hash_table_replace(q->own, r->key, r);
