--- a/lib/edge/quarantine.c
+++ b/lib/edge/quarantine.c
@@ -1,7 +1,8 @@
 /*
  * Quarantine of requests that crash servers, by their traits, from what hosts
  * report to each other. Which traits are in quarantine is a function of the set
- * of records alone, so that all hosts that have read the same agree on it.
+ * of records, so that all hosts that have read the same agree on it, but for a
+ * host's own reports, which it goes by before it has read them back.
  */
 #include <inttypes.h>
 #include "edge/quarantine.h"
