--- a/review/rig/rig.py
+++ b/review/rig/rig.py
@@ -272,6 +272,7 @@
         self.work_ms = how.get("work_ms", 15)
         self.events = how.get("events", 5)
         self.poison = how.get("poison")    # a part that crashes it
+        self.idle_s = how.get("idle_s")    # it closes channels idle so long
         self.extra = how.get("extra", 0)   # share of answers that come twice
         self.sheds = how.get("sheds", 0)   # share that it turns away
         self.rand = how.get("rand")
@@ -329,6 +330,10 @@
         await self.start()
 
     def head(self, status, rid, fields=""):
+        if self.state != "ready":
+            fields = "Server-Leaving: 1\r\n" + fields
+        if self.idle_s:
+            fields = "Keep-Alive: timeout=%d\r\n" % self.idle_s + fields
         return ("HTTP/1.1 %d X\r\nX-Request-Id: %s\r\nX-Server-Load: "
                 "%d,%d,%d\r\n%s" % (status, rid, self.running, self.waiting,
                                     self.slots, fields))
@@ -339,7 +344,7 @@
         life = self.id
         try:
             while self.up and life == self.id:
-                m = await read_head(reader)
+                m = await asyncio.wait_for(read_head(reader), self.idle_s)
                 m.body = await read_body(reader, m)
                 out = await self.handle(m, writer, late)
                 if out and self.extra and self.rand.random() < self.extra:
@@ -347,7 +352,7 @@
                                  "its answer comes again: %d"
                                  % int(out.split(b" ")[1]))
                     late.append(out)
-        except BROKEN:
+        except (*BROKEN, asyncio.TimeoutError):
             pass
         finally:
             self.conns.discard(writer)
