--- a/review/1/play.py
+++ b/review/1/play.py
@@ -53,6 +53,7 @@
                           "127.%d.3.%d" % (rig.net, i + 1), work_ms=60,
                           rand=random.Random(i)) for i in range(4)]
     rig.ends = []  # (time, front)
+    rig.starts = []  # the same, by the platform after an end
     return rig
 
 
@@ -87,12 +88,20 @@
             rig.ends.append((time.monotonic(), p.name))
             await asyncio.sleep(RESTART_S)
             p.start()
+            rig.starts.append((time.monotonic(), p))
+
+
+def in_touch(rig, r):
+    """Whether the front wasn't started in stable_window_ms before the end."""
+    return not any(p is r["to"] and r["over"] - HOLD_S < t <= r["over"]
+                   for t, p in rig.starts)
 
 
 def judge(rig):
     sound = {e.name for e in rig.engines[2:]}
     lost = [i for i, r in rig.requests.items()
             if r["status"] == 0 and r["mark"] == "kept" and
+            not r.get("left") and in_touch(rig, r) and
             any(e.rsplit("-", 1)[0] in sound for _, e in r["runs"])]
     ran = sum(1 for r in rig.requests.values() if r["runs"])
     text = ("%d of %d requests that ran: a sound engine ran it and the front "
--- a/review/rig/rig.py
+++ b/review/rig/rig.py
@@ -546,6 +546,7 @@
             status = int(answer.first.split(" ")[1])
         except asyncio.TimeoutError:
             self.close()
+            self.rig.requests[rid]["left"] = True
         except BROKEN:
             self.close()
         if answer.get("connection") == "close" or not status:
