--- a/lib/http/check.c
+++ b/lib/http/check.c
@@ -73,10 +73,23 @@
 	return s.n > 0;
 }
 
+/*
+ * Whether the head alone can be an answer. An interim one has no body, so none
+ * may be announced, and we never ask to switch to another protocol.
+ */
+static bool valid_status(const http_head_t *h, bool announces_body)
+{
+	if (h->status < HTTP_STATUS_CONTINUE ||
+	    h->status == HTTP_STATUS_SWITCHING_PROTOCOLS)
+		return false;
+	return !http_is_interim(h) || !announces_body;
+}
+
 /*
  * Checks that the body's length is given by one field at most, either
- * Content-Length or Transfer-Encoding: chunked, and that a request has one Host
- * field. Returns CODE_BAD_REQUEST otherwise.
+ * Content-Length or Transfer-Encoding: chunked, that a request has one Host
+ * field, and an answer a status that goes with these. Returns CODE_BAD_REQUEST
+ * otherwise.
  */
 code_t http_fields_check(const http_head_t *h, bool request)
 {
@@ -90,7 +103,8 @@
 	if (encodings &&
 	    !http_name_is(http_value(h, "transfer-encoding"), "chunked"))
 		return CODE_BAD_REQUEST;
-	if (request && count(h, "host") != 1)
+	if (request ? count(h, "host") != 1
+		    : !valid_status(h, lengths + encodings > 0))
 		return CODE_BAD_REQUEST;
 	return CODE_OK;
 }
--- a/lib/http/dat.h
+++ b/lib/http/dat.h
@@ -32,7 +32,8 @@
 
 /*
  * Callbacks for the parts of a message. head comes once, body any number of
- * times, end once when the message is complete. The head is valid during the
+ * times, end once when the message is complete; always in this order. Interim
+ * answers are read over. The head is valid during the
  * call only. A reader must not be freed from inside a call;
  * http_reader_stop ends feeding.
  */
@@ -56,6 +57,7 @@
 	size_t data;	     /* bytes of the present body */
 	size_t framing;	     /* bytes of chunk lines and trailers around them */
 	bool in_body;
+	bool head_passed; /* of the present message, to the user */
 	bool stopped;
 	bool too_large; /* the last failure was the head's size */
 } http_reader_t;
--- a/lib/http/field.c
+++ b/lib/http/field.c
@@ -86,6 +86,12 @@
 	return c && list_has(c->value, name);
 }
 
+/* Whether an answer's head is followed by that of another answer. */
+bool http_is_interim(const http_head_t *h)
+{
+	return h->status < HTTP_STATUS_OK;
+}
+
 /* Returns the reason phrase of a status. */
 const char *http_reason(int status)
 {
--- a/lib/http/reader.c
+++ b/lib/http/reader.c
@@ -59,8 +59,9 @@
 	r->in_body = true;
 	r->data = 0;
 	r->framing = 0;
-	if (p->type == HTTP_RESPONSE && p->status_code < 200)
+	if (p->type == HTTP_RESPONSE && http_is_interim(&parsed_head))
 		return 0;
+	r->head_passed = true;
 	return r->ops->head(r->ctx, &parsed_head) ? 1 : 0;
 }
 
@@ -69,7 +70,7 @@
 	http_reader_t *r = p->data;
 
 	r->data += n;
-	if (!r->stopped)
+	if (r->head_passed && !r->stopped)
 		r->ops->body(r->ctx, (str_t){ at, n });
 	if (r->stopped)
 		http_parser_pause(p, 1);
@@ -83,8 +84,9 @@
 	r->in_body = false;
 	p->upgrade = 0;
 	http_parser_pause(p, 1);
-	if (p->type == HTTP_RESPONSE && p->status_code < 200)
+	if (!r->head_passed)
 		return 0;
+	r->head_passed = false;
 	r->heads = 0;
 	if (!r->stopped)
 		r->ops->end(r->ctx);
--- a/test/endless.c
+++ b/test/endless.c
@@ -62,6 +62,13 @@
 	  HEAD_MOST, ROUTE_MS, NULL, 502, true, NULL, false },
 	{ "interim heads", PATH_ONCE, "", "HTTP/1.1 100 Continue\r\n\r\n",
 	  HEAD_MOST, ROUTE_MS, NULL, 502, true, NULL, false },
+	/* Its body came without a head and ended the process. */
+	{ "interim head with a body", PATH_ONCE,
+	  "HTTP/1.1 100 OK\r\n" STAMP FIXED(4) "good", NULL, 0, ROUTE_MS, NULL,
+	  502, true, NULL, false },
+	{ "repeated after an interim head with a body", PATH_SAFE,
+	  "HTTP/1.1 100 OK\r\n" STAMP CHUNKED "1\r\na\r\n", NULL, 0, ROUTE_MS,
+	  GOOD, 200, true, "good", false },
 	{ "blank lines", PATH_ONCE, "", "\r\n", HEAD_MOST, ROUTE_MS, NULL, 502,
 	  true, NULL, false },
 	{ "line feeds", PATH_ONCE, "", "\n", HEAD_MOST, ROUTE_MS, NULL, 502,
--- a/test/http.c
+++ b/test/http.c
@@ -15,6 +15,7 @@
 
 /* What a reader reported of the messages fed to it. */
 typedef struct seen {
+	bool open; /* a head has come, its end has not */
 	unsigned int heads;
 	unsigned int ends;
 	int status;
@@ -26,6 +27,8 @@
 {
 	seen_t *s = ctx;
 
+	ck_assert(!s->open);
+	s->open = true;
 	s->heads++;
 	s->status = h->status;
 	g_string_truncate(s->target, 0);
@@ -37,6 +40,7 @@
 {
 	seen_t *s = ctx;
 
+	ck_assert(s->open);
 	g_string_append_len(s->body, data.p, (gssize)data.n);
 }
 
@@ -44,6 +48,8 @@
 {
 	seen_t *s = ctx;
 
+	ck_assert(s->open);
+	s->open = false;
 	s->ends++;
 }
 
@@ -191,7 +197,8 @@
 	const char *body;
 } answer_case_t;
 
-#define OK200 "HTTP/1.1 200 OK\r\n"
+#define OK200	"HTTP/1.1 200 OK\r\n"
+#define INTERIM "HTTP/1.1 103 Early Hints\r\n"
 
 static const answer_case_t answers[] = {
 	{ "length", OK200 "Content-Length: 2\r\n\r\nab", CODE_OK, CODE_OK, 1,
@@ -211,27 +218,51 @@
 	{ "two answers",
 	  OK200 "Content-Length: 1\r\n\r\na" OK200 "Content-Length: 1\r\n\r\nb",
 	  CODE_OK, CODE_OK, 2, "ab" },
+	/* A body without its head ended the process that read it. */
+	{ "interim with a length", INTERIM "Content-Length: 2\r\n\r\nab",
+	  CODE_BAD_REQUEST, CODE_OK, 0, "" },
+	{ "interim with no length", INTERIM "Content-Length: 0\r\n\r\n",
+	  CODE_BAD_REQUEST, CODE_OK, 0, "" },
+	{ "interim in chunks",
+	  INTERIM "Transfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n\r\n",
+	  CODE_BAD_REQUEST, CODE_OK, 0, "" },
+	{ "switch to another protocol",
+	  "HTTP/1.1 101 Switching\r\nUpgrade: x\r\n"
+	  "Connection: upgrade\r\n\r\nab",
+	  CODE_BAD_REQUEST, CODE_OK, 0, "" },
+	{ "status of two digits",
+	  "HTTP/1.1 20 OK\r\nContent-Length: 2\r\n\r\nab", CODE_BAD_REQUEST,
+	  CODE_OK, 0, "" },
 };
 
-START_TEST(test_answers)
+static void run_answer(const answer_case_t *c, size_t step)
 {
-	const answer_case_t *c = &answers[_i];
 	http_reader_t in;
 	seen_t s;
 	code_t code;
 
 	seen_init(&s);
 	http_reader_init(&in, false, HEAD_MAX, &ops, &s);
-	code = feed(&in, c->text, strlen(c->text), 5);
-	ck_assert_msg(code == c->code, "%s: code %d", c->name, code);
+	code = feed(&in, c->text, strlen(c->text), step);
+	ck_assert_msg(code == c->code, "%s by %zu: code %d", c->name, step,
+		      code);
 	if (code == CODE_OK)
-		ck_assert_msg(http_reader_eof(&in) == c->eof, "%s: eof",
-			      c->name);
-	ck_assert_msg(s.ends == c->ends, "%s: %u ends", c->name, s.ends);
+		ck_assert_msg(http_reader_eof(&in) == c->eof, "%s by %zu: eof",
+			      c->name, step);
+	ck_assert_msg(s.ends == c->ends, "%s by %zu: %u ends", c->name, step,
+		      s.ends);
 	ck_assert_str_eq(s.body->str, c->body);
 	http_reader_clear(&in);
 	seen_clear(&s);
 }
+
+START_TEST(test_answers)
+{
+	const answer_case_t *c = &answers[_i];
+
+	for (size_t step = 1; step <= strlen(c->text); step++)
+		run_answer(c, step);
+}
 END_TEST
 
 typedef struct endless_case {
