--- a/lib/forward/priv.h
+++ b/lib/forward/priv.h
@@ -10,6 +10,7 @@
 				   its server is paused */
 	PENDING_MAX = 64 << 10, /* bytes of a caller's next requests */
 	STRAYS_MAX = 16, /* answers to other requests, ahead of the one due */
+	SENDS_MAX = 16,	 /* of a request, whose connections are remembered */
 };
 
 /* A connection from a caller. */
@@ -39,7 +40,8 @@
 	forward_t *forward;
 	backend_t *server;
 	hconn_t *conn;
-	exchange_t *x; /* whose request was sent; NULL while idle */
+	uint64_t number; /* of this host's, in the order of opening */
+	exchange_t *x;	 /* whose request was sent; NULL while idle */
 	unsigned int requests_sent;
 	ms_t idle_since;
 	ms_t idle_timeout;
@@ -69,7 +71,9 @@
 	GByteArray *body;	  /* of the request */
 	uint64_t head_content;	  /* hash; the rest of it follows */
 
-	server_conn_t *conn; /* of the attempt in progress; NULL none */
+	server_conn_t *conn;	     /* of the attempt in progress; NULL none */
+	uint64_t sent_on[SENDS_MAX]; /* numbers of the attempts' connections */
+	unsigned int nsent;
 	int status;
 	bool stray;	   /* the answer being read is to another request */
 	bool rejected;	   /* it says that the request was not run */
@@ -108,6 +112,7 @@
 	list_t callers;
 	list_t exchanges;
 	size_t ncallers;
+	uint64_t last_conn; /* number of the newest to a server */
 	bool draining;
 	ms_t drain_since;
 	counter_t *requests;
--- a/lib/forward/server_conn.c
+++ b/lib/forward/server_conn.c
@@ -116,12 +116,31 @@
 static const hconn_ops_t ops = { on_head, on_body, on_end, on_gone };
 
 /*
- * Takes an idle connection to the server that is still usable, or returns NULL.
- * recent_only: one that was used within RECENT_USE_MS.
+ * Whether an answer that comes next on the connection could belong to another
+ * send. A server may repeat an answer late, and all that names the send is the
+ * request's id: so each send of a request has a connection of its own, and a
+ * request without an id a new one.
  */
-static server_conn_t *take_idle(backend_t *b, bool recent_only, ms_t now)
+static bool is_ambiguous(const exchange_t *x, const server_conn_t *c)
 {
-	conn_pool_t *pool = b->user;
+	if (!x->id || x->nsent > SENDS_MAX)
+		return true;
+	for (unsigned int i = 0; i < x->nsent; i++) {
+		if (x->sent_on[i] == c->number)
+			return true;
+	}
+	return false;
+}
+
+/*
+ * Takes an idle connection to the request's server that is still usable, or
+ * returns NULL. A request that must not be repeated takes one that was used
+ * within RECENT_USE_MS.
+ */
+static server_conn_t *take_idle(const exchange_t *x, ms_t now)
+{
+	bool recent_only = x->req.route->retry == RETRY_NEVER;
+	conn_pool_t *pool = x->req.server->user;
 	list_t *pos;
 	list_t *tmp;
 
@@ -134,6 +153,8 @@
 
 		if (recent_only && age > RECENT_USE_MS)
 			return NULL;
+		if (is_ambiguous(x, c))
+			continue;
 		if (age < c->idle_timeout && hconn_reusable(c->conn)) {
 			list_del(&c->link);
 			list_init(&c->link);
@@ -159,6 +180,7 @@
 	list_init(&c->link);
 	c->forward = f;
 	c->server = b;
+	c->number = ++f->last_conn;
 	c->idle_timeout = IDLE_MAX_MS;
 	c->conn = hconn_open(f->loop, &b->addr, &ops, c);
 	f->connects->value++;
@@ -199,13 +221,12 @@
 	forward_t *f = x->forward;
 	backend_t *b = x->req.server;
 	ms_t now = clock_now();
-	bool recent_only = x->req.route->retry == RETRY_NEVER;
 	server_conn_t *c;
 	GByteArray *head;
 
 	if (caller_left(x->caller))
 		return;
-	c = take_idle(b, recent_only, now);
+	c = take_idle(x, now);
 	if (c)
 		f->reused->value++;
 	else
@@ -217,6 +238,9 @@
 	}
 	c->x = x;
 	c->requests_sent++;
+	if (x->nsent < SENDS_MAX)
+		x->sent_on[x->nsent] = c->number;
+	x->nsent++;
 	x->conn = c;
 	x->strays = 0;
 	x->unkept_bytes = 0;
--- a/test/endless.c
+++ b/test/endless.c
@@ -3,12 +3,10 @@
  * holds is bounded, the connection is closed, and the caller gets 502 or
  * another server's answer.
  */
-#include "adapter.h"
 #include "flood.h"
-#include "world.h"
+#include "host.h"
 
 enum {
-	TICK_MS = 10,
 	WAIT_MAX_MS = 30000,	 /* for one case */
 	ROUTE_MS = 20000,	 /* a route's timeout */
 	SHORT_MS = 400,		 /* one that ends while bytes come */
@@ -31,14 +29,6 @@
 	"xxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxx"    \
 	"xxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxx"
 
-typedef enum path {
-	PATH_ONCE, /* may run once */
-	PATH_SAFE, /* may be repeated */
-	PATH_STREAM,
-} path_t;
-
-static const char *const path_names[] = { "once", "safe", "stream" };
-
 typedef struct endless_case {
 	const char *name;
 	path_t path;
@@ -180,159 +170,6 @@
 
 static const hconn_ops_t caller_ops = { on_head, on_body, on_end, on_gone };
 
-/* An edge host in this process. */
-typedef struct host {
-	uv_loop_t loop;
-	uv_timer_t tick;
-	counters_t *counters;
-	edge_t *edge;
-	forward_t *forward;
-	addr_t at;
-} host_t;
-
-static void pass_send(void *ctx, request_t *r)
-{
-	forward_send(((host_t *)ctx)->forward, r);
-}
-
-static void pass_refuse(void *ctx, request_t *r, code_t code, ms_t after)
-{
-	forward_refuse(((host_t *)ctx)->forward, r, code, after);
-}
-
-static void ignore_leave(void *ctx, uint64_t server, const char *customer)
-{
-}
-
-static void pass_forget(void *ctx, backend_t *b)
-{
-	forward_drop_server(((host_t *)ctx)->forward, b);
-}
-
-static const edge_ops_t edge_ops = {
-	pass_send,	     pass_refuse,	  on_note,
-	ignore_request_slot, ignore_release_slot, ignore_quota_join,
-	ignore_leave,	     ignore_quota_take,	  on_keeper_wanted,
-	pass_forget,	     ignore_crash_seen,	  ignore_part_answered,
-	ignore_limit_named,  ignore_leaving_said, ignore_leave_silent
-};
-
-static void on_tick(uv_timer_t *t)
-{
-	host_t *h = t->data;
-	ms_t now = clock_now();
-
-	edge_tick(h->edge, now);
-	forward_tick(h->forward, now);
-}
-
-static void add_route(desired_t *d, path_t path, ms_t timeout)
-{
-	edge_route_t *r = g_new0(edge_route_t, 1);
-
-	r->name = g_strdup(path_names[path]);
-	r->host = g_strdup(path_names[path]);
-	r->prefix = g_strdup("/");
-	r->retry = path == PATH_ONCE   ? RETRY_NEVER
-		   : path == PATH_SAFE ? RETRY_SAFE
-				       : RETRY_RESUME;
-	r->stream = path == PATH_STREAM;
-	r->timeout = timeout;
-	r->first_event_target = ROUTE_MS;
-	r->gap_target = ROUTE_MS;
-	r->attempts = 2;
-	r->nsplits = 1;
-	r->splits = g_new0(split_t, 1);
-	r->splits[0].service = g_strdup(svc);
-	r->splits[0].weight = 1;
-	g_ptr_array_add(d->routes, r);
-}
-
-static void configure(host_t *h, ms_t timeout)
-{
-	desired_t *d = desired_new(1);
-
-	d->limits = (edge_limits_t){ 16 << 10, 1 << 20, ROUTE_MS, ROUTE_MS };
-	for (path_t p = PATH_ONCE; p <= PATH_STREAM; p++)
-		add_route(d, p, timeout);
-	desired_index(d);
-	edge_configure(h->edge, d);
-}
-
-/* Returns a port of the loopback address that is free now. */
-static uint16_t free_port(uv_loop_t *loop)
-{
-	struct sockaddr_in sa;
-	int n = sizeof(sa);
-	uv_tcp_t probe;
-
-	uv_tcp_init(loop, &probe);
-	uv_ip4_addr("127.0.0.1", 0, &sa);
-	ck_assert_int_eq(uv_tcp_bind(&probe, (struct sockaddr *)&sa, 0), 0);
-	uv_tcp_getsockname(&probe, (struct sockaddr *)&sa, &n);
-	uv_close((uv_handle_t *)&probe, NULL);
-	uv_run(loop, UV_RUN_NOWAIT);
-	return ntohs(sa.sin_port);
-}
-
-static void host_open(host_t *h, ms_t timeout)
-{
-	edge_conf_t conf = { .inc = 7,
-			     .data_center = "a",
-			     .subset = 12,
-			     .seed = 1,
-			     .retry_ratio = 1,
-			     .retry_window = 10 * MS,
-			     .quota = { .window = 8 * MS } };
-	forward_conf_t to = { .connections_max = 100,
-			      .connect_timeout = ROUTE_MS };
-
-	memset(h, 0, sizeof(*h));
-	uv_loop_init(&h->loop);
-	g_strlcpy(h->at.ip, "127.0.0.1", sizeof(h->at.ip));
-	h->at.port = free_port(&h->loop);
-	to.listen_addr = h->at;
-	h->counters = counters_new();
-	h->edge = edge_new(&conf, &edge_ops, h, h->counters);
-	configure(h, timeout);
-	h->forward = forward_new(&h->loop, &to, h->edge, &adapter_codec,
-				 h->counters);
-	ck_assert_int_eq(forward_listen(h->forward), CODE_OK);
-	uv_timer_init(&h->loop, &h->tick);
-	h->tick.data = h;
-	uv_timer_start(&h->tick, on_tick, TICK_MS, TICK_MS);
-}
-
-static void host_close(host_t *h)
-{
-	forward_close(h->forward);
-	edge_free(h->edge);
-	uv_close((uv_handle_t *)&h->tick, NULL);
-}
-
-/* Frees the host once all its handles are closed. */
-static void host_free(host_t *h)
-{
-	uv_run(&h->loop, UV_RUN_DEFAULT);
-	forward_free(h->forward);
-	ck_assert_int_eq(uv_loop_close(&h->loop), 0);
-	counters_free(h->counters);
-}
-
-static void put_flood(host_t *h, const flood_t *f, const char *id,
-		      unsigned int slots)
-{
-	backend_info_t info = { .id = id,
-				.service = svc,
-				.version = "v1",
-				.data_center = "a",
-				.addr = f->at,
-				.started_unix = 1,
-				.slots = slots };
-
-	edge_server_put(h->edge, &info, clock_now());
-}
-
 static void request(host_t *h, got_t *g, path_t path)
 {
 	GByteArray *out = g_byte_array_new();
@@ -366,12 +203,12 @@
 	bad.in_order = !c->more && !c->reset;
 	bad.reset = c->reset;
 	good.in_order = true;
-	put_flood(&h, &bad, "bad", 1);
+	host_put(&h, "bad", &bad.at, 1);
 	request(&h, &got, c->path);
 	while (clock_now() < until && !flood_overran(&bad) &&
 	       (!got.over || !flood_shut(&bad))) {
 		if (bad.nconns > 0 && c->elsewhere)
-			put_flood(&h, &good, "good", 1);
+			host_put(&h, "good", &good.at, 1);
 		if (!c->more && got.over)
 			break;
 		uv_run(&h.loop, UV_RUN_ONCE);
@@ -425,7 +262,7 @@
 
 	host_open(&h, ROUTE_MS);
 	flood_open(&f, &h.loop, OK200 "\r\n", "x", PART);
-	put_flood(&h, &f, "bad", PARTS);
+	host_put(&h, "bad", &f.at, PARTS);
 	for (size_t i = 0; i < PARTS; i++)
 		request(&h, &got[i], PATH_ONCE);
 	while (clock_now() < until && !all_sent(&f)) {
