--- a/lib/forward/fns.h
+++ b/lib/forward/fns.h
@@ -33,6 +33,7 @@
 bool hconn_connecting(const hconn_t *c);
 ms_t hconn_connect_start(const hconn_t *c);
 bool hconn_reusable(const hconn_t *c);
+bool hconn_has_surplus(const hconn_t *c);
 bool hconn_sent_any(const hconn_t *c);
 void hconn_set_may_send(hconn_t *c, bool (*may_send)(void *ctx));
 bool hconn_unread(const hconn_t *c);
--- a/lib/forward/hconn.c
+++ b/lib/forward/hconn.c
@@ -29,6 +29,8 @@
 	bool busy;	  /* a request was sent, its answer is not complete */
 	bool keep;	  /* the present answer's head allows another request */
 	bool ends_by_eof; /* the answer ends when the connection closes */
+	bool answered;	  /* the answer has ended; its user was not told yet */
+	bool surplus;	  /* bytes of the present read follow the answer */
 	GByteArray *unsent; /* to be written once connected */
 };
 
@@ -89,8 +91,18 @@
 static void on_end(void *ctx)
 {
 	hconn_t *c = ctx;
+
+	c->answered = true;
+}
+
+/* Tells the user that the answer is complete, if it has ended. */
+static void pass_end(hconn_t *c)
+{
 	bool flushed = writer_queued(&c->out) == 0;
 
+	if (!c->answered || c->closed)
+		return;
+	c->answered = false;
 	c->busy = false;
 	c->ops->end(c->ctx, c, c->keep && flushed && !c->out.failed);
 }
@@ -113,6 +125,8 @@
 		code = http_reader_feed(&c->in, p, n, &used);
 		p += used;
 		n -= used;
+		c->surplus = n > 0;
+		pass_end(c);
 	}
 	if (code != CODE_OK)
 		fail(c, CODE_BAD_ANSWER);
@@ -130,6 +144,7 @@
 	if (n == UV_EOF && c->ends_by_eof &&
 	    tcp_unread(&c->tcp) == TCP_UNREAD_END)
 		http_reader_eof(&c->in);
+	pass_end(c);
 	fail(c, lost_code(c));
 }
 
@@ -267,6 +282,15 @@
 	       !c->out.failed;
 }
 
+/*
+ * Whether bytes that were read with the answer follow it. They belong to no
+ * request that was sent.
+ */
+bool hconn_has_surplus(const hconn_t *c)
+{
+	return c->surplus;
+}
+
 /* Whether a byte of the last request may have reached the other end. */
 bool hconn_sent_any(const hconn_t *c)
 {
--- a/lib/forward/server_conn.c
+++ b/lib/forward/server_conn.c
@@ -91,7 +91,10 @@
 				 : ATTEMPT_ANSWERED;
 	x->conn = NULL;
 	c->x = NULL;
-	if (may_keep && whole && !x->wrong_server && !b->gone && !b->draining)
+	if (hconn_has_surplus(conn))
+		c->forward->stray_answers->value++;
+	if (may_keep && whole && !hconn_has_surplus(conn) && !x->wrong_server &&
+	    !b->gone && !b->draining)
 		keep_idle(c);
 	else
 		server_conn_close(c);
--- a/test/copies.c
+++ b/test/copies.c
@@ -104,6 +104,11 @@
 	return n;
 }
 
+static uint64_t requests_read(host_t *h)
+{
+	return counter_get(h->counters, "edge_requests_total", NULL)->value;
+}
+
 /* Runs the loop until so many answers have come or the time is up. */
 static void await_answers(host_t *h, const raw_caller_t *r, size_t answers)
 {
@@ -157,6 +162,50 @@
 }
 END_TEST
 
+/*
+ * A request that waits for the server's only slot does not get the connection
+ * of the one before while bytes that are no answer lie on it.
+ */
+START_TEST(test_bytes_after_answer)
+{
+	static const script_step_t steps[] = { ONCE(GOOD "junk"), ONCE(GOOD2) };
+	char *first = request_text(PATH_ONCE, "r1");
+	char *second = request_text(PATH_ONCE, "r2");
+	raw_caller_t callers[2];
+	GString *statuses;
+	script_t server;
+	host_t h;
+
+	host_open(&h, HOST_ROUTE_MS);
+	script_open(&server, &h.loop, steps, G_N_ELEMENTS(steps));
+	server.held = true;
+	host_put(&h, "server", &server.at, 1);
+	raw_open(&callers[0], &h.loop, &h.at, first);
+	while (!server.waiting)
+		uv_run(&h.loop, UV_RUN_ONCE);
+	raw_open(&callers[1], &h.loop, &h.at, second);
+	while (requests_read(&h) < 2)
+		uv_run(&h.loop, UV_RUN_ONCE);
+	script_release(&server);
+	await_answers(&h, &callers[0], 1);
+	await_answers(&h, &callers[1], 1);
+	statuses = statuses_of(callers[1].got->str);
+	ck_assert_str_eq(statuses->str, "200 ");
+	ck_assert_uint_eq(server.nconns, 2);
+	host_close(&h);
+	script_close(&server);
+	raw_close(&callers[0]);
+	raw_close(&callers[1]);
+	host_free(&h);
+	script_free(&server);
+	raw_free(&callers[0]);
+	raw_free(&callers[1]);
+	g_string_free(statuses, TRUE);
+	g_free(first);
+	g_free(second);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("copies");
@@ -169,6 +218,7 @@
 	suite_add_tcase(s, t);
 	tcase_set_timeout(t, 0);
 	tcase_add_loop_test(t, test_copies, 0, G_N_ELEMENTS(cases));
+	tcase_add_test(t, test_bytes_after_answer);
 	srunner_run_all(r, CK_NORMAL);
 	failed = srunner_ntests_failed(r);
 	srunner_free(r);
