--- a/lib/http/check.c
+++ b/lib/http/check.c
@@ -73,6 +73,15 @@
 	return s.n > 0;
 }
 
+/*
+ * Whether the head alone can be a request that we pass on. What follows the
+ * head of a CONNECT is a body to one parser and a tunnel to another.
+ */
+static bool valid_request(const http_head_t *h)
+{
+	return count(h, "host") == 1 && !http_name_is(h->method, "CONNECT");
+}
+
 /*
  * Whether the head alone can be an answer. An interim one has no body, so none
  * may be announced, and we never ask to switch to another protocol.
@@ -88,8 +97,8 @@
 /*
  * Checks that the body's length is given by one field at most, either
  * Content-Length or Transfer-Encoding: chunked, that a request has one Host
- * field, and an answer a status that goes with these. Returns CODE_BAD_REQUEST
- * otherwise.
+ * field and opens no tunnel, and that an answer has a status that goes with
+ * its length. Returns CODE_BAD_REQUEST otherwise.
  */
 code_t http_fields_check(const http_head_t *h, bool request)
 {
@@ -103,7 +112,7 @@
 	if (encodings &&
 	    !http_name_is(http_value(h, "transfer-encoding"), "chunked"))
 		return CODE_BAD_REQUEST;
-	if (request ? count(h, "host") != 1
+	if (request ? !valid_request(h)
 		    : !valid_status(h, lengths + encodings > 0))
 		return CODE_BAD_REQUEST;
 	return CODE_OK;
--- a/test/fault/smuggling.sh
+++ b/test/fault/smuggling.sh
@@ -46,6 +46,9 @@
 	"${HEAD}Content-Length : 12\r\nContent-Length: 12\r\n\r\n$BODY$NEXT"
 framed 400 "two hosts" \
 	"${HEAD}Host: other\r\nContent-Length: 12\r\n\r\n$BODY$NEXT"
+INNER="${HEAD}Connection: close\r\nContent-Length: 12\r\n\r\n$BODY"
+framed 400 "a request within a tunnel" \
+	"CONNECT h:1 HTTP/1.1\r\nHost: h\r\nContent-Length: $(printf '%b' "$INNER" | wc -c)\r\n\r\n$INNER"
 [ "$(count '^dispatch' "$T/plain-store.events")" -eq 0 ] ||
 	fail "a request reached the server"
 framed 200 "a length" \
--- a/test/http.c
+++ b/test/http.c
@@ -140,6 +140,21 @@
 	  POST "Transfer-Encoding: chunked\r\n\r\nxx\r\nab\r\n0\r\n\r\n",
 	  CODE_BAD_REQUEST, 0, "" },
 	{ "not HTTP", "hello\r\n\r\n", CODE_BAD_REQUEST, 0, "" },
+	/* The body of a CONNECT was read as the next request. */
+	{ "a request within a tunnel",
+	  "CONNECT x:1 HTTP/1.1\r\nHost: x\r\nContent-Length: 27\r\n\r\n"
+	  "GET / HTTP/1.1\r\nHost: x\r\n\r\n",
+	  CODE_BAD_REQUEST, 0, "" },
+	{ "a tunnel without a body", "CONNECT x:1 HTTP/1.1\r\nHost: x\r\n\r\n",
+	  CODE_BAD_REQUEST, 0, "" },
+	{ "a request within an upgrade",
+	  POST "Upgrade: x\r\nConnection: upgrade\r\nContent-Length: 27\r\n\r\n"
+	       "GET / HTTP/1.1\r\nHost: x\r\n\r\n",
+	  CODE_OK, 1, "GET / HTTP/1.1\r\nHost: x\r\n\r\n" },
+	{ "an upgrade without a body",
+	  "GET / HTTP/1.1\r\nHost: x\r\nUpgrade: x\r\nConnection: upgrade\r\n"
+	  "\r\nGET /2 HTTP/1.1\r\nHost: x\r\n\r\n",
+	  CODE_OK, 2, "" },
 };
 
 static void run_request(const head_case_t *c, size_t step)
