--- a/test/soak/dat.h
+++ b/test/soak/dat.h
@@ -139,6 +139,7 @@
 	double extra;	  /* share of answers that come twice */
 	double unframed;  /* share of answers without a length */
 	double floods;	  /* share of answers that do not end */
+	double sheds;	  /* share of requests turned away, half of them twice */
 	word_s_t word;
 } server_t;
 
@@ -258,6 +259,7 @@
 	GRand *rand;
 	GRand *faults;
 	GRand *floods; /* apart, so that a seed's other faults stay */
+	GRand *sheds;  /* the same */
 	uint64_t seed;
 	const char *daemon;
 	char *dir;
--- a/test/soak/fault.c
+++ b/test/soak/fault.c
@@ -7,6 +7,7 @@
 	FAULT_EVERY_MS = 700, /* between two faults, at most */
 	STOP_MS = 1200,	      /* SIGSTOP, at most */
 	FLOOD_PERCENT = 15,   /* of faults that come with one of those */
+	SHED_PERCENT = 15,    /* the same */
 	PAUSE_MIN_MS = 1000,  /* of a server that goes on afterwards */
 	PAUSE_MAX_MS = 1500,
 	ROUTES_MORE = 5,      /* routes beside the three that are used */
@@ -185,6 +186,16 @@
 	soak_note(s, "server %s floods=%.2f", v->id, v->floods);
 }
 
+/* A server turns requests away, some of them twice, until it is calm. */
+static void fault_shed(soak_t *s)
+{
+	gint32 i = g_rand_int_range(s->sheds, 0, (gint32)s->nservers);
+	server_t *v = &s->servers[i];
+
+	v->sheds = g_rand_double(s->sheds) * 0.5;
+	soak_note(s, "server %s sheds=%.2f", v->id, v->sheds);
+}
+
 /* Some servers pause at once, all of them at times. */
 static void fault_pause(soak_t *s)
 {
@@ -262,4 +273,6 @@
 	faults[g_rand_int_range(s->faults, 0, G_N_ELEMENTS(faults))](s);
 	if (g_rand_int_range(s->floods, 0, 100) < FLOOD_PERCENT)
 		fault_flood(s);
+	if (g_rand_int_range(s->sheds, 0, 100) < SHED_PERCENT)
+		fault_shed(s);
 }
--- a/test/soak/main.c
+++ b/test/soak/main.c
@@ -178,6 +178,7 @@
 	s->poison.callers = (unsigned int)CLAMP(opt.poison, 0, CALLERS_MAX);
 	s->poison.repeats = (unsigned int)CLAMP(opt.repeats, 0, CALLERS_MAX);
 	s->floods = g_rand_new_with_seed((guint32)opt.seed + 3);
+	s->sheds = g_rand_new_with_seed((guint32)opt.seed + 4);
 	s->daemon = opt.daemon;
 	s->net = 1 + (unsigned int)getpid() % NETS;
 	s->pauses_only = opt.pauses;
--- a/test/soak/server.c
+++ b/test/soak/server.c
@@ -8,6 +8,7 @@
 };
 
 static const double pause_share = 0.1; /* of the steps of long requests */
+static const double copy_share = 0.5;  /* of rejections that come twice */
 
 static void run_next(server_t *v);
 
@@ -135,6 +136,7 @@
 {
 	GString *out = g_string_new("HTTP/1.1 200 OK\r\n");
 
+	send_late(j->c);
 	put_fields(out, j->at, j->id);
 	g_string_append(out, "Content-Type: text/event-stream\r\n"
 			     "Transfer-Encoding: chunked\r\n\r\n");
@@ -278,15 +280,33 @@
 			  (int)left.n, left.p);
 }
 
-/* Answers that a request was not run; frees the fields. */
-static void turn_away(job_t *j, char *fields)
+/*
+ * Answers that a request was not run; frees the fields. With copy the same
+ * answer comes once more, where the next one is due.
+ */
+static void turn_away(job_t *j, char *fields, bool copy)
 {
+	GString *out = g_string_new(NULL);
 	sconn_t *c = j->c;
 
 	g_free(j->id);
 	g_free(j);
-	sconn_reply(c, 503, fields, str_of(""));
+	g_string_printf(out, "HTTP/1.1 503 %s\r\n%sContent-Length: 0\r\n\r\n",
+			http_reason(503), fields);
 	g_free(fields);
+	send_late(c);
+	sconn_write(c, out->str, out->len);
+	if (copy)
+		c->late = out;
+	else
+		g_string_free(out, TRUE);
+	sconn_next(c);
+}
+
+/* Whether a server that is short of places turns a request away. */
+static bool sheds(server_t *v)
+{
+	return v->sheds > 0 && g_rand_double(v->s->sheds) < v->sheds;
 }
 
 static void on_request(sconn_t *c)
@@ -311,13 +331,18 @@
 		poison_reached(v->s, fate_get(v->s, j->id), j->bane);
 	words_arrived(v, j->id);
 	if (words_turn_away(v, j->id)) {
-		turn_away(j, words_turn_fields(j->id));
+		turn_away(j, words_turn_fields(j->id), false);
 		return;
 	}
-	if (list_len(&v->queued) >= QUEUE_MAX) {
-		turn_away(j, g_strdup_printf("X-Not-Executed: 1\r\n"
-					     "X-Request-Id: %s\r\n",
-					     j->id));
+	if (sheds(v) || list_len(&v->queued) >= QUEUE_MAX) {
+		bool copy =
+			v->sheds > 0 && g_rand_double(v->s->sheds) < copy_share;
+
+		turn_away(j,
+			  g_strdup_printf("X-Not-Executed: 1\r\n"
+					  "X-Request-Id: %s\r\n",
+					  j->id),
+			  copy);
 		return;
 	}
 	j->next = 1;
@@ -461,6 +486,7 @@
 	v->extra = 0;
 	v->unframed = 0;
 	v->floods = 0;
+	v->sheds = 0;
 	if (!v->up || v->leaving)
 		server_return(v);
 }
