--- a/lib/edge/dat.h
+++ b/lib/edge/dat.h
@@ -280,13 +280,15 @@
 
 /* How one attempt ended. */
 typedef enum attempt_result {
-	ATTEMPT_ANSWERED,   /* a complete answer with a status below 500 */
-	ATTEMPT_FAILED,	    /* a complete answer with a status of 500 or more */
-	ATTEMPT_REJECTED,   /* the server answered that it did not run it */
-	ATTEMPT_NOT_SENT,   /* no byte was sent */
-	ATTEMPT_LOST,	    /* bytes were sent; the answer is incomplete */
-	ATTEMPT_SILENT,	    /* given up for a retry: nothing came for long */
-	ATTEMPT_BAD_ANSWER, /* the answer is malformed */
+	ATTEMPT_ANSWERED,     /* a complete answer with a status below 500 */
+	ATTEMPT_FAILED,	      /* a complete answer with a status of 500 or more,
+				 or one that does not go on with the stream that
+				 has begun */
+	ATTEMPT_REJECTED,     /* the server answered that it did not run it */
+	ATTEMPT_NOT_SENT,     /* no byte was sent */
+	ATTEMPT_LOST,	      /* bytes were sent; the answer is incomplete */
+	ATTEMPT_SILENT,	      /* given up for a retry: nothing came for long */
+	ATTEMPT_BAD_ANSWER,   /* the answer is malformed */
 	ATTEMPT_WRONG_SERVER, /* another server has the address; not run */
 } attempt_result_t;
 
--- a/lib/forward/exchange.c
+++ b/lib/forward/exchange.c
@@ -336,6 +336,8 @@
 		http_put_keep_alive(out, caller_keep_for(x->caller));
 	buffer_free(x->answer_head);
 	x->answer_head = out;
+	if (x->req.route->stream)
+		x->form = form_of_answer(h);
 }
 
 /*
@@ -374,8 +376,9 @@
 	x->rejected = a.not_run;
 	x->wrong_server = a.wrong_server;
 	x->bad_answer = h->status < 300 && !a.has_signature;
-	x->streaming =
-		h->status < 300 && x->req.route->stream && !x->bad_answer;
+	x->unrelated = x->answer_begun && form_of_answer(h) != x->form;
+	x->streaming = h->status < 300 && x->req.route->stream &&
+		       !x->bad_answer && !x->unrelated;
 	drop_answer(x);
 	x->answer_body = g_byte_array_new();
 	if (!x->answer_begun)
@@ -507,8 +510,10 @@
 	const char *why;
 	bool fits;
 
-	if (x->stray || x->bad_answer) {
-		why = x->stray ? "stray" : "unsigned";
+	if (x->stray || x->bad_answer || x->unrelated) {
+		why = x->stray	      ? "stray"
+		      : x->bad_answer ? "unsigned"
+				      : "unrelated";
 		fits = skip_bytes(x, data);
 	} else if (x->streaming) {
 		why = "event";
--- a/lib/forward/priv.h
+++ b/lib/forward/priv.h
@@ -75,10 +75,12 @@
 	uint64_t sent_on[SENDS_MAX]; /* numbers of the attempts' connections */
 	unsigned int nsent;
 	int status;
+	uint64_t form;	   /* of the answer that answer_head belongs to */
 	bool stray;	   /* the answer being read is to another request */
 	bool rejected;	   /* it says that the request was not run */
 	bool wrong_server; /* it comes from another server */
 	bool bad_answer;   /* not signed */
+	bool unrelated;	   /* it does not go on with the answer that began */
 	bool streaming;
 	bool says_close;   /* the answer's head ends the connection */
 	bool answer_begun; /* bytes of an answer went to the caller */
@@ -147,6 +149,9 @@
 uint64_t content_of(uint64_t head, const char *customer,
 		    const GByteArray *body);
 
+/* form.c */
+uint64_t form_of_answer(const http_head_t *h);
+
 /* exchange.c */
 exchange_t *exchange_new(caller_t *c, const http_head_t *h);
 void exchange_start(exchange_t *x, ms_t now);
--- a/lib/forward/server_conn.c
+++ b/lib/forward/server_conn.c
@@ -84,11 +84,11 @@
 		return;
 	}
 	whole = exchange_body_end(x);
-	how = x->wrong_server	 ? ATTEMPT_WRONG_SERVER
-	      : x->rejected	 ? ATTEMPT_REJECTED
-	      : !whole		 ? ATTEMPT_BAD_ANSWER
-	      : x->status >= 500 ? ATTEMPT_FAILED
-				 : ATTEMPT_ANSWERED;
+	how = x->wrong_server			 ? ATTEMPT_WRONG_SERVER
+	      : x->rejected			 ? ATTEMPT_REJECTED
+	      : !whole				 ? ATTEMPT_BAD_ANSWER
+	      : x->unrelated || x->status >= 500 ? ATTEMPT_FAILED
+						 : ATTEMPT_ANSWERED;
 	x->conn = NULL;
 	c->x = NULL;
 	if (hconn_has_surplus(conn))
