--- a/lib/forward/caller.c
+++ b/lib/forward/caller.c
@@ -161,11 +161,14 @@
 	exchange_t *x = c->x;
 	bool close =
 		!c->answering || c->forward->draining || (x && x->close_after);
-	str_t id = x && x->id ? str_of(x->id) : (str_t){ "", 0 };
-
-	c->forward->codec->write_local_reply(
-		status, retry_after, id, text,
-		close ? 0 : MAX(caller_keep_for(c), 1), out);
+	local_reply_t r = { .status = status,
+			    .retry_after = retry_after,
+			    .id = x && x->id ? str_of(x->id) : (str_t){ "", 0 },
+			    .text = text,
+			    .head_only = c->is_head_request };
+
+	r.keep_for = close ? 0 : MAX(caller_keep_for(c), 1);
+	c->forward->codec->write_local_reply(&r, out);
 	caller_write(c, out);
 	g_byte_array_free(out, TRUE);
 	caller_done(c, !close);
@@ -193,6 +196,7 @@
 	str_t expect = http_value(h, "expect");
 
 	c->since = clock_now();
+	c->is_head_request = http_name_is(h->method, "HEAD");
 	if (h->has_length && h->content_length > lim->body_max) {
 		reject_request(c, 413, "body too large");
 		return false;
@@ -237,8 +241,10 @@
 	bool idle = http_reader_idle(&c->in);
 
 	c->in.head_max = limits(c)->header_max;
-	if (idle)
+	if (idle) {
 		c->since = clock_now();
+		c->is_head_request = false;
+	}
 	while (n > 0 && !c->answering && !c->closing && !c->closed) {
 		code = http_reader_feed(&c->in, p, n, &used);
 		p += used;
--- a/lib/forward/dat.h
+++ b/lib/forward/dat.h
@@ -62,6 +62,16 @@
 	bool has_body;
 } send_info_t;
 
+/* An answer that this host makes itself. */
+typedef struct local_reply {
+	int status;
+	ms_t retry_after; /* when the caller should come back; 0: not given */
+	str_t id;	  /* of the request; empty: none */
+	const char *text; /* the body */
+	bool head_only;	  /* the request was HEAD: the body is left out */
+	ms_t keep_for;	  /* how long the connection may be idle; 0: it ends */
+} local_reply_t;
+
 /* Reads and writes the platform's heads. Given by the platform's adapter. */
 typedef struct codec {
 	/*
@@ -73,14 +83,8 @@
 	/* Appends the header fields of one attempt and the empty line. */
 	void (*write_send)(const send_info_t *info, GByteArray *out);
 	void (*read_answer)(const http_head_t *h, answer_t *a);
-	/*
-	 * Appends a whole answer that this host makes itself, with text as its
-	 * body. retry_after: when the caller should come back; 0: not given.
-	 * keep_for: how long the connection may be idle after it; 0: it ends.
-	 */
-	void (*write_local_reply)(int status, ms_t retry_after, str_t id,
-				  const char *text, ms_t keep_for,
-				  GByteArray *out);
+	/* Appends a whole answer that this host makes itself. */
+	void (*write_local_reply)(const local_reply_t *r, GByteArray *out);
 } codec_t;
 
 /* Callbacks of a connection that we opened. */
--- a/lib/forward/exchange.c
+++ b/lib/forward/exchange.c
@@ -57,7 +57,6 @@
 	x->call.host = str_or_empty(x->host);
 	x->call.target = str_or_empty(x->target);
 	x->head_content = content_of_head(h, &x->call);
-	x->is_head_request = http_name_is(h->method, "HEAD");
 	x->has_body = h->chunked || h->has_length;
 	x->close_after = !h->keep_alive;
 	x->req.parts = x->call.parts;
@@ -325,7 +324,7 @@
 
 		if (http_is_hop_by_hop(h, f->name) ||
 		    (http_name_is(f->name, "content-length") &&
-		     !x->is_head_request))
+		     !x->caller->is_head_request))
 			continue;
 		http_put_field(out, f->name, f->value);
 	}
@@ -340,6 +339,13 @@
 		x->form = form_of_answer(h);
 }
 
+/* Whether the answer's head can be followed by a body. */
+static bool may_have_body(const exchange_t *x)
+{
+	return !x->caller->is_head_request && x->status != 204 &&
+	       x->status != 304;
+}
+
 /*
  * Whether an answer belongs to another request. Servers return the request's
  * id; a late second answer to an earlier request on the connection may come
@@ -378,7 +384,7 @@
 	x->bad_answer = h->status < 300 && !a.has_signature;
 	x->unrelated = x->answer_begun && form_of_answer(h) != x->form;
 	x->streaming = h->status < 300 && x->req.route->stream &&
-		       !x->bad_answer && !x->unrelated;
+		       may_have_body(x) && !x->bad_answer && !x->unrelated;
 	drop_answer(x);
 	x->answer_body = g_byte_array_new();
 	if (!x->answer_begun)
@@ -564,10 +570,10 @@
 		return;
 	}
 	out = x->answer_head;
-	if (!x->is_head_request && x->status != 204 && x->status != 304)
+	if (may_have_body(x))
 		http_put_number(out, "Content-Length", x->answer_body->len);
 	http_put(out, "\r\n");
-	if (!x->is_head_request)
+	if (may_have_body(x))
 		g_byte_array_append(out, x->answer_body->data,
 				    x->answer_body->len);
 	caller_write(x->caller, out);
--- a/lib/forward/pages.c
+++ b/lib/forward/pages.c
@@ -25,6 +25,7 @@
 	writer_t out;
 	GString *path;
 	bool close;
+	bool head_only; /* the request is HEAD: its answer has no body */
 	bool closed;
 } page_conn_t;
 
@@ -57,6 +58,7 @@
 	g_string_truncate(c->path, 0);
 	g_string_append_len(c->path, h->target.p, (gssize)h->target.n);
 	c->close = !h->keep_alive;
+	c->head_only = http_name_is(h->method, "HEAD");
 	return false;
 }
 
@@ -83,7 +85,8 @@
 		http_put(out, "Connection: close\r\n");
 	http_put_number(out, "Content-Length", text->len);
 	http_put(out, "\r\n");
-	g_byte_array_append(out, (const guint8 *)text->str, text->len);
+	if (!c->head_only)
+		g_byte_array_append(out, (const guint8 *)text->str, text->len);
 	writer_put(&c->out, out->data, out->len);
 	g_byte_array_free(out, TRUE);
 	g_string_free(text, TRUE);
--- a/lib/forward/priv.h
+++ b/lib/forward/priv.h
@@ -21,9 +21,10 @@
 	forward_t *forward;
 	http_reader_t in;
 	writer_t out;
-	exchange_t *x;	     /* the request in progress */
-	bool answering;	     /* x was read whole; its answer is not complete */
-	GByteArray *pending; /* bytes after the request in progress */
+	exchange_t *x;	      /* the request in progress */
+	bool is_head_request; /* the present request is HEAD */
+	bool answering;	      /* x was read whole; its answer is not complete */
+	GByteArray *pending;  /* bytes after the request in progress */
 	ms_t since;   /* when the head, the body, idling or closing began */
 	bool closing; /* nothing more is read; closed once written */
 	bool closed;
@@ -64,7 +65,6 @@
 	char *host;
 	char *target;
 	call_info_t call; /* its strings are the ones above */
-	bool is_head_request;
 	bool has_body;
 	bool close_after; /* the caller asks to close after the answer */
 	GByteArray *request_head; /* request line and fields of every attempt */
--- a/lib/forward/server_conn.c
+++ b/lib/forward/server_conn.c
@@ -37,7 +37,7 @@
 		return true;
 	}
 	exchange_head(c->x, h);
-	return c->x && c->x->is_head_request;
+	return c->x && c->x->caller->is_head_request;
 }
 
 static void on_body(void *ctx, hconn_t *conn, str_t data)
--- a/test/resumed.c
+++ b/test/resumed.c
@@ -168,7 +168,7 @@
 
 #define REQUEST(method)                                                        \
 	method " / HTTP/1.1\r\nHost: stream\r\n" ID "Connection: "             \
-						    "close\r\n\r\n"
+	       "close\r\n\r\n"
 
 START_TEST(test_resumed)
 {
@@ -210,6 +210,19 @@
 	  "" },
 	{ "not found", REQUEST("GET"), "HTTP/1.1 404 No\r\n" STAMP TEXT OOPS,
 	  404, "oops\n\n" },
+	{ "head of a stream", REQUEST("HEAD"), OK200 EVENTS CHUNKED, 200, "" },
+	{ "head of a stream without a length", REQUEST("HEAD"),
+	  OK200 EVENTS "\r\n", 200, "" },
+	{ "head of a failure", REQUEST("HEAD"),
+	  "HTTP/1.1 404 No\r\n" STAMP TEXT "Content-Length: 6\r\n\r\n", 404,
+	  "" },
+	{ "head that the host answers itself",
+	  "HEAD / HTTP/1.1\r\nHost: none\r\n" ID "Connection: close\r\n\r\n",
+	  "", 404, "" },
+	{ "head that the host refuses at once",
+	  "HEAD / HTTP/1.1\r\nHost: none\r\n" ID
+	  "Content-Length: 9999999\r\n\r\n",
+	  "", 413, "" },
 };
 
 START_TEST(test_no_stream)
