--- a/lib/forward/caller.c
+++ b/lib/forward/caller.c
@@ -40,6 +40,8 @@
 	list_del(&c->link);
 	list_del(&c->wake_link);
 	list_init(&c->wake_link);
+	if (c->reset && uv_tcp_close_reset(&c->tcp, on_closed) == 0)
+		return;
 	uv_close((uv_handle_t *)&c->tcp, on_closed);
 }
 
@@ -67,10 +69,14 @@
 	return true;
 }
 
-/* Breaks the answer off: closes before its end, so that the caller notices. */
+/*
+ * Breaks the answer off: closes before its end, so that the caller notices. One
+ * that reads no chunks only notices a reset.
+ */
 void caller_cut(caller_t *c)
 {
 	c->broken = true;
+	c->reset = !c->reads_chunks;
 	c->x = NULL;
 	c->answering = false;
 	caller_wake(c);
@@ -197,6 +203,7 @@
 
 	c->since = clock_now();
 	c->is_head_request = http_name_is(h->method, "HEAD");
+	c->reads_chunks = h->minor > 0;
 	if (h->has_length && h->content_length > lim->body_max) {
 		reject_request(c, 413, "body too large");
 		return false;
--- a/lib/forward/exchange.c
+++ b/lib/forward/exchange.c
@@ -58,7 +58,7 @@
 	x->call.target = str_or_empty(x->target);
 	x->head_content = content_of_head(h, &x->call);
 	x->has_body = h->chunked || h->has_length;
-	x->close_after = !h->keep_alive;
+	x->close_after = !h->keep_alive || !c->reads_chunks;
 	x->req.parts = x->call.parts;
 	x->req.nparts = x->call.nparts;
 	c->forward->requests->value++;
@@ -410,27 +410,44 @@
 	http_put_str(x->ready_events, event);
 }
 
+/* Appends the head of a stream, unless it was sent. */
+static void put_stream_head(exchange_t *x, GByteArray *out)
+{
+	if (x->answer_begun)
+		return;
+	x->answer_begun = true;
+	g_byte_array_append(out, x->answer_head->data, x->answer_head->len);
+	if (x->caller->reads_chunks)
+		http_put(out, "Transfer-Encoding: chunked\r\n");
+	http_put(out, "\r\n");
+}
+
+/* Appends a part of a stream, as a chunk where the caller reads them. */
+static void put_part(const exchange_t *x, const GByteArray *part,
+		     GByteArray *out)
+{
+	char size[24];
+
+	g_snprintf(size, sizeof(size), "%x\r\n", part->len);
+	if (x->caller->reads_chunks)
+		http_put(out, size);
+	g_byte_array_append(out, part->data, part->len);
+	if (x->caller->reads_chunks)
+		http_put(out, "\r\n");
+}
+
 /* Sends the complete events of this read, with the head before the first. */
 static void pass_events(exchange_t *x, ms_t now)
 {
 	GByteArray *out;
-	char size[24];
 
 	if (x->ready_events->len == 0)
 		return;
 	if (!x->first_event_at)
 		x->first_event_at = now;
 	out = g_byte_array_sized_new(x->ready_events->len + 640);
-	if (!x->answer_begun) {
-		x->answer_begun = true;
-		g_byte_array_append(out, x->answer_head->data,
-				    x->answer_head->len);
-		http_put(out, "Transfer-Encoding: chunked\r\n\r\n");
-	}
-	g_snprintf(size, sizeof(size), "%x\r\n", x->ready_events->len);
-	http_put(out, size);
-	g_byte_array_append(out, x->ready_events->data, x->ready_events->len);
-	http_put(out, "\r\n");
+	put_stream_head(x, out);
+	put_part(x, x->ready_events, out);
 	g_byte_array_set_size(x->ready_events, 0);
 	caller_write(x->caller, out);
 	g_byte_array_free(out, TRUE);
@@ -550,12 +567,9 @@
 {
 	GByteArray *out = g_byte_array_new();
 
-	if (!x->answer_begun) {
-		g_byte_array_append(out, x->answer_head->data,
-				    x->answer_head->len);
-		http_put(out, "Transfer-Encoding: chunked\r\n\r\n");
-	}
-	http_put(out, "0\r\n\r\n");
+	put_stream_head(x, out);
+	if (x->caller->reads_chunks)
+		http_put(out, "0\r\n\r\n");
 	caller_write(x->caller, out);
 	g_byte_array_free(out, TRUE);
 }
--- a/lib/forward/priv.h
+++ b/lib/forward/priv.h
@@ -23,12 +23,14 @@
 	writer_t out;
 	exchange_t *x;	      /* the request in progress */
 	bool is_head_request; /* the present request is HEAD */
+	bool reads_chunks;    /* speaks HTTP/1.1: a body's end can be told */
 	bool answering;	      /* x was read whole; its answer is not complete */
 	GByteArray *pending;  /* bytes after the request in progress */
 	ms_t since;   /* when the head, the body, idling or closing began */
 	bool closing; /* nothing more is read; closed once written */
 	bool closed;
 	bool broken; /* to be closed, its request cancelled */
+	bool reset;  /* when it is closed */
 	bool shutdown_sent;
 	unsigned int nrequests; /* read on it */
 	ms_t idle_timeout;	/* at the last answer; 0: there was none */
--- a/lib/http/check.c
+++ b/lib/http/check.c
@@ -95,17 +95,19 @@
 }
 
 /*
- * Checks that the body's length is given by one field at most, either
- * Content-Length or Transfer-Encoding: chunked, that a request has one Host
- * field and opens no tunnel, and that an answer has a status that goes with
- * its length. Returns CODE_BAD_REQUEST otherwise.
+ * Checks that the version is one of HTTP/1, that the body's length is given by
+ * one field at most, either Content-Length or Transfer-Encoding: chunked, that
+ * a request has one Host field and opens no tunnel, and that an answer has a
+ * status that goes with its length. Returns CODE_BAD_REQUEST otherwise.
  */
 code_t http_fields_check(const http_head_t *h, bool request)
 {
 	unsigned int lengths = count(h, "content-length");
 	unsigned int encodings = count(h, "transfer-encoding");
 
-	if (lengths + encodings > 1)
+	if (h->major != 1 || lengths + encodings > 1)
+		return CODE_BAD_REQUEST;
+	if (encodings && h->minor == 0) /* 1.0 has no codings */
 		return CODE_BAD_REQUEST;
 	if (lengths && !digits_only(http_value(h, "content-length")))
 		return CODE_BAD_REQUEST;
--- a/lib/http/dat.h
+++ b/lib/http/dat.h
@@ -22,6 +22,8 @@
 	str_t method; /* requests */
 	str_t target; /* requests: path and query */
 	int status;   /* answers */
+	int major;    /* of HTTP's version; others than 1 are refused */
+	int minor;
 	size_t nfields;
 	http_field_t fields[HTTP_FIELDS_MAX];
 	bool keep_alive;
--- a/lib/http/reader.c
+++ b/lib/http/reader.c
@@ -45,6 +45,8 @@
 	const char *method;
 
 	parsed_head.status = p->status_code;
+	parsed_head.major = p->http_major;
+	parsed_head.minor = p->http_minor;
 	parsed_head.keep_alive = http_should_keep_alive(p);
 	parsed_head.chunked = (p->flags & F_CHUNKED) != 0;
 	parsed_head.has_length = (p->flags & F_CONTENTLENGTH) != 0;
--- a/test/http.c
+++ b/test/http.c
@@ -140,6 +140,12 @@
 	  POST "Transfer-Encoding: chunked\r\n\r\nxx\r\nab\r\n0\r\n\r\n",
 	  CODE_BAD_REQUEST, 0, "" },
 	{ "not HTTP", "hello\r\n\r\n", CODE_BAD_REQUEST, 0, "" },
+	{ "chunks in HTTP/1.0",
+	  "POST / HTTP/1.0\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
+	  "0\r\n\r\n",
+	  CODE_BAD_REQUEST, 0, "" },
+	{ "another major version", "GET / HTTP/2.0\r\nHost: x\r\n\r\n",
+	  CODE_BAD_REQUEST, 0, "" },
 	/* The body of a CONNECT was read as the next request. */
 	{ "a request within a tunnel",
 	  "CONNECT x:1 HTTP/1.1\r\nHost: x\r\nContent-Length: 27\r\n\r\n"
@@ -245,6 +251,9 @@
 	  "HTTP/1.1 101 Switching\r\nUpgrade: x\r\n"
 	  "Connection: upgrade\r\n\r\nab",
 	  CODE_BAD_REQUEST, CODE_OK, 0, "" },
+	{ "chunks in HTTP/1.0",
+	  "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+	  CODE_BAD_REQUEST, CODE_OK, 0, "" },
 	{ "status of two digits",
 	  "HTTP/1.1 20 OK\r\nContent-Length: 2\r\n\r\nab", CODE_BAD_REQUEST,
 	  CODE_OK, 0, "" },
--- a/test/resumed.c
+++ b/test/resumed.c
@@ -244,6 +244,55 @@
 }
 END_TEST
 
+/* A caller of HTTP/1.0, which knows no chunks. */
+typedef struct old_case {
+	const char *name;
+	script_step_t first;
+	const char *second;
+	bool whole; /* ends in order; else with a reset */
+	const char *body;
+} old_case_t;
+
+static const old_case_t old_cases[] = {
+	{ "whole", { BEGUN END, NULL, SCRIPT_KEEP }, NULL, true, GOT },
+	{ "no event",
+	  { OK200 EVENTS CHUNKED END, NULL, SCRIPT_KEEP },
+	  NULL,
+	  true,
+	  "" },
+	{ "resumed",
+	  { BEGUN, NULL, SCRIPT_RESET },
+	  OK200 EVENTS CHUNKED CHUNK(3) END,
+	  true,
+	  GOT EVENT(3) },
+	{ "broken off",
+	  { BEGUN, NULL, SCRIPT_RESET },
+	  "HTTP/1.1 404 No\r\n" STAMP TEXT OOPS,
+	  false,
+	  GOT },
+};
+
+START_TEST(test_caller_of_1_0)
+{
+	static const char request[] = "GET / HTTP/1.0\r\nHost: stream\r\n" ID
+				      "Connection: keep-alive\r\n\r\n";
+	const old_case_t *c = &old_cases[_i];
+	script_step_t steps[] = { c->first, { c->second, NULL, SCRIPT_KEEP } };
+	const char *body;
+	play_t p;
+
+	play_open(&p, steps, c->second ? 2 : 1, request);
+	body = strstr(p.caller.got->str, "\r\n\r\n");
+	ck_assert(body);
+	ck_assert_msg(strcmp(body + 4, c->body) == 0, "%s: body %s", c->name,
+		      body + 4);
+	ck_assert_msg(p.caller.reset != c->whole, "%s: reset %d", c->name,
+		      p.caller.reset);
+	ck_assert(!strstr(p.caller.got->str, "Transfer-Encoding"));
+	play_close(&p);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("resumed");
@@ -257,6 +306,7 @@
 	tcase_set_timeout(t, 0);
 	tcase_add_loop_test(t, test_resumed, 0, G_N_ELEMENTS(resumed_cases));
 	tcase_add_loop_test(t, test_no_stream, 0, G_N_ELEMENTS(plain_cases));
+	tcase_add_loop_test(t, test_caller_of_1_0, 0, G_N_ELEMENTS(old_cases));
 	srunner_run_all(r, CK_NORMAL);
 	failed = srunner_ntests_failed(r);
 	srunner_free(r);
