--- a/lib/base/log.c
+++ b/lib/base/log.c
@@ -124,10 +124,20 @@
 	append(line, n);
 }
 
+/* Values may come from outside: none of them ends a line or hides a part. */
+static void mask_controls(char *p, size_t n)
+{
+	for (size_t i = 0; i < n; i++) {
+		if (g_ascii_iscntrl(p[i]))
+			p[i] = '?';
+	}
+}
+
 /* Logs one line; event is one word, fmt formats the key=value pairs. */
 void log_line(log_level_t level, const char *event, const char *fmt, ...)
 {
 	char line[LINE_BYTES];
+	size_t start;
 	size_t n;
 	int len;
 	va_list ap;
@@ -139,7 +149,9 @@
 	va_start(ap, fmt);
 	len = vsnprintf(line + n, sizeof(line) - n - 1, fmt, ap);
 	va_end(ap);
+	start = n;
 	n = MIN(n + (size_t)MAX(len, 0), sizeof(line) - 2);
+	mask_controls(line + start, n - start);
 	line[n++] = '\n';
 	append(line, n);
 	if (!buffered || used >= FLUSH_BYTES)
--- a/lib/http/field.c
+++ b/lib/http/field.c
@@ -86,6 +86,16 @@
 	return c && list_has(c->value, name);
 }
 
+/* Whether text can be the value of a field: it has no control characters. */
+bool http_valid_value(const char *text)
+{
+	for (; *text; text++) {
+		if (g_ascii_iscntrl(*text))
+			return false;
+	}
+	return true;
+}
+
 /* Whether an answer's head is followed by that of another answer. */
 bool http_is_interim(const http_head_t *h)
 {
--- a/lib/http/fns.h
+++ b/lib/http/fns.h
@@ -25,6 +25,7 @@
 str_t http_value(const http_head_t *h, const char *name);
 bool http_parse_number(str_t text, uint64_t *n);
 bool http_is_hop_by_hop(const http_head_t *h, str_t name);
+bool http_valid_value(const char *text);
 bool http_is_interim(const http_head_t *h);
 const char *http_reason(int status);
 void http_put(GByteArray *out, const char *text);
--- a/test/log.c
+++ b/test/log.c
@@ -87,6 +87,26 @@
 }
 END_TEST
 
+/* Text from outside stays within its line. */
+START_TEST(test_controls)
+{
+	char *text;
+	int fd[2];
+
+	ck_assert_int_eq(pipe(fd), 0);
+	ck_assert_int_eq(fcntl(fd[0], F_SETFL, O_NONBLOCK), 0);
+	log_open(fd[1], LOG_INFO, true);
+	log_line(LOG_INFO, "event", "key=%s", "a\nlevel=error\r\x1b[2Jb");
+	log_flush();
+	text = drain(fd[0]);
+	ck_assert_ptr_nonnull(strstr(text, "key=a?level=error??[2Jb\n"));
+	g_free(text);
+	log_open(2, LOG_INFO, false);
+	close(fd[0]);
+	close(fd[1]);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("log");
@@ -96,6 +116,7 @@
 
 	suite_add_tcase(s, t);
 	tcase_add_test(t, test_full_pipe);
+	tcase_add_test(t, test_controls);
 	tcase_add_loop_test(t, test_levels, 0, G_N_ELEMENTS(levels));
 	srunner_run_all(r, CK_NORMAL);
 	failed = srunner_ntests_failed(r);
