--- a/test/records.c
+++ b/test/records.c
@@ -1,12 +1,16 @@
 /*
- * Odd records of other writers: nested deeply, with numbers too large, with
- * bytes that are no text. An odd record costs itself alone.
+ * Odd records of other writers, and odd answers of the store: nested deeply,
+ * with numbers too large, with bytes that are no text. An odd record costs
+ * itself alone: the others of the listing are read, and reading goes on.
  */
-#include <check.h>
+#include <signal.h>
 #include "adapter.h"
+#include "script.h"
 
 enum {
-	NESTED = 100000, /* levels; more than a decoder's stack bears */
+	NESTED = 100000,    /* levels; more than a decoder's stack bears */
+	WAIT_MAX_MS = 5000, /* for one listing */
+	TURNS = 20,	    /* of the event loop, in which nothing happens */
 };
 
 /* Returns text with each '@' replaced by so many brackets, and their ends. */
@@ -83,6 +87,240 @@
 }
 END_TEST
 
+typedef struct order_case {
+	const char *name;
+	const char *text;
+	code_t code;
+} order_case_t;
+
+static const order_case_t order_cases[] = {
+	{ "sound", "{\"service\":\"s\",\"target\":\"v2\",\"duration_s\":30}",
+	  CODE_OK },
+	{ "nested",
+	  "{\"service\":\"s\",\"target\":\"v2\",\"duration_s\":30,\"x\":@}",
+	  CODE_BAD_RECORD },
+	{ "duration too large",
+	  "{\"service\":\"s\",\"target\":\"v2\",\"duration_s\":1e300}",
+	  CODE_BAD_RECORD },
+	{ "duration not a number",
+	  "{\"service\":\"s\",\"target\":\"v2\",\"duration_s\":\"30\"}",
+	  CODE_BAD_RECORD },
+	{ "target not a text",
+	  "{\"service\":\"s\",\"target\":{},\"duration_s\":30}",
+	  CODE_BAD_RECORD },
+};
+
+START_TEST(test_order)
+{
+	const order_case_t *c = &order_cases[_i];
+	char *text = nest(c->text);
+	const char *why = NULL;
+	shift_order_t order;
+	void *doc = NULL;
+	code_t code = adapter_parse_rollout(str_of("rollout/s"), str_of(text),
+					    1, &order, &doc, &why);
+
+	ck_assert_msg(code == c->code, "%s: code %d", c->name, code);
+	if (code == CODE_OK)
+		adapter_rollout_clear(doc);
+	g_free(text);
+}
+END_TEST
+
+/* What a reader of a topic was told. */
+typedef struct told {
+	GString *keys; /* with a blank behind each */
+	bool listed;
+} told_t;
+
+static void on_record(void *ctx, str_t key, str_t value, uint64_t offset)
+{
+	told_t *t = ctx;
+
+	g_string_append_len(t->keys, key.p, (gssize)key.n);
+	g_string_append_c(t->keys, ' ');
+}
+
+static void on_listing_begin(void *ctx)
+{
+}
+
+static void on_listing_end(void *ctx)
+{
+	((told_t *)ctx)->listed = true;
+}
+
+static void on_reachable(void *ctx, bool yes)
+{
+}
+
+static void on_range(void *ctx, uint64_t from, uint64_t to)
+{
+}
+
+static const follow_ops_t follow_ops = { on_record, on_listing_begin,
+					 on_listing_end, on_reachable,
+					 on_range };
+
+typedef struct page_case {
+	const char *name;
+	const char *item;
+	const char *keys; /* read of the page */
+} page_case_t;
+
+#define ITEM(key, extra)                                                       \
+	"{\"key\":" key ",\"value\":\"e30=\",\"offset\":3" extra "}"
+
+static const page_case_t page_cases[] = {
+	{ "sound", ITEM("\"o\"", ""), "a o z " },
+	{ "value not base64", "{\"key\":\"o\",\"value\":\"!\",\"offset\":3}",
+	  "a o z " },
+	{ "key not a text", ITEM("7", ""), "a z " },
+	{ "no value", "{\"key\":\"o\",\"offset\":3}", "a z " },
+	{ "offset below 0", "{\"key\":\"o\",\"value\":\"\",\"offset\":-3}",
+	  "a z " },
+	{ "offset a text", "{\"key\":\"o\",\"value\":\"\",\"offset\":\"3\"}",
+	  "a z " },
+	{ "offset too large",
+	  "{\"key\":\"o\",\"value\":\"\",\"offset\":99999999999999999999}",
+	  "a z " },
+	{ "offset too large, a real",
+	  "{\"key\":\"o\",\"value\":\"\",\"offset\":1e999}", "a z " },
+	{ "no object", "7", "a z " },
+	{ "nothing", "null", "a z " },
+	{ "nested", ITEM("\"o\"", ",\"x\":@"), "a z " },
+	{ "nested by itself", "@", "a z " },
+	{ "brackets and quotes in a text",
+	  ITEM("\"o\"", ",\"x\":\"]}\\\"[{\",\"y\":1e999"), "a z " },
+	{ "a zero byte in the key", ITEM("\"o\\u0000\"", ""), "a z " },
+	{ "half a character in the key", ITEM("\"o\\ud800\"", ""), "a z " },
+	{ "no text in the key", ITEM("\"o\xff\"", ""), "a z " },
+};
+
+/* Returns a whole answer with the page as its body. */
+static char *page_answer(const char *item)
+{
+	char *nested = nest(item);
+	char *page = g_strdup_printf(
+		"{\"items\":[" ITEM("\"a\"", "") ",%s," ITEM(
+			"\"z\"", "") "],"
+				     "\"has_more\":false,\"end\":9}",
+		nested);
+	char *text = g_strdup_printf(
+		"HTTP/1.1 200 OK\r\nContent-Length: %zu\r\n\r\n%s",
+		strlen(page), page);
+
+	g_free(page);
+	g_free(nested);
+	return text;
+}
+
+/* A reader of the topic and the store that it reads. */
+typedef struct reader {
+	uv_loop_t loop;
+	script_t server;
+	store_link_t store;
+	counters_t *counters;
+	follow_t *follow;
+	told_t told;
+} reader_t;
+
+static void reader_open(reader_t *r, const script_step_t *steps, size_t nsteps)
+{
+	follow_conf_t conf = { .store = &r->store,
+			       .topic = "keyed.t",
+			       .retry_max = WAIT_MAX_MS };
+
+	memset(r, 0, sizeof(*r));
+	uv_loop_init(&r->loop);
+	script_open(&r->server, &r->loop, steps, nsteps);
+	r->store.addr = r->server.at;
+	reach_init(&r->store.reach);
+	r->counters = counters_new();
+	r->told.keys = g_string_new(NULL);
+	r->follow =
+		follow_new(&r->loop, &conf, &follow_ops, &r->told, r->counters);
+}
+
+static void reader_close(reader_t *r)
+{
+	follow_free(r->follow);
+	script_close(&r->server);
+	uv_run(&r->loop, UV_RUN_DEFAULT);
+	uv_loop_close(&r->loop);
+	script_free(&r->server);
+	counters_free(r->counters);
+	g_string_free(r->told.keys, TRUE);
+}
+
+START_TEST(test_page)
+{
+	const page_case_t *c = &page_cases[_i];
+	char *text = page_answer(c->item);
+	script_step_t steps[] = { { text, NULL, SCRIPT_KEEP },
+				  { NULL, NULL, SCRIPT_KEEP } };
+	ms_t until = clock_now() + WAIT_MAX_MS;
+	reader_t r;
+
+	reader_open(&r, steps, G_N_ELEMENTS(steps));
+	while (r.server.nrequests < 2 && clock_now() < until) {
+		follow_tick(r.follow, clock_now());
+		uv_run(&r.loop, UV_RUN_NOWAIT);
+	}
+	ck_assert_msg(r.told.listed, "%s: not listed", c->name);
+	ck_assert_msg(strcmp(r.told.keys->str, c->keys) == 0, "%s: read %s",
+		      c->name, r.told.keys->str);
+	ck_assert_msg(strstr(r.server.requests->str, "log-read") != NULL,
+		      "%s: not read on", c->name);
+	reader_close(&r);
+	g_free(text);
+}
+END_TEST
+
+/* Pages that cannot be read at all, or never end. */
+static const char *const bad_pages[] = {
+	"",
+	"[]",
+	"{",
+	"{\"items\":[",
+	"{\"items\":[1e999}",
+	"{\"items\":[1e999]]",
+	"{\"items\":[{}],\"has_more\":false,\"end\":-1}",
+	"{\"items\":[{}],\"has_more\":false,\"end\":1e999}",
+	"{\"items\":[7],\"has_more\":true,\"end\":9}",
+	"{\"items\":[1e999],\"has_more\":true,\"end\":9}",
+};
+
+/* A page that brings the listing no further is asked for again only later. */
+START_TEST(test_bad_page)
+{
+	char *text = g_strdup_printf(
+		"HTTP/1.1 200 OK\r\nContent-Length: %zu\r\n\r\n%s",
+		strlen(bad_pages[_i]), bad_pages[_i]);
+	script_step_t steps[] = { { text, NULL, SCRIPT_KEEP } };
+	ms_t now = clock_now();
+	ms_t until = now + WAIT_MAX_MS;
+	const counter_t *failures;
+	reader_t r;
+
+	reader_open(&r, steps, G_N_ELEMENTS(steps));
+	failures = counter_get(r.counters, "edge_store_failures_total",
+			       "topic=\"keyed.t\"");
+	while (failures->value == 0 && clock_now() < until) {
+		follow_tick(r.follow, now);
+		uv_run(&r.loop, UV_RUN_NOWAIT);
+	}
+	for (int i = 0; i < TURNS; i++) {
+		follow_tick(r.follow, now);
+		uv_run(&r.loop, UV_RUN_NOWAIT);
+	}
+	ck_assert_msg(!r.told.listed, "listed: %s", bad_pages[_i]);
+	ck_assert_uint_eq(r.server.nrequests, 1);
+	reader_close(&r);
+	g_free(text);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("records");
@@ -90,10 +328,14 @@
 	SRunner *r = srunner_create(s);
 	int failed;
 
+	signal(SIGPIPE, SIG_IGN);
 	log_open(2, LOG_ERROR, false);
 	suite_add_tcase(s, t);
 	tcase_set_timeout(t, 0);
 	tcase_add_loop_test(t, test_server, 0, G_N_ELEMENTS(server_cases));
+	tcase_add_loop_test(t, test_order, 0, G_N_ELEMENTS(order_cases));
+	tcase_add_loop_test(t, test_page, 0, G_N_ELEMENTS(page_cases));
+	tcase_add_loop_test(t, test_bad_page, 0, G_N_ELEMENTS(bad_pages));
 	srunner_run_all(r, CK_NORMAL);
 	failed = srunner_ntests_failed(r);
 	srunner_free(r);
