--- a/test/records.c
+++ b/test/records.c
@@ -11,6 +11,7 @@
 	NESTED = 100000,    /* levels; more than a decoder's stack bears */
 	WAIT_MAX_MS = 5000, /* for one listing */
 	TURNS = 20,	    /* of the event loop, in which nothing happens */
+	NUMBER_MAX = 1000000000,
 };
 
 /* Returns text with each '@' replaced by so many brackets, and their ends. */
@@ -87,6 +88,94 @@
 }
 END_TEST
 
+typedef struct config_case {
+	const char *name;
+	const char *top;   /* fields beside version, routes and tenants */
+	const char *route; /* fields of the route */
+	const char *tenant;
+	code_t code;
+} config_case_t;
+
+static const config_case_t config_cases[] = {
+	{ "sound", "\"version\":3", "", "", CODE_OK },
+	{ "version below 0", "\"version\":-3", "", "", CODE_BAD_RECORD },
+	{ "services not a list", "\"version\":3,\"services\":{}", "", "",
+	  CODE_BAD_RECORD },
+	{ "services left out", "\"version\":3,\"services\":null", "", "",
+	  CODE_OK },
+	{ "nested", "\"version\":3,\"x\":@", "", "", CODE_BAD_RECORD },
+	{ "timeout too large", "\"version\":3", ",\"timeout_ms\":1e300", "",
+	  CODE_OK },
+	{ "targets too large", "\"version\":3",
+	  ",\"latency_target_ms\":1e30,\"gap_target_ms\":9e18", "", CODE_OK },
+	{ "attempts too large", "\"version\":3", ",\"attempts\":4294967297", "",
+	  CODE_OK },
+	{ "priority too large", "\"version\":3", ",\"priority\":1e20",
+	  ",\"priority\":1e20", CODE_OK },
+	{ "weight too large", "\"version\":3",
+	  ",\"backends\":[{\"service\":\"s\",\"weight\":1e308},"
+	  "{\"service\":\"z\",\"weight\":1e308}]",
+	  "", CODE_OK },
+	{ "rate too large", "\"version\":3", "",
+	  ",\"rate_per_s\":1e300,\"burst\":1e300,\"plain_tokens\":1e300",
+	  CODE_OK },
+	{ "limits too large",
+	  "\"version\":3,\"limits\":{\"max_header_bytes\":1e300,"
+	  "\"max_body_bytes\":1e300,\"header_timeout_ms\":1e300,"
+	  "\"idle_timeout_ms\":1e300}",
+	  "", "", CODE_OK },
+	{ "a field in a customer's name", "\"version\":3", "",
+	  ",\"name\":\"t\\r\\nX-Hold: 1\"", CODE_BAD_RECORD },
+};
+
+static void check_bounds(const char *name, const desired_t *d)
+{
+	const edge_route_t *r = d->routes->pdata[0];
+	const edge_customer_t *c = d->customers->pdata[0];
+
+	ck_assert_msg(
+		r->timeout >= 0 && r->timeout <= NUMBER_MAX &&
+			r->first_event_target <= NUMBER_MAX &&
+			r->first_event_target >= 0 && r->gap_target >= 0 &&
+			r->gap_target <= NUMBER_MAX && r->attempts > 0 &&
+			r->attempts <= NUMBER_MAX && r->priority <= NUMBER_MAX,
+		"%s: route", name);
+	for (size_t i = 0; i < r->nsplits; i++)
+		ck_assert_msg(r->splits[i].weight <= NUMBER_MAX, "%s: weight",
+			      name);
+	ck_assert_msg(c->priority >= -1 && c->priority <= NUMBER_MAX,
+		      "%s: customer", name);
+	ck_assert_msg(d->limits.header_max <= NUMBER_MAX &&
+			      d->limits.body_max <= NUMBER_MAX &&
+			      d->limits.header_timeout >= 0 &&
+			      d->limits.header_timeout <= NUMBER_MAX &&
+			      d->limits.idle_timeout >= 0 &&
+			      d->limits.idle_timeout <= NUMBER_MAX,
+		      "%s: limits", name);
+}
+
+START_TEST(test_config)
+{
+	const config_case_t *c = &config_cases[_i];
+	char *plain = g_strdup_printf(
+		"{%s,\"routes\":[{\"name\":\"r\",\"host\":\"h\","
+		"\"path_prefix\":\"/\",\"kind\":\"safe\",\"service\":\"s\"%s}],"
+		"\"tenants\":[{\"name\":\"t\",\"api_keys\":[\"k\"]%s}]}",
+		c->top, c->route, c->tenant);
+	char *text = nest(plain);
+	const char *why = NULL;
+	desired_t *d = NULL;
+	code_t code = adapter_parse_config(str_of(text), &d, &why);
+
+	ck_assert_msg(code == c->code, "%s: code %d", c->name, code);
+	if (code == CODE_OK)
+		check_bounds(c->name, d);
+	desired_unref(d);
+	g_free(text);
+	g_free(plain);
+}
+END_TEST
+
 typedef struct order_case {
 	const char *name;
 	const char *text;
@@ -333,6 +422,7 @@
 	suite_add_tcase(s, t);
 	tcase_set_timeout(t, 0);
 	tcase_add_loop_test(t, test_server, 0, G_N_ELEMENTS(server_cases));
+	tcase_add_loop_test(t, test_config, 0, G_N_ELEMENTS(config_cases));
 	tcase_add_loop_test(t, test_order, 0, G_N_ELEMENTS(order_cases));
 	tcase_add_loop_test(t, test_page, 0, G_N_ELEMENTS(page_cases));
 	tcase_add_loop_test(t, test_bad_page, 0, G_N_ELEMENTS(bad_pages));
