--- a/lib/http/reader.c
+++ b/lib/http/reader.c
@@ -10,7 +10,10 @@
 	FRAMING_PER_BYTE = 8,
 };
 
-/* The head being parsed; filled and used within one call of feed. */
+/*
+ * The head being parsed, of any reader: filled and used within one call of
+ * parse_head, which gives the library a whole head.
+ */
 static http_head_t parsed_head;
 
 static int on_url(http_parser *p, const char *at, size_t n)
@@ -20,9 +23,18 @@
 	return 0;
 }
 
+/* Whether the library reads a trailer. They are dropped. */
+static bool in_trailer(const http_parser *p)
+{
+	const http_reader_t *r = p->data;
+
+	return r->in_body;
+}
+
 static int on_field(http_parser *p, const char *at, size_t n)
 {
-	(void)p;
+	if (in_trailer(p))
+		return 0;
 	if (parsed_head.nfields == HTTP_FIELDS_MAX)
 		return 1;
 	parsed_head.fields[parsed_head.nfields++] =
@@ -32,7 +44,8 @@
 
 static int on_value(http_parser *p, const char *at, size_t n)
 {
-	(void)p;
+	if (in_trailer(p))
+		return 0;
 	while (n > 0 && (at[n - 1] == ' ' || at[n - 1] == '\t'))
 		n--;
 	parsed_head.fields[parsed_head.nfields - 1].value = (str_t){ at, n };
--- a/test/http.c
+++ b/test/http.c
@@ -209,6 +209,76 @@
 }
 END_TEST
 
+/* One step: bytes for one of two readers. */
+typedef struct mixed_step {
+	unsigned int reader;
+	const char *text;
+	code_t code;
+} mixed_step_t;
+
+typedef struct mixed_case {
+	const char *name;
+	mixed_step_t steps[4]; /* the last ones may be left out */
+	unsigned int ends;     /* of the first reader */
+	const char *target;    /* of its last message */
+} mixed_case_t;
+
+#define CHUNKED_POST POST "Transfer-Encoding: chunked\r\n\r\n"
+
+/*
+ * Trailers that come in pieces, with other heads in between. They were read
+ * into the head that all readers share, and past its fields.
+ */
+static const mixed_case_t mixed_cases[] = {
+	{ "a head without fields within a trailer",
+	  { { 0, CHUNKED_POST "1\r\na\r\n0\r\nA: bb", CODE_OK },
+	    { 1, "GET / HTTP/1.1\r\n\r\n", CODE_BAD_REQUEST },
+	    { 0, "bb\r\nC: d\r\n\r\n", CODE_OK } },
+	  1,
+	  "/a/b?c" },
+	{ "bytes that are no head within a trailer",
+	  { { 0, CHUNKED_POST "0\r\nA: b", CODE_OK },
+	    { 1, "junk\r\n\r\n", CODE_BAD_REQUEST },
+	    { 0, "b\r\n\r\n", CODE_OK } },
+	  1,
+	  "/a/b?c" },
+	{ "a name in pieces",
+	  { { 0, CHUNKED_POST "0\r\nAaa", CODE_OK },
+	    { 1, "GET /2 HTTP/1.1\r\nHost: y\r\n\r\n", CODE_OK },
+	    { 0, "aa: b\r\n\r\n", CODE_OK } },
+	  1,
+	  "/a/b?c" },
+};
+
+START_TEST(test_trailers_beside_heads)
+{
+	const mixed_case_t *c = &mixed_cases[_i];
+	http_reader_t in[2];
+	seen_t s[2];
+
+	for (size_t i = 0; i < G_N_ELEMENTS(in); i++) {
+		seen_init(&s[i]);
+		http_reader_init(&in[i], true, HEAD_MAX, &ops, &s[i]);
+	}
+	for (size_t i = 0; i < G_N_ELEMENTS(c->steps); i++) {
+		const mixed_step_t *step = &c->steps[i];
+		char *copy = g_strdup(step->text ? step->text : "");
+		code_t code;
+
+		code = feed(&in[step->reader], copy, strlen(copy), SIZE_MAX);
+		ck_assert_msg(code == step->code, "%s, step %zu: code %d",
+			      c->name, i, code);
+		g_free(copy);
+	}
+	ck_assert_msg(s[0].ends == c->ends, "%s: %u ends", c->name, s[0].ends);
+	ck_assert_str_eq(s[0].target->str, c->target);
+	for (size_t i = 0; i < G_N_ELEMENTS(in); i++) {
+		http_reader_clear(&in[i]);
+		seen_clear(&s[i]);
+	}
+}
+END_TEST
+
 typedef struct answer_case {
 	const char *name;
 	const char *text;
@@ -454,6 +524,8 @@
 
 	suite_add_tcase(s, t);
 	tcase_add_loop_test(t, test_requests, 0, G_N_ELEMENTS(requests));
+	tcase_add_loop_test(t, test_trailers_beside_heads, 0,
+			    G_N_ELEMENTS(mixed_cases));
 	tcase_add_test(t, test_large_head);
 	tcase_add_loop_test(t, test_answers, 0, G_N_ELEMENTS(answers));
 	tcase_add_loop_test(t, test_streams, 0, G_N_ELEMENTS(streams));
