--- a/lib/forward/caller.c
+++ b/lib/forward/caller.c
@@ -82,29 +82,22 @@
 	caller_wake(c);
 }
 
-static void on_shutdown(uv_shutdown_t *req, int status)
+/* Shuts our direction down once all that is queued was written. */
+static void end_sending(caller_t *c)
 {
-	(void)status;
-	g_free(req);
+	if (c->shutdown_sent || c->closed || writer_queued(&c->out) > 0)
+		return;
+	c->shutdown_sent = true;
+	tcp_end(&c->tcp);
 }
 
-/* Shuts our direction down and reads on for a while before the close. */
+/* Ends our direction and reads on for a while before the close. */
 static void begin_close(caller_t *c, ms_t now)
 {
-	uv_shutdown_t *req;
-
 	c->closing = true;
 	c->since = now;
-	if (c->shutdown_sent || c->closed)
-		return;
-	c->shutdown_sent = true;
-	if (writer_queued(&c->out) == 0) {
-		tcp_end(&c->tcp);
-		return;
-	}
-	req = g_new0(uv_shutdown_t, 1);
-	if (uv_shutdown(req, (uv_stream_t *)&c->tcp, on_shutdown))
-		g_free(req);
+	c->left = writer_left(&c->out);
+	end_sending(c);
 }
 
 /* Writes bytes of an answer. */
@@ -364,6 +357,9 @@
 	if (c->out.failed) {
 		c->broken = true;
 		caller_wake(c);
+	} else if (c->closing) {
+		c->since = clock_now();
+		end_sending(c);
 	} else if (c->x && c->x->conn) {
 		hconn_pause(c->x->conn->conn, false);
 	}
@@ -394,6 +390,23 @@
 	uv_read_start((uv_stream_t *)&c->tcp, on_alloc, on_read);
 }
 
+/*
+ * Closes a connection whose last answer has gone out for long enough, or whose
+ * caller takes no bytes of it.
+ */
+static void closing_tick(caller_t *c, ms_t now)
+{
+	size_t left = writer_left(&c->out);
+
+	if (left < c->left) {
+		c->left = left;
+		c->since = now;
+	}
+	if (c->out.failed ||
+	    now - c->since > (left > 0 ? WRITE_STALL_MS : LINGER_MS))
+		caller_close(c);
+}
+
 /* Closes connections that exceed a time limit. */
 void caller_tick(caller_t *c, ms_t now)
 {
@@ -404,8 +417,7 @@
 	bool reading = c->x || !http_reader_idle(&c->in);
 
 	if (c->closing) {
-		if (age > (writer_queued(&c->out) ? WRITE_STALL_MS : LINGER_MS))
-			caller_close(c);
+		closing_tick(c, now);
 		return;
 	}
 	if (c->answering)
--- a/lib/forward/fns.h
+++ b/lib/forward/fns.h
@@ -22,6 +22,7 @@
 		 void *ctx);
 void writer_put(writer_t *w, const void *p, size_t n);
 size_t writer_queued(const writer_t *w);
+size_t writer_left(const writer_t *w);
 void writer_clear(writer_t *w);
 
 /* hconn.c: an HTTP connection that we open. */
--- a/lib/forward/priv.h
+++ b/lib/forward/priv.h
@@ -32,6 +32,7 @@
 	bool broken; /* to be closed, its request cancelled */
 	bool reset;  /* when it is closed */
 	bool shutdown_sent;
+	size_t left;		/* bytes not written yet, when last looked at */
 	unsigned int nrequests; /* read on it */
 	ms_t idle_timeout;	/* at the last answer; 0: there was none */
 	ms_t idle_for; /* before it was closed as idle; 0: it was not */
--- a/lib/forward/writer.c
+++ b/lib/forward/writer.c
@@ -81,6 +81,16 @@
 	       (w->busy && w->writing ? w->writing->len : 0);
 }
 
+/*
+ * Returns the same without the part of a write in progress that the system has
+ * taken: it falls for as long as the other end reads.
+ */
+size_t writer_left(const writer_t *w)
+{
+	return (w->queued ? w->queued->len : 0) +
+	       uv_stream_get_write_queue_size(w->to);
+}
+
 /* Frees the buffers; the connection must be closed. */
 void writer_clear(writer_t *w)
 {
--- a/test/script.h
+++ b/test/script.h
@@ -6,7 +6,9 @@
 #define SCRIPT_H
 
 #include <check.h>
+#include <netinet/tcp.h>
 #include <string.h>
+#include <sys/socket.h>
 #include <uv.h>
 #include "net/fns.h"
 
@@ -197,6 +199,7 @@
 	uv_write_t write;
 	GString *out;
 	GString *got;
+	bool held;  /* reads nothing until raw_read */
 	bool ended; /* the other end closed or reset the connection */
 	bool reset;
 } raw_caller_t;
@@ -220,27 +223,64 @@
 	uv_buf_t buf = uv_buf_init(c->out->str, (unsigned int)c->out->len);
 
 	ck_assert_int_eq(status, 0);
-	uv_read_start((uv_stream_t *)&c->tcp, script_on_alloc, raw_on_read);
+	if (!c->held)
+		uv_read_start((uv_stream_t *)&c->tcp, script_on_alloc,
+			      raw_on_read);
 	uv_write(&c->write, (uv_stream_t *)&c->tcp, &buf, 1, NULL);
 }
 
-/* Connects and sends text. */
-static inline void raw_open(raw_caller_t *c, uv_loop_t *loop, const addr_t *to,
-			    const char *text)
+/* Prepares a caller that is connected with raw_connect. */
+static inline void raw_init(raw_caller_t *c, uv_loop_t *loop, const char *text)
 {
-	struct sockaddr_in sa;
-
 	memset(c, 0, sizeof(*c));
 	c->out = g_string_new(text);
 	c->got = g_string_new(NULL);
-	uv_tcp_init(loop, &c->tcp);
+	uv_tcp_init_ex(loop, &c->tcp, AF_INET);
 	c->tcp.data = c;
 	c->connecting.data = c;
+}
+
+/* Connects and sends the text. */
+static inline void raw_connect(raw_caller_t *c, const addr_t *to)
+{
+	struct sockaddr_in sa;
+
 	uv_ip4_addr(to->ip, to->port, &sa);
 	uv_tcp_connect(&c->connecting, &c->tcp, (struct sockaddr *)&sa,
 		       raw_on_connected);
 }
 
+/* Prepares and connects a caller. */
+static inline void raw_open(raw_caller_t *c, uv_loop_t *loop, const addr_t *to,
+			    const char *text)
+{
+	raw_init(c, loop, text);
+	raw_connect(c, to);
+}
+
+/*
+ * Gives the caller a slow line, small in segments and window; it reads nothing
+ * until raw_read.
+ */
+static inline void raw_slow_line(raw_caller_t *c, int segment, int window)
+{
+	uv_os_fd_t fd;
+
+	c->held = true;
+	ck_assert_int_eq(uv_fileno((uv_handle_t *)&c->tcp, &fd), 0);
+	ck_assert_int_eq(setsockopt(fd, IPPROTO_TCP, TCP_MAXSEG, &segment,
+				    sizeof(segment)),
+			 0);
+	ck_assert_int_eq(
+		setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &window, sizeof(window)),
+		0);
+}
+
+static inline void raw_read(raw_caller_t *c)
+{
+	uv_read_start((uv_stream_t *)&c->tcp, script_on_alloc, raw_on_read);
+}
+
 /* Sends more text once connected; the text before it must have gone out. */
 static inline void raw_send(raw_caller_t *c, const char *text)
 {
