--- a/lib/forward/caller.c
+++ b/lib/forward/caller.c
@@ -7,6 +7,12 @@
 			     bytes unread sends a reset, and the caller could
 			     lose the answer */
 	WRITE_STALL_MS = 10000, /* the same while the caller takes no bytes */
+	/*
+	 * Bytes of the bodies of all requests in hand. Their copies on the way
+	 * to servers double them, and a host has 160 MB or more.
+	 */
+	BODIES_MAX = 32 << 20,
+	NO_ROOM_RETRY_MS = 500, /* a large request takes about as long */
 	/* Limits before the first configuration. */
 	DEFAULT_HEADER_MAX = 16 << 10, /* bytes */
 	DEFAULT_BODY_MAX = 4 << 20,    /* bytes */
@@ -173,8 +179,13 @@
 	caller_done(c, !close);
 }
 
-/* Rejects a request that is malformed, too large or too slow to arrive. */
-static void reject_request(caller_t *c, int status, const char *text)
+/*
+ * Rejects a request that is not read whole: it is malformed, too large or too
+ * slow to arrive, or there is no memory for it. retry_after: when the caller
+ * should come back; 0: not given.
+ */
+static void reject_request(caller_t *c, int status, ms_t retry_after,
+			   const char *text)
 {
 	exchange_t *x = c->x;
 
@@ -185,7 +196,13 @@
 	c->x = NULL;
 	http_reader_stop(&c->in);
 	c->answering = false;
-	caller_local_reply(c, status, 0, text);
+	caller_local_reply(c, status, retry_after, text);
+}
+
+/* Whether so many more bytes of bodies may be held. */
+static bool has_room(const caller_t *c, uint64_t bytes)
+{
+	return c->forward->body_bytes->value + bytes <= BODIES_MAX;
 }
 
 static bool on_head(void *ctx, const http_head_t *h)
@@ -198,7 +215,11 @@
 	c->is_head_request = http_name_is(h->method, "HEAD");
 	c->reads_chunks = h->minor > 0;
 	if (h->has_length && h->content_length > lim->body_max) {
-		reject_request(c, 413, "body too large");
+		reject_request(c, 413, 0, "body too large");
+		return false;
+	}
+	if (!has_room(c, h->content_length)) {
+		reject_request(c, 503, NO_ROOM_RETRY_MS, "too much in hand");
 		return false;
 	}
 	c->x = exchange_new(c, h);
@@ -215,10 +236,15 @@
 	if (!c->x)
 		return;
 	if (c->x->body->len + data.n > limits(c)->body_max) {
-		reject_request(c, 413, "body too large");
+		reject_request(c, 413, 0, "body too large");
+		return;
+	}
+	if (!has_room(c, data.n)) {
+		reject_request(c, 503, NO_ROOM_RETRY_MS, "too much in hand");
 		return;
 	}
 	g_byte_array_append(c->x->body, (const guint8 *)data.p, data.n);
+	c->forward->body_bytes->value += data.n;
 }
 
 static void on_end(void *ctx)
@@ -255,9 +281,9 @@
 	if (c->closed || c->closing)
 		return;
 	if (code == CODE_TOO_LARGE)
-		reject_request(c, 431, "header too large");
+		reject_request(c, 431, 0, "header too large");
 	else if (code != CODE_OK)
-		reject_request(c, 400, "malformed request");
+		reject_request(c, 400, 0, "malformed request");
 	else if (n > 0)
 		g_byte_array_append(c->pending, (const guint8 *)p, n);
 }
@@ -423,7 +449,7 @@
 	if (c->answering)
 		return;
 	if (reading && age > lim->header_timeout)
-		reject_request(c, 408, "request not complete in time");
+		reject_request(c, 408, 0, "request not complete in time");
 	else if (!reading && age > idle_timeout &&
 		 tcp_unread(&c->tcp) != TCP_UNREAD_BYTES) {
 		c->idle_for = age;
--- a/lib/forward/exchange.c
+++ b/lib/forward/exchange.c
@@ -101,6 +101,7 @@
 		server_conn_close(x->conn);
 	trace_clear(x);
 	buffer_free(x->request_head);
+	x->forward->body_bytes->value -= x->body->len;
 	buffer_free(x->body);
 	buffer_free(x->answer_head);
 	buffer_free(x->ready_events);
--- a/lib/forward/fns.h
+++ b/lib/forward/fns.h
@@ -18,6 +18,7 @@
 	void (*drained)(void *ctx);
 	void *ctx;
 } writer_t;
+void buffer_empty(GByteArray **b);
 void writer_init(writer_t *w, uv_stream_t *to, void (*drained)(void *ctx),
 		 void *ctx);
 void writer_put(writer_t *w, const void *p, size_t n);
--- a/lib/forward/forward.c
+++ b/lib/forward/forward.c
@@ -43,6 +43,7 @@
 	list_init(&f->failed_sends);
 	list_init(&f->callers);
 	list_init(&f->exchanges);
+	list_init(&f->server_conns);
 	uv_timer_init(loop, &f->deferred);
 	f->deferred.data = f;
 	f->requests = counter_get(counters, "edge_requests_total", NULL);
@@ -56,6 +57,8 @@
 	f->stray_answers =
 		counter_get(counters, "edge_stray_answers_total", NULL);
 	f->answer_bytes = gauge_get(counters, "edge_answer_bytes_held", NULL);
+	f->body_bytes = gauge_get(counters, "edge_request_bytes_held", NULL);
+	f->open_conns = gauge_get(counters, "edge_server_connections", NULL);
 	f->unread_at_close =
 		counter_get(counters, "edge_reads_after_close_total", NULL);
 	return f;
@@ -168,6 +171,7 @@
 	{
 		caller_tick(list_entry(pos, caller_t, link), now);
 	}
+	server_conns_tick(f, now);
 }
 
 /* Ends the requests that were read whole and are at a server, or are not. */
--- a/lib/forward/hconn.c
+++ b/lib/forward/hconn.c
@@ -11,6 +11,9 @@
 enum {
 	ANSWER_HEAD_MAX = 64 << 10, /* bytes */
 	READ_SIZE = 64 << 10,	    /* bytes */
+	/* Bytes of a request that is copied so that it goes out in one write.
+	 */
+	ONE_WRITE_MAX = 16 << 10,
 	/* Bytes unacknowledged for so long: the network path is lost. */
 	UNACKED_MS = 3000,
 };
@@ -164,7 +167,7 @@
 		return;
 	if (c->unsent && c->unsent->len > 0) {
 		writer_put(&c->out, c->unsent->data, c->unsent->len);
-		g_byte_array_set_size(c->unsent, 0);
+		buffer_empty(&c->unsent);
 	}
 }
 
@@ -238,26 +241,25 @@
  */
 void hconn_send(hconn_t *c, const GByteArray *head, const GByteArray *body)
 {
-	GByteArray *all;
+	size_t size = head->len + (body ? body->len : 0);
 
 	c->busy = true;
 	c->out.sent_any = false;
-	if (c->connected && (!body || body->len == 0)) {
+	if (c->connected && (size == head->len || size > ONE_WRITE_MAX)) {
 		writer_put(&c->out, head->data, head->len);
+		if (size > head->len)
+			writer_put(&c->out, body->data, body->len);
 		return;
 	}
 	if (!c->unsent)
-		c->unsent = g_byte_array_sized_new(head->len +
-						   (body ? body->len : 0));
-	all = c->unsent;
-	g_byte_array_set_size(all, 0);
-	g_byte_array_append(all, head->data, head->len);
+		c->unsent = g_byte_array_sized_new(size);
+	g_byte_array_append(c->unsent, head->data, head->len);
 	if (body)
-		g_byte_array_append(all, body->data, body->len);
+		g_byte_array_append(c->unsent, body->data, body->len);
 	if (!c->connected)
 		return;
-	writer_put(&c->out, all->data, all->len);
-	g_byte_array_set_size(all, 0);
+	writer_put(&c->out, c->unsent->data, c->unsent->len);
+	buffer_empty(&c->unsent);
 }
 
 /* Whether the connection is not established yet. */
--- a/lib/forward/priv.h
+++ b/lib/forward/priv.h
@@ -40,7 +40,8 @@
 
 /* A connection to a backend server. */
 typedef struct server_conn {
-	list_t link; /* in conn_pool_t.idle, or alone */
+	list_t link;	 /* in conn_pool_t.idle, or alone */
+	list_t all_link; /* in forward_t.server_conns */
 	forward_t *forward;
 	backend_t *server;
 	hconn_t *conn;
@@ -116,6 +117,8 @@
 	list_t failed_sends; /* exchanges whose send failed at once */
 	list_t callers;
 	list_t exchanges;
+	list_t server_conns;
+	ms_t next_idle_sweep;
 	size_t ncallers;
 	uint64_t last_conn; /* number of the newest to a server */
 	bool draining;
@@ -124,7 +127,9 @@
 	counter_t *connects;
 	counter_t *reused;
 	counter_t *stray_answers;
+	counter_t *open_conns;	 /* gauge: connections to servers */
 	counter_t *answer_bytes; /* gauge: held of answers not complete yet */
+	counter_t *body_bytes;	 /* gauge: held of requests' bodies */
 	counter_t *unread_at_close; /* reads from callers after the shutdown */
 	hist_t *answer_ms;	    /* of whole answers of servers */
 	counter_t *parts_omitted;   /* of prompts, not kept */
@@ -180,7 +185,7 @@
 /* server_conn.c */
 void server_conn_send(exchange_t *x);
 void server_conn_close(server_conn_t *c);
-void server_conn_tick(backend_t *b, ms_t now);
+void server_conns_tick(forward_t *f, ms_t now);
 
 /* forward.c */
 bool forward_refuses_new(const forward_t *f, ms_t now);
--- a/lib/forward/server_conn.c
+++ b/lib/forward/server_conn.c
@@ -2,9 +2,8 @@
 #include "forward/priv.h"
 
 enum {
-	IDLE_MAX_MS = 4000, /* servers keep idle connections for longer */
-	/* Meant to be taken off the timeout that a server announces; unused. */
-	IDLE_MARGIN_MS = 500,
+	IDLE_MAX_MS = 4000,  /* servers keep idle connections for longer */
+	IDLE_SWEEP_MS = 500, /* between two looks for idle connections */
 	/*
 	 * A request that must not be retried only takes a connection that was
 	 * used within this: the server is unlikely to have closed it yet.
@@ -16,7 +15,8 @@
 void server_conn_close(server_conn_t *c)
 {
 	list_del(&c->link);
-	list_init(&c->link);
+	list_del(&c->all_link);
+	c->forward->open_conns->value--;
 	if (c->x)
 		c->x->conn = NULL;
 	if (c->conn)
@@ -187,12 +187,14 @@
 	c->idle_timeout = IDLE_MAX_MS;
 	c->conn = hconn_open(f->loop, &b->addr, &ops, c);
 	f->connects->value++;
-	if (c->conn) {
-		hconn_set_may_send(c->conn, may_send);
-		return c;
+	if (!c->conn) {
+		g_free(c);
+		return NULL;
 	}
-	g_free(c);
-	return NULL;
+	hconn_set_may_send(c->conn, may_send);
+	list_add_tail(&f->server_conns, &c->all_link);
+	f->open_conns->value++;
+	return c;
 }
 
 /* Returns the head of one attempt. */
@@ -252,20 +254,20 @@
 	g_byte_array_free(head, TRUE);
 }
 
-/* Closes connections that were idle for their timeout. Not called yet. */
-void server_conn_tick(backend_t *b, ms_t now)
+/* Closes connections that were idle for their timeout. */
+void server_conns_tick(forward_t *f, ms_t now)
 {
-	conn_pool_t *pool = b->user;
 	list_t *pos;
 	list_t *tmp;
 
-	if (!pool)
+	if (now < f->next_idle_sweep)
 		return;
-	list_for_each_safe(pos, tmp, &pool->idle)
+	f->next_idle_sweep = now + IDLE_SWEEP_MS;
+	list_for_each_safe(pos, tmp, &f->server_conns)
 	{
-		server_conn_t *c = list_entry(pos, server_conn_t, link);
+		server_conn_t *c = list_entry(pos, server_conn_t, all_link);
 
-		if (now - c->idle_since >= c->idle_timeout)
+		if (!c->x && now - c->idle_since >= c->idle_timeout)
 			server_conn_close(c);
 	}
 }
--- a/lib/forward/writer.c
+++ b/lib/forward/writer.c
@@ -2,6 +2,21 @@
 #include <string.h>
 #include "forward/fns.h"
 
+enum {
+	BUFFER_KEPT_MAX = 32 << 10, /* bytes of a buffer that is kept */
+};
+
+/* Empties a buffer for its next use; one that has grown large is freed. */
+void buffer_empty(GByteArray **b)
+{
+	if (!*b)
+		return;
+	if ((*b)->len > BUFFER_KEPT_MAX)
+		g_clear_pointer(b, g_byte_array_unref);
+	else
+		g_byte_array_set_size(*b, 0);
+}
+
 /* Prepares a writer. drained is called when the queue is empty; may be NULL. */
 void writer_init(writer_t *w, uv_stream_t *to, void (*drained)(void *ctx),
 		 void *ctx)
@@ -19,8 +34,7 @@
 	writer_t *w = req->data;
 
 	w->busy = false;
-	if (w->writing)
-		g_byte_array_set_size(w->writing, 0);
+	buffer_empty(&w->writing);
 	if (status < 0) {
 		w->failed = true;
 		return;
