--- a/cmd/chestnuthinged/crashd.c
+++ b/cmd/chestnuthinged/crashd.c
@@ -289,7 +289,7 @@
 {
 	crashd_t *c = ctx;
 	const char *key = g_hash_table_lookup(c->keys, &number);
-	append_cond_t cond = { .end_offset = c->end };
+	append_cond_t cond = { .end = c->end };
 
 	if (!key || c->drops >= DROPS_MAX)
 		return;
@@ -307,7 +307,7 @@
 		c->started = now;
 	set_polling(c, now);
 	follow_tick(c->follow, now);
-	if (now < c->drop_at || !follow_next_offset(c->follow, &c->end))
+	if (now < c->drop_at || !follow_next(c->follow, &c->end))
 		return;
 	c->drop_at = now + DROP_EVERY_MS;
 	c->drops = 0;
--- a/cmd/chestnuthinged/rolloutd.c
+++ b/cmd/chestnuthinged/rolloutd.c
@@ -68,7 +68,7 @@
 	append_cond_t cond = { 0 };
 	char *text = shift_step_format(s);
 
-	follow_next_offset(r->follow, &cond.end_offset);
+	follow_next(r->follow, &cond.end);
 	append_put(r->append, adapter_topic_moves(), service, text, &cond);
 	g_free(text);
 }
@@ -278,7 +278,7 @@
 	if (analyzing != r->analyzing)
 		log_line(LOG_INFO, "move_judge", "active=%d", analyzing);
 	r->analyzing = analyzing;
-	if (!analyzing || !follow_next_offset(r->follow, &end))
+	if (!analyzing || !follow_next(r->follow, &end))
 		return;
 	canary_tick(r->analysis, now);
 	g_hash_table_iter_init(&it, r->decisions);
--- a/test/relays.c
+++ b/test/relays.c
@@ -439,7 +439,7 @@
 	follow_feed(t->follow, &n, now);
 	settle(t, now);
 	ck_assert_str_eq(t->records->str, c->records);
-	ck_assert(follow_next_offset(t->follow, &next));
+	ck_assert(follow_next(t->follow, &next));
 	ck_assert_msg(next == c->next, "%s: %llu", c->name,
 		      (unsigned long long)next);
 	ck_assert_msg((t->store.reads > 0) == c->reads, "%s", c->name);
