--- a/cmd/chestnuthinged/rolloutd.c
+++ b/cmd/chestnuthinged/rolloutd.c
@@ -18,7 +18,11 @@
 /* The newest decision on a service's rollout, and what was written of it. */
 typedef struct decision {
 	char *service;
-	char *target; /* version; NULL before the order is known */
+	char *target;	/* version; NULL before the order is known */
+	uint64_t order; /* number of the order */
+	ms_t duration;	/* of the order */
+	bool rewrite;	/* the step may be gone from a restored store */
+	bool rewriting; /* it is being written again */
 	shift_step_t step;
 	uint64_t number;	/* of its record */
 	bool known;		/* there is a decision */
@@ -88,6 +92,21 @@
 	canary_step(r->analysis, d->service, &d->step, now);
 }
 
+/*
+ * Whether a decision that was read goes beyond the known one. In a listing of a
+ * store that came back from a copy, older ones may be the newest that are left.
+ */
+static bool is_newer(const rolloutd_t *r, const decision_t *d,
+		     const shift_step_t *s)
+{
+	if (!d->known || s->order != d->step.order)
+		return !d->known || s->order > d->step.order;
+	if (!follow_restored(r->follow))
+		return true;
+	return s->age >= d->step.age &&
+	       (d->step.state == SHIFT_RUNNING || s->state == d->step.state);
+}
+
 static void on_record(void *ctx, str_t key, str_t value, uint64_t number)
 {
 	rolloutd_t *r = ctx;
@@ -105,9 +124,12 @@
 	service = str_dup(key);
 	d = decision_get(r, service);
 	g_free(service);
+	if (!is_newer(r, d, &step))
+		return;
 	d->step = step;
 	d->number = number;
 	d->known = true;
+	d->rewrite = false;
 	d->status_written = false;
 	d->report_pending = false;
 	apply(r, d);
@@ -155,24 +177,55 @@
 	return r;
 }
 
+/*
+ * Whether the operator has written the known order again, as it does after the
+ * store came back from a copy. That is no second order.
+ */
+static bool is_rewritten(const decision_t *d, const shift_order_t *o)
+{
+	return d->target && strcmp(d->target, o->target) == 0 &&
+	       d->duration == o->duration &&
+	       era_of(o->number) > era_of(d->order);
+}
+
+static void renumber(rolloutd_t *r, decision_t *d, uint64_t number)
+{
+	edge_shift_renumber(r->edge, d->service, number);
+	canary_renumber(r->analysis, d->service, number);
+	if (d->known && d->step.order == d->order) {
+		d->step.order = number;
+		d->rewrite = true;
+	}
+	d->order = number;
+}
+
+static void take_order(rolloutd_t *r, decision_t *d, const shift_order_t *o)
+{
+	edge_shift_order(r->edge, o);
+	canary_order(r->analysis, o, clock_now());
+	g_free(d->target);
+	d->target = g_strdup(o->target);
+	d->duration = o->duration;
+	d->order = o->number;
+	if (d->known)
+		apply(r, d);
+}
+
 /* Takes the operator's order. Returns false, and why, when it is not valid. */
 bool rolloutd_order(rolloutd_t *r, str_t key, str_t text, uint64_t number,
 		    const char **why)
 {
-	ms_t now = clock_now();
 	shift_order_t o;
 	decision_t *d;
 	void *doc;
 
 	if (adapter_parse_rollout(key, text, number, &o, &doc, why))
 		return false;
-	edge_shift_order(r->edge, &o);
-	canary_order(r->analysis, &o, now);
 	d = decision_get(r, o.service);
-	g_free(d->target);
-	d->target = g_strdup(o.target);
-	if (d->known)
-		apply(r, d);
+	if (is_rewritten(d, &o))
+		renumber(r, d, o.number);
+	else
+		take_order(r, d, &o);
 	if (!r->follow)
 		r->follow = follow_new(r->loop, &r->conf, &follow_ops, r,
 				       r->counters);
@@ -218,6 +271,8 @@
 		} else if (strcmp(topic, adapter_topic_moves()) == 0 &&
 			   strcmp(key, d->service) == 0 &&
 			   end != APPEND_WRITTEN) {
+			d->rewrite = d->rewrite || d->rewriting;
+			d->rewriting = false;
 			d->report_pending = false;
 			canary_step_refused(r->analysis, d->service);
 		}
@@ -242,6 +297,22 @@
 	g_free(text);
 }
 
+/*
+ * Writes the newest decision again after the store came back from a copy; its
+ * status follows once it is read back.
+ */
+static void rewrite_decision(rolloutd_t *r, decision_t *d)
+{
+	shift_step_t step = d->step;
+
+	if (!d->rewrite)
+		return;
+	step.reported = false;
+	d->rewrite = false;
+	d->rewriting = true;
+	append_step(r, d->service, &step);
+}
+
 /*
  * Writes the operator's status for each decision. For the last decision of a
  * rollout, records in the store that this is done.
@@ -282,8 +353,10 @@
 		return;
 	canary_tick(r->analysis, now);
 	g_hash_table_iter_init(&it, r->decisions);
-	while (g_hash_table_iter_next(&it, NULL, &v))
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		rewrite_decision(r, v);
 		report_decision(r, v);
+	}
 }
 
 /* Sets the largest share of traffic for a version under analysis. */
--- a/cmd/chestnuthinged/topics.c
+++ b/cmd/chestnuthinged/topics.c
@@ -155,11 +155,22 @@
 					 ignore_listing, ignore_reachable,
 					 on_orders_read };
 
+/* Lists this host for the others. */
+static void put_own_address(edged_t *d)
+{
+	char where[64];
+
+	addr_print(&d->set->peers, where);
+	append_put(d->append, adapter_topic_hosts(), d->set->name, where, NULL);
+}
+
 static void on_hosts_listed(void *ctx)
 {
 	edged_t *d = ctx;
 
 	edge_hosts_listed(d->edge);
+	if (follow_restored(d->hosts))
+		put_own_address(d);
 }
 
 static const follow_ops_t hosts_ops = { on_host_record, ignore_listing,
@@ -194,6 +205,8 @@
 {
 	edged_t *d = ctx;
 
+	if (follow_restored(d->servers))
+		roster_store_returned(d->roster, clock_now());
 	roster_listing_begin(d->roster);
 }
 
@@ -275,7 +288,6 @@
 			       .wait = ORDERS_WAIT_MS,
 			       .retry_max = RETRY_MAX_MS,
 			       .news_max = relays_news_max(d->set->config) };
-	char where[64];
 
 	d->orders = follow_new(&d->loop, &conf, &orders_ops, d, d->counters);
 	conf.topic = adapter_topic_servers();
@@ -291,8 +303,7 @@
 	conf.news_max = HOSTS_WAIT_MS + NEWS_LATE_MS;
 	conf.retry_max = HOSTS_RETRY_MAX_MS;
 	d->hosts = follow_new(&d->loop, &conf, &hosts_ops, d, d->counters);
-	addr_print(&d->set->peers, where);
-	append_put(d->append, adapter_topic_hosts(), d->set->name, where, NULL);
+	put_own_address(d);
 }
 
 /* Applies new settings. */
--- a/lib/edge/canary.c
+++ b/lib/edge/canary.c
@@ -118,6 +118,18 @@
 	g_hash_table_replace(c->rollouts, t->service, t);
 }
 
+/* A known order was written again, and has this number from now on. */
+void canary_renumber(canary_t *c, const char *service, uint64_t number)
+{
+	canary_rollout_t *t = g_hash_table_lookup(c->rollouts, service);
+
+	if (!t)
+		return;
+	t->order = number;
+	t->step.order = number;
+	t->pending = false;
+}
+
 /* Takes a decision from the store, written by this host or another. */
 void canary_step(canary_t *c, const char *service, const shift_step_t *s,
 		 ms_t now)
--- a/lib/edge/fns.h
+++ b/lib/edge/fns.h
@@ -124,6 +124,7 @@
 
 /* shift.c */
 void edge_shift_order(edge_t *e, const shift_order_t *o);
+void edge_shift_renumber(edge_t *e, const char *service, uint64_t number);
 void edge_shift_step(edge_t *e, const char *service, const shift_step_t *s);
 const char *shift_state_name(shift_state_t state);
 void edge_shift_report(edge_t *e,
@@ -154,6 +155,7 @@
 		   uint64_t order, const char *cell, uint64_t value);
 void canary_host_gone(canary_t *j, uint64_t host);
 void canary_tick(canary_t *j, ms_t now);
+void canary_renumber(canary_t *c, const char *service, uint64_t number);
 void canary_step_refused(canary_t *j, const char *service);
 
 /* roster.c */
@@ -165,6 +167,7 @@
 void roster_remove(roster_t *r, const char *id, ms_t now);
 void roster_listing_begin(roster_t *r);
 void roster_listing_end(roster_t *r, ms_t now);
+void roster_store_returned(roster_t *r, ms_t now);
 void roster_store_reachable(roster_t *r, bool yes, ms_t now);
 void roster_tick(roster_t *r, ms_t now);
 
--- a/lib/edge/roster.c
+++ b/lib/edge/roster.c
@@ -113,6 +113,15 @@
 	r->up = yes;
 }
 
+/*
+ * The store is back from a copy, whether or not it was seen to be away: entries
+ * that are missing from the copy are written again.
+ */
+void roster_store_returned(roster_t *r, ms_t now)
+{
+	r->back_at = now;
+}
+
 /* Removes missing servers that have not come back in time. */
 void roster_tick(roster_t *r, ms_t now)
 {
--- a/lib/edge/shift.c
+++ b/lib/edge/shift.c
@@ -74,6 +74,20 @@
 		 o->service, o->target, o->number, (long long)o->duration);
 }
 
+/* The order in force was written again, and has this number from now on. */
+void edge_shift_renumber(edge_t *e, const char *service, uint64_t number)
+{
+	shift_t *s = pool_get(e, service)->shift;
+
+	if (!s)
+		return;
+	log_line(LOG_INFO, "move_renumbered",
+		 "service=%s target=%s order=%" PRIu64 " before=%" PRIu64,
+		 service, s->target, number, s->order);
+	s->order = number;
+	s->step.order = number;
+}
+
 /*
  * Applies a decision of the canary analysis. A final state of an order is never
  * left.
--- a/test/shift.c
+++ b/test/shift.c
@@ -25,6 +25,7 @@
 	CANARY_SLACK = 50,  /* requests more than the canary's share */
 	ROLLBACK_MS = 5000, /* from the 50th bad answer */
 	BAD_BEFORE = 50,
+	AGAIN = 1 << 20, /* number of an order that was written again */
 };
 
 static const double canary_share = 0.1;
@@ -39,28 +40,37 @@
 	bool one_server;
 	bool old_too;	    /* the old version has it as well */
 	ms_t analysis_dies; /* after the order; 0: never */
+	ms_t written_again; /* the order, which gets another number; 0: never */
 	shift_state_t end;
 } fault_t;
 
 static const fault_t faults[] = {
-	{ "good", 0, 1, 0, false, false, false, 0, SHIFT_DONE },
-	{ "good, the analysis dies", 0, 1, 0, false, false, false, 5000,
+	{ "good", 0, 1, 0, false, false, false, 0, 0, SHIFT_DONE },
+	{ "good, the analysis dies", 0, 1, 0, false, false, false, 5000, 0,
 	  SHIFT_DONE },
-	{ "fails", 0.3, 1, 0, false, false, false, 0, SHIFT_ROLLED_BACK },
-	{ "fails, the analysis dies", 0.3, 1, 0, false, false, false, 200,
+	{ "fails", 0.3, 1, 0, false, false, false, 0, 0, SHIFT_ROLLED_BACK },
+	{ "fails, the analysis dies", 0.3, 1, 0, false, false, false, 200, 0,
 	  SHIFT_ROLLED_BACK },
-	{ "fails late", 0.3, 1, 5000, false, false, false, 0,
+	{ "fails late", 0.3, 1, 5000, false, false, false, 0, 0,
 	  SHIFT_ROLLED_BACK },
 	{ "fails with more than a canary", 0.3, 1, 7500, false, false, false, 0,
+	  0, SHIFT_ROLLED_BACK },
+	{ "fails on one route", 0.5, 1, 0, true, false, false, 0, 0,
 	  SHIFT_ROLLED_BACK },
-	{ "fails on one route", 0.5, 1, 0, true, false, false, 0,
+	{ "slow", 0, 4, 0, false, false, false, 0, 0, SHIFT_ROLLED_BACK },
+	{ "slow late", 0, 4, 4000, false, false, false, 0, 0,
 	  SHIFT_ROLLED_BACK },
-	{ "slow", 0, 4, 0, false, false, false, 0, SHIFT_ROLLED_BACK },
-	{ "slow late", 0, 4, 4000, false, false, false, 0, SHIFT_ROLLED_BACK },
-	{ "never answers", 0, 1000, 0, false, false, false, 0,
+	{ "never answers", 0, 1000, 0, false, false, false, 0, 0,
 	  SHIFT_ROLLED_BACK },
-	{ "one server fails", 0.6, 1, 0, false, true, false, 0, SHIFT_DONE },
-	{ "both versions fail", 0.2, 1, 0, false, false, true, 0, SHIFT_DONE },
+	{ "one server fails", 0.6, 1, 0, false, true, false, 0, 0, SHIFT_DONE },
+	{ "both versions fail", 0.2, 1, 0, false, false, true, 0, 0,
+	  SHIFT_DONE },
+	{ "good, its order is written again", 0, 1, 0, false, false, false, 0,
+	  5000, SHIFT_DONE },
+	{ "fails, the order written again after that", 0.3, 1, 0, false, false,
+	  false, 0, 4000, SHIFT_ROLLED_BACK },
+	{ "fails late, the order written again before", 0.3, 1, 5000, false,
+	  false, false, 0, 4000, SHIFT_ROLLED_BACK },
 };
 
 /* A simulated request: when and how its server answers. */
@@ -186,6 +196,15 @@
 	new_canary(p);
 }
 
+/* The store came back from a copy, and the operator wrote the order again. */
+static void write_order_again(play_t *p)
+{
+	for (int i = 0; i < HOSTS; i++)
+		edge_shift_renumber(p->hosts[i].edge, svc, AGAIN);
+	canary_renumber(p->canary, svc, AGAIN);
+	p->decision.order = AGAIN;
+}
+
 static void deliver(play_t *p)
 {
 	for (guint i = 0; i < p->pending->len; i++) {
@@ -322,6 +341,8 @@
 			new_canary(p);
 			report(p, true);
 		}
+		if (t->written_again && p->now == ORDERED + t->written_again)
+			write_order_again(p);
 		if (p->now < ORDERED)
 			continue;
 		if (p->now % REPORT_MS == 0)
