--- a/cmd/chestnuthinged/crashd.c
+++ b/cmd/chestnuthinged/crashd.c
@@ -121,7 +121,10 @@
 	if (ok) {
 		r.traits = (const trait_t *)(void *)traits->data;
 		r.ntraits = traits->len;
-		edge_crash_reported(c->edge, host, &r, number, clock_now());
+		if (!follow_restored(c->follow) ||
+		    !edge_crash_known(c->edge, host, &r))
+			edge_crash_reported(c->edge, host, &r, number,
+					    clock_now());
 	}
 	g_free(copy);
 	g_array_free(traits, TRUE);
@@ -135,7 +138,9 @@
 	if (!g_ascii_string_to_unsigned(text, RADIX, 0, G_MAXUINT64, &trait,
 					NULL))
 		return false;
-	edge_trait_answered(c->edge, trait, number, clock_now());
+	if (!follow_restored(c->follow) ||
+	    !edge_trait_answered_known(c->edge, trait))
+		edge_trait_answered(c->edge, trait, number, clock_now());
 	return true;
 }
 
@@ -165,7 +170,17 @@
 
 	g_hash_table_remove_all(c->numbers);
 	g_hash_table_remove_all(c->keys);
-	edge_crashes_listing(c->edge);
+	if (!follow_restored(c->follow))
+		edge_crashes_listing(c->edge);
+}
+
+static void write_again(void *ctx, const char *key, const crash_report_t *r)
+{
+	crashd_t *c = ctx;
+	char *text = crash_traits_format(r);
+
+	append_put(c->append, adapter_topic_crashes(), key, text, NULL);
+	g_free(text);
 }
 
 static void on_listed(void *ctx)
@@ -173,6 +188,8 @@
 	crashd_t *c = ctx;
 
 	c->listed = true;
+	if (follow_restored(c->follow))
+		edge_crashes_own(c->edge, write_again, c);
 	g_byte_array_set_size(c->news, 0);
 }
 
--- a/lib/edge/crashrec.c
+++ b/lib/edge/crashrec.c
@@ -42,6 +42,76 @@
 	q->changed = true;
 }
 
+static report_t *report_new(const char *host, const crash_report_t *c)
+{
+	report_t *r = g_new0(report_t, 1);
+
+	r->life = g_strdup_printf("%s.%lld", c->server,
+				  (long long)c->started_unix);
+	r->key = g_strdup_printf("%s/%s", r->life, host);
+	r->ntraits = MIN(c->ntraits, CRASH_TRAITS_MAX);
+	if (r->ntraits > 0)
+		memcpy(r->traits, c->traits, r->ntraits * sizeof(*r->traits));
+	return r;
+}
+
+/*
+ * Whether a report, found in a listing of a store that came back from a copy,
+ * is known as it is. It then keeps its number, and so its place among the
+ * reports and answers that the copy lacks.
+ */
+bool edge_crash_known(const edge_t *e, const char *host,
+		      const crash_report_t *c)
+{
+	report_t *r = report_new(host, c);
+	const report_t *known =
+		g_hash_table_lookup(e->quarantine->reports, r->key);
+	bool same = known && r->ntraits > 0 && known->ntraits == r->ntraits &&
+		    memcmp(known->traits, r->traits,
+			   r->ntraits * sizeof(*r->traits)) == 0;
+
+	report_free(r);
+	return same;
+}
+
+/* Whether an answered trait is known; as edge_crash_known. */
+bool edge_trait_answered_known(const edge_t *e, trait_t trait)
+{
+	return g_hash_table_contains(e->quarantine->answered, &trait);
+}
+
+/*
+ * Calls write for each report that this host has made, with the traits that no
+ * answer has cleared since: a store that came back from a copy may lack them.
+ */
+void edge_crashes_own(const edge_t *e,
+		      void (*write)(void *ctx, const char *key,
+				    const crash_report_t *c),
+		      void *ctx)
+{
+	const quarantine_t *q = e->quarantine;
+	char *end = g_strconcat("/", e->conf.name ? e->conf.name : "", NULL);
+	GHashTableIter it;
+	gpointer v;
+
+	g_hash_table_iter_init(&it, q->reports);
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		const report_t *r = v;
+		trait_t traits[CRASH_TRAITS_MAX];
+		crash_report_t c = { .traits = traits };
+
+		if (!g_str_has_suffix(r->key, end))
+			continue;
+		for (size_t i = 0; i < r->ntraits; i++) {
+			if (blame_names(q, r, r->traits[i]))
+				traits[c.ntraits++] = r->traits[i];
+		}
+		if (c.ntraits > 0)
+			write(ctx, r->key, &c);
+	}
+	g_free(end);
+}
+
 /* Makes room for one more report: the oldest is left out. */
 static void bound_reports(quarantine_t *q)
 {
@@ -83,18 +153,6 @@
 	g_free(text);
 }
 
-static report_t *report_new(const char *host, const crash_report_t *c)
-{
-	report_t *r = g_new0(report_t, 1);
-
-	r->life = g_strdup_printf("%s.%lld", c->server,
-				  (long long)c->started_unix);
-	r->key = g_strdup_printf("%s/%s", r->life, host);
-	r->ntraits = MIN(c->ntraits, CRASH_TRAITS_MAX);
-	memcpy(r->traits, c->traits, r->ntraits * sizeof(*r->traits));
-	return r;
-}
-
 /*
  * This host reports a server that ended. Until the report is read back, which
  * takes as long as the store cannot be reached, this host goes by it as if it
--- a/lib/edge/fns.h
+++ b/lib/edge/fns.h
@@ -94,6 +94,13 @@
  * store took it; number is the offset of the record.
  */
 void edge_crashes_listing(edge_t *e);
+bool edge_crash_known(const edge_t *e, const char *host,
+		      const crash_report_t *c);
+bool edge_trait_answered_known(const edge_t *e, trait_t trait);
+void edge_crashes_own(const edge_t *e,
+		      void (*write)(void *ctx, const char *key,
+				    const crash_report_t *c),
+		      void *ctx);
 void edge_crash_reported(edge_t *e, const char *host, const crash_report_t *c,
 			 uint64_t number, ms_t now);
 void edge_trait_answered(edge_t *e, trait_t trait, uint64_t number, ms_t now);
--- a/test/suspects.c
+++ b/test/suspects.c
@@ -485,6 +485,50 @@
 }
 END_TEST
 
+static void add_own(void *ctx, const char *key, const crash_report_t *c)
+{
+	GString *out = ctx;
+
+	g_string_append_printf(out, "%s:", key);
+	for (size_t i = 0; i < c->ntraits; i++)
+		g_string_append_c(out, (char)c->traits[i]);
+}
+
+/*
+ * The store came back from a copy: what it still has is known and keeps its
+ * number, what it lacks stays in force, and the host writes its own reports
+ * again, without traits that were answered.
+ */
+START_TEST(reports_outlive_a_restored_store)
+{
+	static const trait_t traits[] = { 'p', 'q' };
+	crash_report_t c = { .server = "a",
+			     .started_unix = '1',
+			     .traits = traits };
+	GString *own = g_string_new(NULL);
+	edge_ops_t lab_ops;
+	lab_t l;
+
+	lab_open(&l, &lab_ops);
+	run_words(&l, THREE, take_record);
+	ck_assert(is_held(&l, "p"));
+	c.ntraits = 1;
+	ck_assert(edge_crash_known(l.w.edge, "h", &c));
+	ck_assert(!edge_crash_known(l.w.edge, "g", &c));
+	c.ntraits = 2;
+	ck_assert(!edge_crash_known(l.w.edge, "h", &c));
+	edge_crash_reported(l.w.edge, "me", &c, ++l.number, l.now);
+	run_words(&l, "=q", take_record);
+	ck_assert(edge_trait_answered_known(l.w.edge, 'q'));
+	ck_assert(!edge_trait_answered_known(l.w.edge, 'p'));
+	edge_crashes_own(l.w.edge, add_own, own);
+	ck_assert_str_eq(own->str, "a.49/me:p");
+	ck_assert(is_held(&l, "p"));
+	g_string_free(own, TRUE);
+	lab_close(&l);
+}
+END_TEST
+
 /* A whole answer to this host clears its reports, whether it can tell or not.
  */
 START_TEST(own_answers_clear_own_reports)
@@ -837,6 +881,7 @@
 	tcase_add_test(t, answers_are_told_for_reported_parts_only);
 	tcase_add_test(t, answers_to_a_content_are_told_before_it_is_held);
 	tcase_add_test(t, own_reports_count_before_they_are_read_back);
+	tcase_add_test(t, reports_outlive_a_restored_store);
 	tcase_add_test(t, own_answers_clear_own_reports);
 	tcase_add_loop_test(t, a_waiting_request_is_refused, 0, WAITS);
 	tcase_add_test(t, a_refused_request_costs_no_quota);
