--- a/cmd/chestnuthinged/edged.c
+++ b/cmd/chestnuthinged/edged.c
@@ -303,6 +303,7 @@
 	topics_tick(d, now);
 	crashd_tick(d->crashes, now);
 	append_tick(d->append, now);
+	peering_reaches_store(d->peering, store_link_up(&d->store, now));
 	peering_tick(d->peering, now);
 	rolloutd_tick(d->rollouts,
 		      peering_runs_analysis(d->peering) && !d->stopping, now);
--- a/cmd/chestnuthinged/peering.c
+++ b/cmd/chestnuthinged/peering.c
@@ -60,6 +60,7 @@
 	g_hash_table_remove(p->keepers, &inc);
 	g_hash_table_remove(p->names, &inc);
 	g_hash_table_remove(p->reported_to, &inc);
+	g_hash_table_remove(p->cut_off, &inc);
 }
 
 static void take_grant(peering_t *p, uint64_t inc, rid_t rid)
@@ -162,6 +163,9 @@
 	p->quotas = quotad_new(set, peering_quota_send, p, counters);
 	p->addresses =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	p->reaches_store = true;
+	p->cut_off = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
+					   NULL);
 	p->reported_to = g_hash_table_new_full(g_int64_hash, g_int64_equal,
 					       g_free, NULL);
 	p->kv = g_array_new(FALSE, FALSE, sizeof(fact_kv_t));
@@ -402,6 +406,7 @@
 	g_hash_table_destroy(p->names);
 	g_hash_table_destroy(p->keepers);
 	g_hash_table_destroy(p->reported_to);
+	g_hash_table_destroy(p->cut_off);
 	g_hash_table_destroy(p->addresses);
 	relays_free(p->relays);
 	quotad_free(p->quotas);
--- a/cmd/chestnuthinged/peering.h
+++ b/cmd/chestnuthinged/peering.h
@@ -47,6 +47,7 @@
 void peering_relay(peering_t *p, const char *topic, const follow_news_t *n);
 void peering_reconf(peering_t *p);
 void peering_tick(peering_t *p, ms_t now);
+void peering_reaches_store(peering_t *p, bool reaches);
 bool peering_runs_analysis(const peering_t *p);
 void peering_close(peering_t *p);
 void peering_free(peering_t *p);
--- a/cmd/chestnuthinged/peering_priv.h
+++ b/cmd/chestnuthinged/peering_priv.h
@@ -30,6 +30,9 @@
 	ms_t config_asked_at;
 	uint64_t inc;		      /* of this process */
 	counter_t *customers_omitted; /* left out of a full message */
+	bool reaches_store;	      /* this host */
+	GHashTable *cut_off; /* set of incarnations, of hosts that say that they
+				don't reach the store */
 	uint64_t analyst; /* incarnation of the host that runs canary analysis;
 			     0 none */
 	ms_t next_count_report;
--- a/cmd/chestnuthinged/reports.c
+++ b/cmd/chestnuthinged/reports.c
@@ -26,6 +26,8 @@
 static const char key_config[] = "config";
 static const char key_sent[] = "sent/";
 static const char key_rollout[] = "move/"; /* SERVICE/ORDER/CELL */
+/* Whether the host reaches the store. Earlier releases don't send it. */
+static const char key_store[] = "store";
 /*
  * From keepers and edge hosts: they keep customers' quotas, and need no reports
  * of use. Earlier releases don't send it.
@@ -34,13 +36,14 @@
 
 /*
  * Returns the host that runs canary analysis: of the relays that are up, the
- * one whose name sorts first; this host, if there is none. Hosts that are
+ * one that precedes the others; this host, if there is none. Hosts that are
  * connected to different relays may choose two analysts; the store accepts only
  * one of their decisions.
  */
 static uint64_t find_analyst(const peering_t *p)
 {
 	const char *first = relays_self(p->relays) ? p->set->name : NULL;
+	bool first_reaches = p->reaches_store;
 	uint64_t found = p->inc;
 	GHashTableIter it;
 	gpointer inc;
@@ -48,10 +51,14 @@
 
 	g_hash_table_iter_init(&it, p->names);
 	while (g_hash_table_iter_next(&it, &inc, &name)) {
+		bool reaches = !g_hash_table_contains(p->cut_off, inc);
+
 		if (!relays_is_relay(p->relays, name) ||
-		    (first && strcmp(name, first) >= 0))
+		    (first &&
+		     !relays_precedes(name, reaches, first, first_reaches)))
 			continue;
 		first = name;
+		first_reaches = reaches;
 		found = *(uint64_t *)inc;
 	}
 	return found;
@@ -124,6 +131,24 @@
 	       memcmp(key.p, prefix, strlen(prefix)) == 0;
 }
 
+static void take_reach(peering_t *p, uint64_t inc, bool reaches)
+{
+	if (reaches)
+		g_hash_table_remove(p->cut_off, &inc);
+	else
+		g_hash_table_add(p->cut_off, g_memdup2(&inc, sizeof(inc)));
+}
+
+/* This host reaches the store, or not; the others are told at once. */
+void peering_reaches_store(peering_t *p, bool reaches)
+{
+	if (p->reaches_store == reaches)
+		return;
+	log_line(LOG_INFO, "store_reach", "reaches=%d", reaches);
+	p->reaches_store = reaches;
+	p->next_report = 0;
+}
+
 void peering_take_facts(peering_t *p, uint64_t inc, const char *name,
 			const msg_facts_t *f)
 {
@@ -140,6 +165,8 @@
 				   (str_t){ key.p + strlen(key_rollout),
 					    key.n - strlen(key_rollout) },
 				   f->kv[i].value);
+		} else if (str_eq(key, str_of(key_store))) {
+			take_reach(p, inc, f->kv[i].value != 0);
 		} else if (str_eq(key, str_of(key_quota))) {
 			g_hash_table_remove(p->reported_to, &inc);
 			p->hosts_changed = true;
@@ -263,6 +290,7 @@
 	begin_facts(p);
 	add(p, g_strdup(key_config), version);
 	add(p, g_strdup(key_quota), 1);
+	add(p, g_strdup(key_store), p->reaches_store);
 	send_to(p, false);
 	if (g_hash_table_size(p->reported_to) == 0)
 		return;
--- a/lib/edge/fns.h
+++ b/lib/edge/fns.h
@@ -54,6 +54,8 @@
 bool relays_is_relay(relays_t *r, const char *name);
 bool relays_self(relays_t *r);
 bool relays_have_followers(const relays_t *r);
+bool relays_precedes(const char *a, bool a_reaches, const char *b,
+		     bool b_reaches);
 bool relays_connects(relays_t *r, const char *name);
 ms_t relays_read_wait(ms_t config);
 ms_t relays_news_max(ms_t config);
--- a/lib/edge/relays.c
+++ b/lib/edge/relays.c
@@ -117,6 +117,19 @@
 	return g_hash_table_size(r->names) > wanted(r);
 }
 
+/*
+ * Whether relay a goes before relay b for a duty that one relay has for all,
+ * and that writes to the store: the one that reaches the store; if both do or
+ * neither does, the one whose name sorts first.
+ */
+bool relays_precedes(const char *a, bool a_reaches, const char *b,
+		     bool b_reaches)
+{
+	if (a_reaches != b_reaches)
+		return a_reaches;
+	return strcmp(a, b) < 0;
+}
+
 /*
  * Whether this host connects to that one: to a relay; of two relays the one
  * whose name sorts first connects.
--- a/test/bodies.c
+++ b/test/bodies.c
@@ -9,9 +9,10 @@
 #include "script.h"
 
 enum {
-	BODY_BYTES = 1 << 20, /* the largest that the host takes */
-	HELD_MAX = 32 << 20,  /* of all bodies */
-	CALLERS = 40,	      /* more than fit */
+	BODY_BYTES = 1 << 20,  /* the largest that the host takes */
+	LARGE_BYTES = 8 << 20, /* more than sockets hold */
+	HELD_MAX = 32 << 20,   /* of all bodies */
+	CALLERS = 40,	       /* more than fit */
 	WAIT_MAX_MS = 30000,
 };
 
@@ -148,7 +149,7 @@
 /* A writer that has written a large body keeps small buffers only. */
 START_TEST(test_writer_frees_large_buffers)
 {
-	char *text = g_strnfill(BODY_BYTES * 8, 'x');
+	char *text = g_strnfill(LARGE_BYTES, 'x');
 	raw_caller_t reader = { .got = g_string_new(NULL) };
 	struct sockaddr_in sa;
 	uv_connect_t req;
--- a/test/http.c
+++ b/test/http.c
@@ -254,7 +254,7 @@
 {
 	const mixed_case_t *c = &mixed_cases[_i];
 	http_reader_t in[2];
-	seen_t s[2];
+	seen_t s[2] = { 0 };
 
 	for (size_t i = 0; i < G_N_ELEMENTS(in); i++) {
 		seen_init(&s[i]);
--- a/test/relays.c
+++ b/test/relays.c
@@ -135,6 +135,49 @@
  * A relay that loses the store right after an answer leaves its followers the
  * time to read a new configuration by themselves.
  */
+/* Which of two relays has the duty that one has for all. */
+typedef struct duty_case {
+	const char *name;
+	bool a_reaches;
+	bool b_reaches;
+	bool a_first; /* of "a" and "b" */
+} duty_case_t;
+
+static const duty_case_t duty_cases[] = {
+	{ "both reach the store", true, true, true },
+	{ "the first is cut off", false, true, false },
+	{ "the second is cut off", true, false, true },
+	{ "both are cut off", false, false, true },
+};
+
+START_TEST(test_duty)
+{
+	const duty_case_t *c = &duty_cases[_i];
+
+	ck_assert_msg(relays_precedes("a", c->a_reaches, "b", c->b_reaches) ==
+			      c->a_first,
+		      "%s", c->name);
+	ck_assert_msg(relays_precedes("b", c->b_reaches, "a", c->a_reaches) !=
+			      c->a_first,
+		      "%s, the other way", c->name);
+}
+END_TEST
+
+/* A process reaches the store until its calls have failed for a while. */
+START_TEST(test_link)
+{
+	store_link_t s = { .failing_since = 0 };
+
+	ck_assert(store_link_up(&s, 1000));
+	store_link_failed(&s, 1000);
+	ck_assert(store_link_up(&s, 1100));
+	store_link_failed(&s, 1700);
+	ck_assert(!store_link_up(&s, 1800));
+	store_link_answered(&s);
+	ck_assert(store_link_up(&s, 1800));
+}
+END_TEST
+
 START_TEST(test_in_time)
 {
 	static const ms_t configs[] = { 500, 2000, 3000, 4000, 10000, 60000 };
@@ -578,6 +621,8 @@
 	tcase_add_test(t, test_news_bound_shortened);
 	tcase_add_loop_test(t, test_end_wait, 0, G_N_ELEMENTS(end_waits));
 	tcase_add_loop_test(t, test_in_time, 0, 6);
+	tcase_add_loop_test(t, test_duty, 0, G_N_ELEMENTS(duty_cases));
+	tcase_add_test(t, test_link);
 	srunner_run_all(r, CK_NORMAL);
 	failed = srunner_ntests_failed(r);
 	srunner_free(r);
--- a/test/restored.c
+++ b/test/restored.c
@@ -59,7 +59,7 @@
 #define HEAD(era) "HTTP/1.1 200 OK\r\nStore-Era: " #era "\r\nContent-Length: "
 #define GONE(era)                                                              \
 	"HTTP/1.1 410 Gone\r\nStore-Era: " #era "\r\nContent-Length: "         \
-						"0\r\n\r\n"
+	"0\r\n\r\n"
 /* A page with one key, and one with two of which the second is newer. */
 #define LIST_A(era)                                                            \
 	HEAD(era)                                                              \
--- a/test/soak/dat.h
+++ b/test/soak/dat.h
@@ -139,7 +139,7 @@
 	double extra;	  /* share of answers that come twice */
 	double unframed;  /* share of answers without a length */
 	double floods;	  /* share of answers that do not end */
-	double sheds;	  /* share of requests turned away, half of them twice */
+	double sheds; /* share of requests turned away, half of them twice */
 	word_s_t word;
 } server_t;
 
