--- a/test/soak/dat.h
+++ b/test/soak/dat.h
@@ -66,6 +66,7 @@
 	char *key;
 	char *value;
 	uint64_t number;
+	ms_t written_at;
 } rec_t;
 
 typedef struct topic {
@@ -86,7 +87,9 @@
 typedef struct store {
 	listen_t at;
 	GHashTable *topics;
-	ms_t changed_at; /* its state */
+	ms_t changed_at;    /* its state */
+	unsigned int era;   /* how often it came back from a copy */
+	char era_field[32]; /* of its answers */
 	store_state_t state;
 } store_t;
 
@@ -260,6 +263,7 @@
 	GRand *faults;
 	GRand *floods; /* apart, so that a seed's other faults stay */
 	GRand *sheds;  /* the same */
+	GRand *drills; /* the same; NULL: the store is never restored */
 	uint64_t seed;
 	const char *daemon;
 	char *dir;
--- a/test/soak/fault.c
+++ b/test/soak/fault.c
@@ -6,6 +6,8 @@
 enum {
 	FAULT_EVERY_MS = 700, /* between two faults, at most */
 	STOP_MS = 1200,	      /* SIGSTOP, at most */
+	DRILL_PERCENT = 20,   /* of faults that come with a drill */
+	COPY_AGE_MS = 6000,   /* of a store's copy, at most */
 	FLOOD_PERCENT = 15,   /* of faults that come with one of those */
 	SHED_PERCENT = 15,    /* the same */
 	PAUSE_MIN_MS = 1000,  /* of a server that goes on afterwards */
@@ -186,6 +188,15 @@
 	soak_note(s, "server %s floods=%.2f", v->id, v->floods);
 }
 
+/* The store comes back from a copy that is some seconds old. */
+static void fault_drill(soak_t *s)
+{
+	ms_t age = g_rand_int_range(s->drills, 0, COPY_AGE_MS);
+
+	soak_note(s, "store restored from a copy of %d ms ago", (int)age);
+	store_restore(&s->store, age);
+}
+
 /* A server turns requests away, some of them twice, until it is calm. */
 static void fault_shed(soak_t *s)
 {
@@ -275,4 +286,6 @@
 		fault_flood(s);
 	if (g_rand_int_range(s->sheds, 0, 100) < SHED_PERCENT)
 		fault_shed(s);
+	if (s->drills && g_rand_int_range(s->drills, 0, 100) < DRILL_PERCENT)
+		fault_drill(s);
 }
--- a/test/soak/fns.h
+++ b/test/soak/fns.h
@@ -18,6 +18,7 @@
 	       const char *value);
 void store_set(store_t *st, store_state_t state);
 void store_compact(store_t *st);
+void store_restore(store_t *st, ms_t age);
 
 /* server.c */
 void server_start(server_t *v, soak_t *s, unsigned int index, bool stream);
--- a/test/soak/main.c
+++ b/test/soak/main.c
@@ -30,6 +30,7 @@
 	gboolean words;
 	gboolean rest;
 	gboolean leave;
+	gboolean drills;
 	gint poison;
 	gint repeats;
 	gboolean verbose;
@@ -151,6 +152,9 @@
 		  NULL },
 		{ "leave", 0, 0, G_OPTION_ARG_NONE, &opt.leave,
 		  "Servers that leave, all of them at times", NULL },
+		{ "drills", 0, 0, G_OPTION_ARG_NONE, &opt.drills,
+		  "A store that comes back from copies, beside other faults",
+		  NULL },
 		{ "stops", 0, 0, G_OPTION_ARG_NONE, &opt.stops,
 		  "Only planned stops of edges, under long requests", NULL },
 		{ "verbose", 'v', 0, G_OPTION_ARG_NONE, &opt.verbose,
@@ -179,6 +183,8 @@
 	s->poison.repeats = (unsigned int)CLAMP(opt.repeats, 0, CALLERS_MAX);
 	s->floods = g_rand_new_with_seed((guint32)opt.seed + 3);
 	s->sheds = g_rand_new_with_seed((guint32)opt.seed + 4);
+	if (opt.drills)
+		s->drills = g_rand_new_with_seed((guint32)opt.seed + 5);
 	s->daemon = opt.daemon;
 	s->net = 1 + (unsigned int)getpid() % NETS;
 	s->pauses_only = opt.pauses;
--- a/test/soak/store.c
+++ b/test/soak/store.c
@@ -37,6 +37,14 @@
 	}
 }
 
+/* Answers with the store's era. */
+static void reply(sconn_t *c, int status, str_t body)
+{
+	const store_t *st = c->at->owner;
+
+	sconn_reply(c, status, st->era_field, body);
+}
+
 /* Answers a read with the records from an offset on. */
 static void give(sconn_t *c, const topic_t *t, uint64_t from)
 {
@@ -55,7 +63,7 @@
 		if (r->value)
 			http_put(out, r->value);
 	}
-	sconn_reply(c, 200, "", (str_t){ (char *)out->data, out->len });
+	reply(c, 200, (str_t){ (char *)out->data, out->len });
 	g_byte_array_free(out, TRUE);
 }
 
@@ -90,7 +98,7 @@
 	if (from < t->first || from > t->recs->len) {
 		snprintf(gone, sizeof(gone), "{\"first\":%" PRIu64 "}",
 			 t->first);
-		sconn_reply(c, 410, "", str_of(gone));
+		reply(c, 410, str_of(gone));
 		return;
 	}
 	if (from < t->recs->len || wait_ms == 0) {
@@ -130,7 +138,7 @@
 	json_object_set_new(root, "has_more", json_false());
 	json_object_set_new(root, "end", json_integer(t->recs->len));
 	text = json_dumps(root, JSON_COMPACT);
-	sconn_reply(c, 200, "", str_of(text));
+	reply(c, 200, str_of(text));
 	free(text);
 	json_decref(root);
 }
@@ -160,6 +168,7 @@
 	r->key = g_strdup(key);
 	r->value = value && value[0] ? g_strdup(value) : NULL;
 	r->number = t->recs->len;
+	r->written_at = clock_now();
 	g_ptr_array_add(t->recs, r);
 	if (r->value)
 		g_hash_table_replace(t->newest, r->key, r);
@@ -221,11 +230,11 @@
 	snprintf(answer, sizeof(answer), "{\"offset\":%u,\"end\":%u}",
 		 t->recs->len, t->recs->len + (status == 200));
 	if (status != 200) {
-		sconn_reply(c, status, "", str_of(answer));
+		reply(c, status, str_of(answer));
 		return;
 	}
 	if (c->body->len < 5 || (nk = p[4]) + 5 > c->body->len) {
-		sconn_reply(c, 400, "", str_of("bad record"));
+		reply(c, 400, str_of("bad record"));
 		return;
 	}
 	key = g_strndup((const char *)p + 5, nk);
@@ -235,7 +244,7 @@
 		move_status(st->at.s, value);
 	g_free(key);
 	g_free(value);
-	sconn_reply(c, 200, "", str_of(answer));
+	reply(c, 200, str_of(answer));
 }
 
 static void on_request(sconn_t *c)
@@ -256,7 +265,7 @@
 		return;
 	}
 	if (st->state == STORE_BUSY || !topic) {
-		sconn_reply(c, 503, "", str_of(""));
+		reply(c, 503, str_of(""));
 		g_free(target);
 		return;
 	}
@@ -318,9 +327,88 @@
 	}
 }
 
+static void name_era(store_t *st)
+{
+	snprintf(st->era_field, sizeof(st->era_field), "Store-Era: %u\r\n",
+		 st->era);
+}
+
+/* Takes the newest record of each key anew, after records were lost. */
+static void index_topic(topic_t *t)
+{
+	g_hash_table_remove_all(t->newest);
+	for (guint i = 0; i < t->recs->len; i++) {
+		rec_t *r = t->recs->pdata[i];
+
+		if (r->value)
+			g_hash_table_replace(t->newest, r->key, r);
+		else
+			g_hash_table_remove(t->newest, r->key);
+	}
+}
+
+/* Puts the records that a topic loses behind each other in lost. */
+static void lose(topic_t *t, ms_t since, GPtrArray *lost)
+{
+	while (t->recs->len > 0) {
+		rec_t *r = t->recs->pdata[t->recs->len - 1];
+
+		if (r->written_at < since)
+			break;
+		g_ptr_array_insert(lost, 0, r);
+		g_ptr_array_remove_index(t->recs, t->recs->len - 1);
+	}
+	t->first = MIN(t->first, t->recs->len);
+	index_topic(t);
+}
+
+/* The operator and the servers write what they wrote. */
+static void write_again(store_t *st, const char *topic, const GPtrArray *lost)
+{
+	for (guint i = 0; i < lost->len; i++) {
+		const rec_t *r = lost->pdata[i];
+
+		store_put(st, topic, r->key, r->value);
+	}
+}
+
+/*
+ * The store comes back from a copy of that age: later records are gone, offsets
+ * are given out again, and its era rises. Its connections are reset.
+ */
+void store_restore(store_t *st, ms_t age)
+{
+	static const char *const others[] = { "keyed.op", "keyed.servers" };
+	ms_t since = clock_now() - age;
+	GPtrArray *lost[G_N_ELEMENTS(others)];
+	GHashTableIter it;
+	gpointer v;
+
+	st->era++;
+	name_era(st);
+	store_set(st, STORE_RESET);
+	for (size_t i = 0; i < G_N_ELEMENTS(others); i++) {
+		lost[i] = g_ptr_array_new();
+		lose(topic_get(st, others[i]), since, lost[i]);
+	}
+	g_hash_table_iter_init(&it, st->topics);
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		GPtrArray *gone = g_ptr_array_new();
+
+		lose(v, since, gone);
+		g_ptr_array_free(gone, TRUE);
+	}
+	for (size_t i = 0; i < G_N_ELEMENTS(others); i++) {
+		write_again(st, others[i], lost[i]);
+		g_ptr_array_free(lost[i], TRUE);
+	}
+	store_set(st, STORE_UP);
+}
+
 /* Starts an empty store. */
 void store_start(store_t *st, soak_t *s)
 {
+	name_era(st);
 	st->topics = g_hash_table_new(g_str_hash, g_str_equal);
 	st->at.owner = st;
 	st->at.request = on_request;
