--- a/lib/forward/exchange.c
+++ b/lib/forward/exchange.c
@@ -343,8 +343,7 @@
 /* Whether the answer's head can be followed by a body. */
 static bool may_have_body(const exchange_t *x)
 {
-	return !x->caller->is_head_request && x->status != 204 &&
-	       x->status != 304;
+	return !x->caller->is_head_request && http_status_has_body(x->status);
 }
 
 /*
--- a/lib/http/check.c
+++ b/lib/http/check.c
@@ -83,14 +83,16 @@
 }
 
 /*
- * Whether the head alone can be an answer. An interim one has no body, so none
- * may be announced, and we never ask to switch to another protocol.
+ * Whether the head alone can be an answer. An interim one and 204 have no body,
+ * so none may be announced; we never ask to switch to another protocol.
  */
 static bool valid_status(const http_head_t *h, bool announces_body)
 {
 	if (h->status < HTTP_STATUS_CONTINUE ||
 	    h->status == HTTP_STATUS_SWITCHING_PROTOCOLS)
 		return false;
+	if (h->status == HTTP_STATUS_NO_CONTENT)
+		return !h->chunked && h->content_length == 0;
 	return !http_is_interim(h) || !announces_body;
 }
 
--- a/lib/http/field.c
+++ b/lib/http/field.c
@@ -102,6 +102,13 @@
 	return h->status < HTTP_STATUS_OK;
 }
 
+/* Whether an answer with that status can have a body, if not to a HEAD. */
+bool http_status_has_body(int status)
+{
+	return status >= HTTP_STATUS_OK && status != HTTP_STATUS_NO_CONTENT &&
+	       status != HTTP_STATUS_NOT_MODIFIED;
+}
+
 /* Returns the reason phrase of a status. */
 const char *http_reason(int status)
 {
--- a/lib/http/fns.h
+++ b/lib/http/fns.h
@@ -27,6 +27,7 @@
 bool http_is_hop_by_hop(const http_head_t *h, str_t name);
 bool http_valid_value(const char *text);
 bool http_is_interim(const http_head_t *h);
+bool http_status_has_body(int status);
 const char *http_reason(int status);
 void http_put(GByteArray *out, const char *text);
 void http_put_str(GByteArray *out, str_t s);
--- a/lib/http/reader.c
+++ b/lib/http/reader.c
@@ -56,6 +56,7 @@
 {
 	http_reader_t *r = p->data;
 	const char *method;
+	bool no_body;
 
 	parsed_head.status = p->status_code;
 	parsed_head.major = p->http_major;
@@ -77,7 +78,11 @@
 	if (p->type == HTTP_RESPONSE && http_is_interim(&parsed_head))
 		return 0;
 	r->head_passed = true;
-	return r->ops->head(r->ctx, &parsed_head) ? 1 : 0;
+	no_body = r->ops->head(r->ctx, &parsed_head);
+	if (p->type == HTTP_RESPONSE &&
+	    !http_status_has_body(parsed_head.status))
+		no_body = true;
+	return no_body ? 1 : 0; /* 1: the library reads no body */
 }
 
 static int on_body(http_parser *p, const char *at, size_t n)
--- a/test/http.c
+++ b/test/http.c
@@ -321,6 +321,25 @@
 	  "HTTP/1.1 101 Switching\r\nUpgrade: x\r\n"
 	  "Connection: upgrade\r\n\r\nab",
 	  CODE_BAD_REQUEST, CODE_OK, 0, "" },
+	/* Heads that no body follows, whatever they announce. */
+	{ "not modified, with a length",
+	  "HTTP/1.1 304 No\r\nContent-Length: 9\r\n\r\n" OK200
+	  "Content-Length: 1\r\n\r\na",
+	  CODE_OK, CODE_OK, 2, "a" },
+	{ "not modified, in chunks",
+	  "HTTP/1.1 304 No\r\nTransfer-Encoding: chunked\r\n\r\n" OK200
+	  "Content-Length: 1\r\n\r\na",
+	  CODE_OK, CODE_OK, 2, "a" },
+	{ "no content", "HTTP/1.1 204 No\r\n\r\n", CODE_OK, CODE_OK, 1, "" },
+	{ "no content, with a length of 0",
+	  "HTTP/1.1 204 No\r\nContent-Length: 0\r\n\r\n", CODE_OK, CODE_OK, 1,
+	  "" },
+	{ "no content, with a length",
+	  "HTTP/1.1 204 No\r\nContent-Length: 2\r\n\r\nab", CODE_BAD_REQUEST,
+	  CODE_OK, 0, "" },
+	{ "no content, in chunks",
+	  "HTTP/1.1 204 No\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+	  CODE_BAD_REQUEST, CODE_OK, 0, "" },
 	{ "chunks in HTTP/1.0",
 	  "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
 	  CODE_BAD_REQUEST, CODE_OK, 0, "" },
