--- a/lib/forward/caller.c
+++ b/lib/forward/caller.c
@@ -97,11 +97,14 @@
 	tcp_end(&c->tcp);
 }
 
+static void pause_reading(caller_t *c, bool pause);
+
 /* Ends our direction and reads on for a while before the close. */
 static void begin_close(caller_t *c, ms_t now)
 {
 	c->closing = true;
 	c->since = now;
+	pause_reading(c, false);
 	c->left = writer_left(&c->out);
 	end_sending(c);
 }
@@ -320,6 +323,23 @@
 	c->idle_for = 0;
 }
 
+static void on_read(uv_stream_t *s, ssize_t n, const uv_buf_t *buf);
+
+/*
+ * Reads no more of the next requests until the one in progress is answered. A
+ * caller that leaves meanwhile is noticed late.
+ */
+static void pause_reading(caller_t *c, bool pause)
+{
+	if (c->reading_paused == pause || c->closed)
+		return;
+	c->reading_paused = pause;
+	if (pause)
+		uv_read_stop((uv_stream_t *)&c->tcp);
+	else
+		uv_read_start((uv_stream_t *)&c->tcp, on_alloc, on_read);
+}
+
 static void on_read(uv_stream_t *s, ssize_t n, const uv_buf_t *buf)
 {
 	caller_t *c = (caller_t *)s;
@@ -340,7 +360,7 @@
 	}
 	g_byte_array_append(c->pending, (const guint8 *)buf->base, (guint)n);
 	if (c->pending->len > PENDING_MAX)
-		hang_up(c);
+		pause_reading(c, true);
 }
 
 /* Reads the requests that came while the last one was answered. */
@@ -353,6 +373,8 @@
 	c->pending = g_byte_array_new();
 	feed(c, (const char *)bytes->data, bytes->len);
 	g_byte_array_free(bytes, TRUE);
+	if (c->pending->len <= PENDING_MAX)
+		pause_reading(c, false);
 }
 
 /* Does the work that caller_wake put off. */
--- a/lib/forward/priv.h
+++ b/lib/forward/priv.h
@@ -28,6 +28,7 @@
 	GByteArray *pending;  /* bytes after the request in progress */
 	ms_t since;   /* when the head, the body, idling or closing began */
 	bool closing; /* nothing more is read; closed once written */
+	bool reading_paused;
 	bool closed;
 	bool broken; /* to be closed, its request cancelled */
 	bool reset;  /* when it is closed */
--- a/test/bodies.c
+++ b/test/bodies.c
@@ -12,7 +12,8 @@
 	BODY_BYTES = 1 << 20,  /* the largest that the host takes */
 	LARGE_BYTES = 8 << 20, /* more than sockets hold */
 	HELD_MAX = 32 << 20,   /* of all bodies */
-	CALLERS = 40,	       /* more than fit */
+	TURNS = 50,   /* of the event loop; a request is read in fewer */
+	CALLERS = 40, /* more than fit */
 	WAIT_MAX_MS = 30000,
 };
 
@@ -138,6 +139,50 @@
 }
 END_TEST
 
+/* The next request, of any size, may come before the answer to the first. */
+START_TEST(test_next_request_waits)
+{
+	script_step_t steps[] = { { ANSWER "\r\n", NULL, SCRIPT_KEEP } };
+	char *first = request_with_body(1, false);
+	char *second = request_with_body(BODY_BYTES, _i == 1);
+	char *both = g_strconcat(first, second, NULL);
+	ms_t until = clock_now() + WAIT_MAX_MS;
+	raw_caller_t caller;
+	const char *next;
+	script_t server;
+	host_t h;
+
+	host_open(&h, HOST_ROUTE_MS);
+	script_open(&server, &h.loop, steps, G_N_ELEMENTS(steps));
+	server.held = true;
+	host_put(&h, "server", &server.at, 1);
+	raw_open(&caller, &h.loop, &h.at, both);
+	while (!server.waiting && clock_now() < until)
+		uv_run(&h.loop, UV_RUN_ONCE);
+	ck_assert(server.waiting);
+	for (int i = 0; i < TURNS; i++)
+		uv_run(&h.loop, UV_RUN_ONCE);
+	ck_assert(!caller.ended);
+	script_release(&server);
+	do {
+		uv_run(&h.loop, UV_RUN_ONCE);
+		next = strstr(caller.got->str + MIN(caller.got->len, 1),
+			      "HTTP/1.1 200");
+	} while (!next && !caller.ended && clock_now() < until);
+	ck_assert(g_str_has_prefix(caller.got->str, "HTTP/1.1 200"));
+	ck_assert(next);
+	host_close(&h);
+	script_close(&server);
+	raw_close(&caller);
+	host_free(&h);
+	script_free(&server);
+	raw_free(&caller);
+	g_free(first);
+	g_free(second);
+	g_free(both);
+}
+END_TEST
+
 static void on_connection(uv_stream_t *listener, int status)
 {
 	uv_tcp_t *conn = listener->data;
@@ -203,6 +248,7 @@
 	suite_add_tcase(s, t);
 	tcase_set_timeout(t, 0);
 	tcase_add_loop_test(t, test_bodies_are_bounded, 0, 2);
+	tcase_add_loop_test(t, test_next_request_waits, 0, 2);
 	tcase_add_test(t, test_idle_connections_are_closed);
 	tcase_add_test(t, test_writer_frees_large_buffers);
 	srunner_run_all(r, CK_NORMAL);
