--- a/lib/forward/priv.h
+++ b/lib/forward/priv.h
@@ -161,6 +161,13 @@
 /* form.c */
 uint64_t form_of_answer(const http_head_t *h);
 
+/* answer.c */
+void answer_drop(exchange_t *x);
+void answer_send(exchange_t *x);
+void answer_head_read(exchange_t *x, const http_head_t *h);
+void answer_body_read(exchange_t *x, str_t data);
+bool answer_body_end(exchange_t *x);
+
 /* exchange.c */
 exchange_t *exchange_new(caller_t *c, const http_head_t *h);
 void exchange_start(exchange_t *x, ms_t now);
@@ -171,9 +178,6 @@
 void exchange_tick(exchange_t *x, ms_t now);
 void exchange_attempt_end(exchange_t *x, attempt_result_t how, ms_t now);
 void exchange_refuse(exchange_t *x, code_t code, ms_t retry_after);
-void exchange_head(exchange_t *x, const http_head_t *h);
-void exchange_body(exchange_t *x, str_t data);
-bool exchange_body_end(exchange_t *x);
 
 /* trace.c */
 void trace_add(exchange_t *x, ms_t now, const char *step, const char *fmt, ...)
--- a/lib/forward/server_conn.c
+++ b/lib/forward/server_conn.c
@@ -36,7 +36,7 @@
 		server_conn_close(c);
 		return true;
 	}
-	exchange_head(c->x, h);
+	answer_head_read(c->x, h);
 	return c->x && c->x->caller->is_head_request;
 }
 
@@ -46,7 +46,7 @@
 
 	(void)conn;
 	if (c->x)
-		exchange_body(c->x, data);
+		answer_body_read(c->x, data);
 }
 
 /* Keeps the connection idle for another request. */
@@ -83,7 +83,7 @@
 		exchange_attempt_end(x, ATTEMPT_LOST, clock_now());
 		return;
 	}
-	whole = exchange_body_end(x);
+	whole = answer_body_end(x);
 	how = x->wrong_server			 ? ATTEMPT_WRONG_SERVER
 	      : x->rejected			 ? ATTEMPT_REJECTED
 	      : !whole				 ? ATTEMPT_BAD_ANSWER
