--- a/lib/http/dat.h
+++ b/lib/http/dat.h
@@ -46,6 +46,27 @@
 	void (*end)(void *ctx);
 } http_reader_ops_t;
 
+/* Where a chunked body is: what comes next. */
+typedef enum chunk_state {
+	CHUNK_START, /* the first digit of a size */
+	CHUNK_SIZE,
+	CHUNK_EXTENSION,
+	CHUNK_SIZE_LF,
+	CHUNK_DATA,
+	CHUNK_DATA_CR,
+	CHUNK_DATA_LF,
+	CHUNK_TRAILER_START, /* a trailer, or the empty line */
+	CHUNK_TRAILER,
+	CHUNK_TRAILER_LF,
+	CHUNK_LAST_LF,
+	CHUNK_DONE,
+} chunk_state_t;
+
+typedef struct chunk_check {
+	chunk_state_t state;
+	uint64_t left; /* bytes of the chunk */
+} chunk_check_t;
+
 /* Reads the messages of one direction of one connection. */
 typedef struct http_reader {
 	http_parser parser;
@@ -59,6 +80,8 @@
 	size_t data;	     /* bytes of the present body */
 	size_t framing;	     /* bytes of chunk lines and trailers around them */
 	bool in_body;
+	bool chunked; /* the present body */
+	chunk_check_t chunks;
 	bool head_passed; /* of the present message, to the user */
 	bool stopped;
 	bool too_large; /* the last failure was the head's size */
--- a/lib/http/fns.h
+++ b/lib/http/fns.h
@@ -19,6 +19,10 @@
 code_t http_head_check(const char *p, size_t n);
 code_t http_fields_check(const http_head_t *h, bool request);
 
+/* chunk.c: checks the lines of the chunked coding. */
+void chunk_check_init(chunk_check_t *c);
+size_t chunk_check(chunk_check_t *c, const char *p, size_t n);
+
 /* field.c: finds, reads and writes header fields. */
 bool http_name_is(str_t name, const char *other);
 const http_field_t *http_find(const http_head_t *h, const char *name);
--- a/lib/http/reader.c
+++ b/lib/http/reader.c
@@ -75,6 +75,8 @@
 	r->in_body = true;
 	r->data = 0;
 	r->framing = 0;
+	r->chunked = parsed_head.chunked;
+	chunk_check_init(&r->chunks);
 	if (p->type == HTTP_RESPONSE && http_is_interim(&parsed_head))
 		return 0;
 	r->head_passed = true;
@@ -236,7 +238,14 @@
 static code_t feed_body(http_reader_t *r, const char *p, size_t n, size_t *used)
 {
 	size_t had = r->data;
-	code_t code = execute(r, p, n, used);
+	size_t sound = r->chunked ? chunk_check(&r->chunks, p, n) : n;
+	code_t code = CODE_OK;
+
+	*used = 0;
+	if (sound > 0)
+		code = execute(r, p, sound, used);
+	if (code == CODE_OK && sound < n && r->in_body && !r->stopped)
+		code = CODE_BAD_REQUEST;
 
 	r->framing += *used - (r->data - had);
 	if (code == CODE_OK && r->in_body &&
