--- a/test/soak/store.c
+++ b/test/soak/store.c
@@ -362,6 +362,15 @@
 	index_topic(t);
 }
 
+static void rec_free(gpointer v)
+{
+	rec_t *r = v;
+
+	g_free(r->key);
+	g_free(r->value);
+	g_free(r);
+}
+
 /* The operator and the servers write what they wrote. */
 static void write_again(store_t *st, const char *topic, const GPtrArray *lost)
 {
@@ -388,12 +397,12 @@
 	name_era(st);
 	store_set(st, STORE_RESET);
 	for (size_t i = 0; i < G_N_ELEMENTS(others); i++) {
-		lost[i] = g_ptr_array_new();
+		lost[i] = g_ptr_array_new_with_free_func(rec_free);
 		lose(topic_get(st, others[i]), since, lost[i]);
 	}
 	g_hash_table_iter_init(&it, st->topics);
 	while (g_hash_table_iter_next(&it, NULL, &v)) {
-		GPtrArray *gone = g_ptr_array_new();
+		GPtrArray *gone = g_ptr_array_new_with_free_func(rec_free);
 
 		lose(v, since, gone);
 		g_ptr_array_free(gone, TRUE);
