Backend connections: a reset that a write meets is not the end of an answer

Cause: the system reports a reset once, to the call that meets it first. When the reset comes between the read of the part and the write that follows in the same turn of the loop, the write gets ECONNRESET, and the next read finds an end of file that looks like an orderly close. hconn completed the answer there.

Change: an answer that ends with its connection is complete only if no write has failed. Answers with a length or chunks are judged by these, as before.

--- a/lib/forward/hconn.c
+++ b/lib/forward/hconn.c
@@ -135,6 +135,16 @@
 		fail(c, CODE_BAD_ANSWER);
 }
 
+/*
+ * Whether the connection was closed in order when a read has reported UV_EOF.
+ * libuv also reports that for a reset that comes with the last data. The system
+ * reports a reset once: after a write has met it, reads find an orderly end.
+ */
+static bool closed_in_order(const hconn_t *c)
+{
+	return !c->out.failed && tcp_unread(&c->tcp) == TCP_UNREAD_END;
+}
+
 static void on_read(uv_stream_t *s, ssize_t n, const uv_buf_t *buf)
 {
 	hconn_t *c = (hconn_t *)s;
@@ -143,9 +153,7 @@
 		feed(c, buf->base, (size_t)n);
 	if (n >= 0 || c->closed)
 		return;
-	/* UV_EOF is also reported for a reset that comes with the last data. */
-	if (n == UV_EOF && c->ends_by_eof &&
-	    tcp_unread(&c->tcp) == TCP_UNREAD_END)
+	if (n == UV_EOF && c->ends_by_eof && closed_in_order(c))
 		http_reader_eof(&c->in);
 	pass_end(c);
 	fail(c, lost_code(c));
--- a/test/hconn.c
+++ b/test/hconn.c
@@ -1,7 +1,7 @@
 /*
  * Answers without a length end when the connection closes. Such an answer is
  * complete after an orderly close, and cut off after a reset, also when the
- * reset arrives together with the data.
+ * reset arrives together with the data or while the request is being written.
  */
 #include <check.h>
 #include <string.h>
@@ -10,6 +10,12 @@
 #include "forward/fns.h"
 #include "net/fns.h"
 
+enum {
+	UPLOAD_BYTES = 16 << 20,  /* more than the sockets of both ends hold */
+	RECEIVE_BYTES = 64 << 10, /* a server's receive buffer */
+	BLOCKED_TURNS = 20,	  /* of the loop, until the upload is blocked */
+};
+
 typedef struct end_case {
 	const char *name;
 	const char *answer;
@@ -33,8 +39,18 @@
 	bool whole;
 	bool over;
 	code_t code;
+	int reset_fd; /* reset when a body's bytes are read; 0: none */
 } result_t;
 
+/* Closes a connection with a reset. */
+static void reset(int fd)
+{
+	struct linger hard = { 1, 0 };
+
+	setsockopt(fd, SOL_SOCKET, SO_LINGER, &hard, sizeof(hard));
+	close(fd);
+}
+
 static bool on_head(void *ctx, hconn_t *c, const http_head_t *h)
 {
 	return false;
@@ -42,6 +58,11 @@
 
 static void on_body(void *ctx, hconn_t *c, str_t data)
 {
+	result_t *r = ctx;
+
+	if (r->reset_fd)
+		reset(r->reset_fd);
+	r->reset_fd = 0;
 }
 
 static void on_end(void *ctx, hconn_t *c, bool keep)
@@ -68,8 +89,10 @@
 {
 	struct sockaddr_in sa = { .sin_family = AF_INET };
 	socklen_t n = sizeof(sa);
+	int room = RECEIVE_BYTES;
 	int fd = socket(AF_INET, SOCK_STREAM, 0);
 
+	setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &room, sizeof(room));
 	sa.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
 	ck_assert_int_eq(bind(fd, (struct sockaddr *)&sa, sizeof(sa)), 0);
 	ck_assert_int_eq(listen(fd, 1), 0);
@@ -85,7 +108,6 @@
  */
 static void answer(int listener, const end_case_t *c)
 {
-	struct linger hard = { 1, 0 };
 	char buf[256];
 	int fd = accept(listener, NULL, NULL);
 
@@ -93,8 +115,9 @@
 	if (c->answer[0])
 		ck_assert_int_gt(send(fd, c->answer, strlen(c->answer), 0), 0);
 	if (c->reset)
-		setsockopt(fd, SOL_SOCKET, SO_LINGER, &hard, sizeof(hard));
-	close(fd);
+		reset(fd);
+	else
+		close(fd);
 }
 
 START_TEST(test_end)
@@ -127,6 +150,87 @@
 }
 END_TEST
 
+/* How a server ends its answer to a request that is still being written. */
+typedef enum ending {
+	ENDING_AT_ONCE,	  /* a reset that comes with the answer */
+	ENDING_WHEN_READ, /* a reset once the answer was read */
+	ENDING_ORDERLY,	  /* reads on after the end of its answer */
+} ending_t;
+
+typedef struct upload_case {
+	const char *name;
+	ending_t ending;
+	bool whole;
+	code_t gone;
+} upload_case_t;
+
+static const upload_case_t upload_cases[] = {
+	{ "reset with the answer", ENDING_AT_ONCE, false, CODE_CUT },
+	/*
+	 * The write that follows the read meets the reset, and the next read
+	 * found an orderly end.
+	 */
+	{ "reset after the answer", ENDING_WHEN_READ, false, CODE_CUT },
+	{ "orderly end", ENDING_ORDERLY, true, CODE_OK },
+};
+
+/* Reads what has come, so that the client has something to write again. */
+static void read_some(int fd)
+{
+	char buf[4096];
+
+	while (recv(fd, buf, sizeof(buf), MSG_DONTWAIT) > 0)
+		;
+}
+
+START_TEST(test_upload)
+{
+	static const char part[] = OK200 "\r\nhalf";
+	const upload_case_t *want = &upload_cases[_i];
+	GByteArray *head = g_byte_array_new();
+	GByteArray *body = g_byte_array_new();
+	result_t got = { 0 };
+	uv_loop_t loop;
+	addr_t at;
+	int listener = listen_any(&at);
+	hconn_t *c;
+	int fd;
+
+	uv_loop_init(&loop);
+	c = hconn_open(&loop, &at, &ops, &got);
+	http_put(head, "POST / HTTP/1.1\r\nHost: x\r\n");
+	http_put_number(head, "Content-Length", UPLOAD_BYTES);
+	http_put(head, "\r\n");
+	g_byte_array_set_size(body, UPLOAD_BYTES);
+	memset(body->data, 'x', body->len);
+	hconn_send(c, head, body);
+	for (int i = 0; i < BLOCKED_TURNS || hconn_connecting(c); i++)
+		uv_run(&loop, UV_RUN_NOWAIT);
+	fd = accept(listener, NULL, NULL);
+	read_some(fd);
+	ck_assert_int_gt(send(fd, part, strlen(part), 0), 0);
+	if (want->ending == ENDING_AT_ONCE)
+		reset(fd);
+	else if (want->ending == ENDING_WHEN_READ)
+		got.reset_fd = fd;
+	else
+		shutdown(fd, SHUT_WR);
+	while (!got.over)
+		uv_run(&loop, UV_RUN_ONCE);
+	ck_assert_msg(got.whole == want->whole, "%s: whole %d", want->name,
+		      got.whole);
+	ck_assert_msg(got.code == want->gone, "%s: code %d", want->name,
+		      got.code);
+	if (want->ending == ENDING_ORDERLY)
+		close(fd);
+	uv_run(&loop, UV_RUN_DEFAULT);
+	uv_loop_close(&loop);
+	close(listener);
+	g_byte_array_free(head, TRUE);
+	g_byte_array_free(body, TRUE);
+}
+END_TEST
+
 /* A refused connection: no byte was sent, so the request was not run. */
 START_TEST(test_refused)
 {
@@ -159,6 +263,7 @@
 
 	suite_add_tcase(s, t);
 	tcase_add_loop_test(t, test_end, 0, G_N_ELEMENTS(end_cases));
+	tcase_add_loop_test(t, test_upload, 0, G_N_ELEMENTS(upload_cases));
 	tcase_add_test(t, test_refused);
 	srunner_run_all(r, CK_NORMAL);
 	failed = srunner_ntests_failed(r);
--- a/test/host.h
+++ b/test/host.h
@@ -119,7 +119,8 @@
 	return ntohs(sa.sin_port);
 }
 
-static inline void host_open(host_t *h, ms_t timeout)
+/* Opens a host whose routes have that timeout. */
+static inline void host_open_with(host_t *h, ms_t timeout, const codec_t *codec)
 {
 	edge_conf_t conf = { .inc = 7,
 			     .data_center = "a",
@@ -139,14 +140,18 @@
 	h->counters = counters_new();
 	h->edge = edge_new(&conf, &edge_ops, h, h->counters);
 	configure(h, timeout);
-	h->forward = forward_new(&h->loop, &to, h->edge, &adapter_codec,
-				 h->counters);
+	h->forward = forward_new(&h->loop, &to, h->edge, codec, h->counters);
 	ck_assert_int_eq(forward_listen(h->forward), CODE_OK);
 	uv_timer_init(&h->loop, &h->tick);
 	h->tick.data = h;
 	uv_timer_start(&h->tick, on_tick, HOST_TICK_MS, HOST_TICK_MS);
 }
 
+static inline void host_open(host_t *h, ms_t timeout)
+{
+	host_open_with(h, timeout, &adapter_codec);
+}
+
 static inline void host_close(host_t *h)
 {
 	forward_close(h->forward);
