Backend connections: nor is a reset that a look for unread bytes meets

Callers would see: the part of an answer without a length as a complete answer, when its server is silent for a while and then resets the connection.

Cause: before a silent server is given up, hconn_unread looks whether bytes have come after all. The look takes the reset's error from the system like a write does, and the next read finds an end of file that looks like an orderly close.

Change: the connection remembers that the look met an error; an answer that ends with the connection is then cut off.

Evidence: test/hconn, test_look: the part was a complete answer before. Found by looking for what else takes the error; not seen with real programs.

--- a/lib/forward/fns.h
+++ b/lib/forward/fns.h
@@ -38,7 +38,7 @@
 bool hconn_has_surplus(const hconn_t *c);
 bool hconn_sent_any(const hconn_t *c);
 void hconn_set_may_send(hconn_t *c, bool (*may_send)(void *ctx));
-bool hconn_unread(const hconn_t *c);
+bool hconn_unread(hconn_t *c);
 void hconn_pause(hconn_t *c, bool pause);
 void hconn_close(hconn_t *c);
 
--- a/lib/forward/hconn.c
+++ b/lib/forward/hconn.c
@@ -34,6 +34,7 @@
 	bool ends_by_eof; /* the answer ends when the connection closes */
 	bool answered;	  /* the answer has ended; its user was not told yet */
 	bool surplus;	  /* bytes of the present read follow the answer */
+	bool failed;	  /* hconn_unread has met an error */
 	GByteArray *unsent; /* to be written once connected */
 };
 
@@ -138,11 +139,13 @@
 /*
  * Whether the connection was closed in order when a read has reported UV_EOF.
  * libuv also reports that for a reset that comes with the last data. The system
- * reports a reset once: after a write has met it, reads find an orderly end.
+ * reports a reset once: after a write or hconn_unread has met it, reads find an
+ * orderly end.
  */
 static bool closed_in_order(const hconn_t *c)
 {
-	return !c->out.failed && tcp_unread(&c->tcp) == TCP_UNREAD_END;
+	return !c->out.failed && !c->failed &&
+	       tcp_unread(&c->tcp) == TCP_UNREAD_END;
 }
 
 static void on_read(uv_stream_t *s, ssize_t n, const uv_buf_t *buf)
@@ -311,10 +314,16 @@
  * Whether something from the other end lies unread: the event loop was busy, or
  * reading is paused.
  */
-bool hconn_unread(const hconn_t *c)
+bool hconn_unread(hconn_t *c)
 {
-	return c->connected && !c->closed &&
-	       tcp_unread(&c->tcp) != TCP_UNREAD_NONE;
+	tcp_unread_t next;
+
+	if (!c->connected || c->closed)
+		return false;
+	next = tcp_unread(&c->tcp);
+	if (next == TCP_UNREAD_ERROR)
+		c->failed = true;
+	return next != TCP_UNREAD_NONE;
 }
 
 /* Pauses or resumes reading, so that a slow caller slows the server down. */
--- a/test/hconn.c
+++ b/test/hconn.c
@@ -40,6 +40,7 @@
 	bool over;
 	code_t code;
 	int reset_fd; /* reset when a body's bytes are read; 0: none */
+	bool read;    /* bytes of a body */
 } result_t;
 
 /* Closes a connection with a reset. */
@@ -60,6 +61,7 @@
 {
 	result_t *r = ctx;
 
+	r->read = true;
 	if (r->reset_fd)
 		reset(r->reset_fd);
 	r->reset_fd = 0;
@@ -231,6 +233,41 @@
 }
 END_TEST
 
+/* A look for unread bytes, as of a silent server's, meets the reset. */
+START_TEST(test_look)
+{
+	static const char part[] = OK200 "\r\nhalf";
+	GByteArray *out = g_byte_array_new();
+	result_t got = { 0 };
+	uv_loop_t loop;
+	addr_t at;
+	int listener = listen_any(&at);
+	hconn_t *c;
+	int fd;
+
+	uv_loop_init(&loop);
+	c = hconn_open(&loop, &at, &ops, &got);
+	http_put(out, "GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+	hconn_send(c, out, NULL);
+	while (hconn_connecting(c))
+		uv_run(&loop, UV_RUN_ONCE);
+	fd = accept(listener, NULL, NULL);
+	ck_assert_int_gt(send(fd, part, strlen(part), 0), 0);
+	while (!got.read)
+		uv_run(&loop, UV_RUN_ONCE);
+	reset(fd);
+	ck_assert(hconn_unread(c));
+	while (!got.over)
+		uv_run(&loop, UV_RUN_ONCE);
+	ck_assert(!got.whole);
+	ck_assert_int_eq(got.code, CODE_CUT);
+	uv_run(&loop, UV_RUN_DEFAULT);
+	uv_loop_close(&loop);
+	close(listener);
+	g_byte_array_free(out, TRUE);
+}
+END_TEST
+
 /* A refused connection: no byte was sent, so the request was not run. */
 START_TEST(test_refused)
 {
@@ -264,6 +301,7 @@
 	suite_add_tcase(s, t);
 	tcase_add_loop_test(t, test_end, 0, G_N_ELEMENTS(end_cases));
 	tcase_add_loop_test(t, test_upload, 0, G_N_ELEMENTS(upload_cases));
+	tcase_add_test(t, test_look);
 	tcase_add_test(t, test_refused);
 	srunner_run_all(r, CK_NORMAL);
 	failed = srunner_ntests_failed(r);
