Calls: a status below 200 ends no call as answered

Callers saw: a plain service behind a sidecar answered 099, or 101 unasked, and its caller got "HTTP/1.1 99 OK" or "HTTP/1.1 101 OK" as the answer.

Cause: the library reads any three digits as a status and passes over only 100 to 199 other than 101; httpc passed on what was left.

Change: a final status is 200 or more; any other is refused as no answer, logged as answer_refused with why=status.

Evidence: test/httpc, the cases of status 000, 000 without a body, 099 and 101: all four failed before. Three digits, blanks and control bytes in the name of a field were refused before; their cases are kept.

--- a/lib/net/httpc.c
+++ b/lib/net/httpc.c
@@ -12,6 +12,7 @@
 	HEAD_MAX = 64 << 10,		  /* bytes of a head; looked at by the
 					     sweep */
 	INTERIM_MAX = 16,		  /* interim answers to a call */
+	FINAL_STATUS_MIN = 200,		  /* statuses below end no call */
 	FRAMING_MAX = 64 << 10, /* bytes of chunk lines and trailers, and */
 	FRAMING_PER_BYTE = 8,	/* so many more for each byte of data */
 };
@@ -81,7 +82,7 @@
 	       r->read > r->data + FRAMING_MAX + FRAMING_PER_BYTE * r->data;
 }
 
-/* Ends a call whose answer is over a limit. */
+/* Ends a call whose answer is over a limit or none that HTTP knows. */
 static void refuse(httpc_req_t *r, const char *why)
 {
 	log_line(LOG_WARN, "answer_refused", "to=%s why=%s bytes=%zu", r->host,
@@ -173,6 +174,10 @@
 		finish(r, CODE_CUT);
 		return NULL;
 	}
+	if (status < FINAL_STATUS_MIN) {
+		refuse(r, "status");
+		return NULL;
+	}
 	r->in_library = true;
 	type = find_type(r, headers, n);
 	r->ops.head(r->ctx, status, type);
