Calls: an answer that gives its length twice is refused

Callers saw: a plain service behind a sidecar sent Content-Length: 5, then 3, and five bytes; its caller got the first three as a whole answer.

Cause: the library takes the last of several lengths, and httpc did not look at them. lib/http refuses such answers; this client reads heads on its own.

Change: an answer with more than one Content-Length or Transfer-Encoding is refused, logged as answer_refused with why=length.

Evidence: test/httpc, three cases failed before (two lengths in either order were whole, a length beside chunks was cut off by chance).

--- a/lib/net/httpc.c
+++ b/lib/net/httpc.c
@@ -142,6 +142,20 @@
 	return -1;
 }
 
+/*
+ * Whether the fields give the body's length more than once: which of them
+ * counts depends on who reads them.
+ */
+static bool is_ambiguous(const h2o_header_t *headers, size_t n)
+{
+	unsigned int lengths = 0;
+
+	for (size_t i = 0; i < n; i++)
+		lengths += headers[i].name == &H2O_TOKEN_CONTENT_LENGTH->buf ||
+			   headers[i].name == &H2O_TOKEN_TRANSFER_ENCODING->buf;
+	return lengths > 1;
+}
+
 static str_t find_type(httpc_req_t *r, const h2o_header_t *headers, size_t n)
 {
 	str_t type = { "", 0 };
@@ -174,8 +188,8 @@
 		finish(r, CODE_CUT);
 		return NULL;
 	}
-	if (status < FINAL_STATUS_MIN) {
-		refuse(r, "status");
+	if (status < FINAL_STATUS_MIN || is_ambiguous(headers, n)) {
+		refuse(r, status < FINAL_STATUS_MIN ? "status" : "length");
 		return NULL;
 	}
 	r->in_library = true;
--- a/test/httpc.c
+++ b/test/httpc.c
@@ -91,6 +91,17 @@
 	  THEN_WAIT, CODE_CUT, 0, "" },
 	{ "return in a field", HEAD "A: b\rc\r\nContent-Length: 5\r\n\r\nhello",
 	  THEN_WAIT, CODE_CUT, 0, "" },
+	/* Lengths that two parsers could read differently. */
+	{ "two lengths, the longer last",
+	  HEAD "Content-Length: 3\r\nContent-Length: 5\r\n\r\nhello",
+	  THEN_CLOSE, CODE_BAD_ANSWER, 0, "" },
+	{ "two lengths, the shorter last",
+	  HEAD "Content-Length: 5\r\nContent-Length: 3\r\n\r\nhello",
+	  THEN_CLOSE, CODE_BAD_ANSWER, 0, "" },
+	{ "a length and chunks",
+	  HEAD "Content-Length: 15\r\nTransfer-Encoding: chunked\r\n\r\n"
+	       "5\r\nhello\r\n0\r\n\r\n",
+	  THEN_CLOSE, CODE_BAD_ANSWER, 0, "" },
 	{ "no answer", "", THEN_WAIT, CODE_SILENT, 0, "" },
 	{ "silent inside the body", HEAD "Content-Length: 9\r\n\r\nhello",
 	  THEN_WAIT, CODE_SILENT, 200, "hello" },
