--- a/test/endless.c
+++ b/test/endless.c
@@ -1,7 +1,7 @@
 /*
- * An edge host in front of servers whose answers do not end: what it reads and
- * holds is bounded, the connection is closed, and the caller gets 502 or
- * another server's answer.
+ * An edge host in front of servers whose answers do not end, end too early or
+ * are none: what it reads and holds is bounded, the connection is closed, and
+ * the caller gets 502 or another server's answer.
  */
 #include "flood.h"
 #include "host.h"
@@ -129,6 +129,42 @@
 	  ROUTE_MS, GOOD, 200, true, "good", true },
 	{ "unframed answer", PATH_ONCE, OK200 "\r\ngood", NULL, 0, ROUTE_MS,
 	  NULL, 200, true, "good", false },
+	/* Heads that are none. */
+	{ "status 000", PATH_ONCE, "HTTP/1.1 000 OK\r\n" STAMP FIXED(4) "good",
+	  NULL, 0, ROUTE_MS, NULL, 502, true, NULL, false },
+	{ "repeated after a status 000", PATH_SAFE,
+	  "HTTP/1.1 000 OK\r\n" STAMP FIXED(4) "half", NULL, 0, ROUTE_MS, GOOD,
+	  200, true, "good", false },
+	{ "status 000 in a stream", PATH_STREAM,
+	  "HTTP/1.1 000 OK\r\n" STAMP "\r\n" EVENT(1), NULL, 0, ROUTE_MS,
+	  STREAM2, 200, true, EVENT(2), false },
+	{ "blank in a field's name", PATH_ONCE,
+	  OK200 "A b: c\r\n" FIXED(4) "good", NULL, 0, ROUTE_MS, NULL, 502,
+	  true, NULL, false },
+	{ "blank after a field's name", PATH_ONCE,
+	  OK200 "Content-Length : 2\r\n" FIXED(4) "good", NULL, 0, ROUTE_MS,
+	  NULL, 502, true, NULL, false },
+	{ "control byte in a field's name", PATH_ONCE,
+	  OK200 "A\001: c\r\n" FIXED(4) "good", NULL, 0, ROUTE_MS, NULL, 502,
+	  true, NULL, false },
+	{ "repeated after a control byte in a field's name", PATH_SAFE,
+	  OK200 "Transfer\001Encoding: chunked\r\n\r\nhalf", NULL, 0, ROUTE_MS,
+	  GOOD, 200, true, "good", false },
+	/* Closed in the middle of the head. */
+	{ "head without end", PATH_ONCE, OK200 "Content-Le", NULL, 0, ROUTE_MS,
+	  NULL, 502, true, NULL, false },
+	{ "head without its empty line", PATH_ONCE,
+	  OK200 "Content-Length: 0\r\n", NULL, 0, ROUTE_MS, NULL, 502, true,
+	  NULL, false },
+	{ "head that ends in its empty line", PATH_ONCE, OK200 "\r", NULL, 0,
+	  ROUTE_MS, NULL, 502, true, NULL, false },
+	{ "repeated after a head without end", PATH_SAFE, OK200 "Content-Le",
+	  NULL, 0, ROUTE_MS, GOOD, 200, true, "good", false },
+	{ "stream's head without end", PATH_STREAM, OK200 "Content-Ty", NULL, 0,
+	  ROUTE_MS, STREAM2, 200, true, EVENT(2), false },
+	{ "head without end after an interim one", PATH_STREAM,
+	  "HTTP/1.1 100 Continue\r\n\r\n" OK200, NULL, 0, ROUTE_MS, STREAM2,
+	  200, true, EVENT(2), false },
 };
 
 /* A caller's connection and what came on it. */
