HTTP: an answer's status has three digits

Callers would see: a server in trouble answers "HTTP/1.1 0200 OK", and the caller gets 200 with the body that follows.

Cause: the library reads a status of any number of digits up to 999, and http_head_check looked at the bytes of the first line only.

Change: the first line of an answer has exactly three digits after the version.

Evidence: test/http, "status of four digits" failed before.

--- a/lib/http/check.c
+++ b/lib/http/check.c
@@ -5,6 +5,10 @@
 #include <string.h>
 #include "http/fns.h"
 
+enum {
+	STATUS_DIGITS = 3,
+};
+
 static bool is_token(unsigned char c)
 {
 	return g_ascii_isalnum(c) || (c && strchr("!#$%&'*+-.^_`|~", c));
@@ -32,12 +36,30 @@
 	return first ? n > 0 : valid_name(p, memchr(p, ':', n));
 }
 
+/*
+ * Whether an answer's first line has a status of three digits. The library
+ * reads any number of them, so that 0200 would be 200.
+ */
+static bool valid_status_line(const char *p, size_t n)
+{
+	static const char version[] = "HTTP/1.1 ";
+	size_t at = strlen(version);
+
+	if (n < at + STATUS_DIGITS || p[at - 1] != ' ')
+		return false;
+	for (size_t end = at + STATUS_DIGITS; at < end; at++) {
+		if (!g_ascii_isdigit(p[at]))
+			return false;
+	}
+	return at == n || p[at] == ' ';
+}
+
 /*
  * Checks the lines of a head, which ends in an empty line: each ends in CR LF,
- * none is folded, and no field name is followed by a blank. Returns
- * CODE_BAD_REQUEST otherwise.
+ * none is folded, no field name is followed by a blank, and an answer's status
+ * has three digits. Returns CODE_BAD_REQUEST otherwise.
  */
-code_t http_head_check(const char *p, size_t n)
+code_t http_head_check(const char *p, size_t n, bool request)
 {
 	const char *end = p + n - 2; /* the empty line */
 	bool first = true;
@@ -48,6 +70,9 @@
 		if (!nl || nl == p || nl[-1] != '\r' ||
 		    !valid_line(p, (size_t)(nl - 1 - p), first))
 			return CODE_BAD_REQUEST;
+		if (first && !request &&
+		    !valid_status_line(p, (size_t)(nl - 1 - p)))
+			return CODE_BAD_REQUEST;
 		p = nl + 1;
 		first = false;
 	}
--- a/lib/http/fns.h
+++ b/lib/http/fns.h
@@ -16,7 +16,7 @@
 bool http_reader_idle(const http_reader_t *r);
 
 /* check.c: checks against request smuggling. */
-code_t http_head_check(const char *p, size_t n);
+code_t http_head_check(const char *p, size_t n, bool request);
 code_t http_fields_check(const http_head_t *h, bool request);
 
 /* chunk.c: checks the lines of the chunked coding. */
--- a/lib/http/reader.c
+++ b/lib/http/reader.c
@@ -194,7 +194,7 @@
 static code_t parse_head(http_reader_t *r, const char *p, size_t n)
 {
 	size_t used;
-	code_t code = http_head_check(p, n);
+	code_t code = http_head_check(p, n, r->parser.type == HTTP_REQUEST);
 
 	if (code != CODE_OK)
 		return code;
--- a/test/http.c
+++ b/test/http.c
@@ -346,9 +346,12 @@
 	{ "status of two digits",
 	  "HTTP/1.1 20 OK\r\nContent-Length: 2\r\n\r\nab", CODE_BAD_REQUEST,
 	  CODE_OK, 0, "" },
-	/* Statuses that are none. */
+	/* Statuses that are none; the second reads as 200 without its zero. */
 	{ "status 000", "HTTP/1.1 000 OK\r\nContent-Length: 2\r\n\r\nab",
 	  CODE_BAD_REQUEST, CODE_OK, 0, "" },
+	{ "status of four digits",
+	  "HTTP/1.1 0200 OK\r\nContent-Length: 2\r\n\r\nab", CODE_BAD_REQUEST,
+	  CODE_OK, 0, "" },
 	{ "status 099", "HTTP/1.1 099 OK\r\nContent-Length: 2\r\n\r\nab",
 	  CODE_BAD_REQUEST, CODE_OK, 0, "" },
 	{ "no status", "HTTP/1.1  OK\r\nContent-Length: 2\r\n\r\nab",
