--- a/test/host.h
+++ b/test/host.h
@@ -10,6 +10,8 @@
 enum {
 	HOST_TICK_MS = 10,
 	HOST_ROUTE_MS = 20000, /* targets and limits without a case's own */
+	HOST_ACCEPT_MS =
+		2700, /* requests are accepted so long while draining */
 };
 
 typedef enum path {
@@ -130,7 +132,8 @@
 			     .retry_window = 10 * MS,
 			     .quota = { .window = 8 * MS } };
 	forward_conf_t to = { .connections_max = 100,
-			      .connect_timeout = HOST_ROUTE_MS };
+			      .connect_timeout = HOST_ROUTE_MS,
+			      .drain_accept_time = HOST_ACCEPT_MS };
 
 	memset(h, 0, sizeof(*h));
 	uv_loop_init(&h->loop);
