Settings: no region is known where the list is empty

Cause: the template writes the key also when the platform has no entry for it, and a text of no characters is refused. Without the key no homes are known.

Change: regions may be empty, which is the same.

Evidence: test/conf, the empty list of 7 cases failed before; lists with an empty entry are still refused.

--- a/lib/conf/edge.c
+++ b/lib/conf/edge.c
@@ -23,7 +23,7 @@
 static const field_t process_fields[] = {
 	{ "name", FIELD_NAME, AT(name), true, 0, 0, NULL },
 	{ "data_center", FIELD_NAME, AT(data_center), true, 0, 0, NULL },
-	{ "regions", FIELD_TEXT, AT(regions_text), false, 0, 0, NULL },
+	{ "regions", FIELD_LIST, AT(regions_text), false, 0, 0, NULL },
 	{ "log_level", FIELD_CHOICE, AT(log_level), false, 0, 0, level_names },
 };
 
--- a/lib/conf/field.c
+++ b/lib/conf/field.c
@@ -178,6 +178,8 @@
 				  "1 to 64 letters, digits or . _ : -");
 	case FIELD_TEXT:
 		return set_string(s, f, to, value, n > 0, "a value");
+	case FIELD_LIST:
+		return set_string(s, f, to, value, true, "a list");
 	case FIELD_PATH:
 		ok = value[0] == '/' && strcspn(value, " \t?#") == n;
 		return set_string(s, f, to, value, ok,
--- a/lib/conf/priv.h
+++ b/lib/conf/priv.h
@@ -14,6 +14,7 @@
 typedef enum field_kind {
 	FIELD_NAME,    /* char *: letters, digits and . _ : - */
 	FIELD_TEXT,    /* char *: any text but the empty one */
+	FIELD_LIST,    /* char *: any text; the empty one is no entry */
 	FIELD_PATH,    /* char *: starts with a slash, no blanks */
 	FIELD_METHOD,  /* char *: capital letters */
 	FIELD_COUNT,   /* uint64_t */
--- a/test/conf.c
+++ b/test/conf.c
@@ -392,6 +392,47 @@
 }
 END_TEST
 
+/* Regions of the data centres, as the platform fills them in. */
+typedef struct regions_case {
+	const char *value;
+	unsigned int known; /* data centres with a region */
+	code_t code;
+} regions_case_t;
+
+static const regions_case_t regions_cases[] = {
+	{ "lj-1:lj", 1, CODE_OK },
+	{ "lj-1:lj,lj-2:lj", 2, CODE_OK },
+	/* Settings that hold no data centre: the host did not start. */
+	{ "", 0, CODE_OK },
+	{ "lj-1", 0, CODE_BAD_TYPE },
+	{ "lj-1:", 0, CODE_BAD_TYPE },
+	{ "lj-1:lj,", 0, CODE_BAD_TYPE },
+	{ ",", 0, CODE_BAD_TYPE },
+};
+
+START_TEST(regions_may_be_empty)
+{
+	const regions_case_t *c = &regions_cases[_i];
+	char *text = g_strdup_printf(
+		"[process]\nname = h1\ndata_center = lj-1\nregions = %s\n" FLEET
+		"[listen]\npeers = 127.0.0.1:83\n",
+		c->value);
+	GError *err = NULL;
+	edge_settings_t *set = edge_settings_parse(text, "f.ini", &err);
+
+	g_free(text);
+	if (c->code == CODE_OK) {
+		ck_assert_msg(set != NULL, "%s", err ? err->message : "");
+		ck_assert_uint_eq(g_hash_table_size(set->regions), c->known);
+	} else {
+		ck_assert_ptr_null(set);
+		ck_assert_int_eq(err->code, (int)c->code);
+		g_error_free(err);
+	}
+	edge_settings_free(set);
+}
+END_TEST
+
 /* Addresses of the listeners; code: what reading them gives. */
 typedef struct listen_case {
 	const char *callers;
@@ -457,6 +498,8 @@
 	tcase_add_test(tc, settings_taken);
 	tcase_add_loop_test(tc, bounds_may_be_fractions, 0,
 			    G_N_ELEMENTS(bound_cases));
+	tcase_add_loop_test(tc, regions_may_be_empty, 0,
+			    G_N_ELEMENTS(regions_cases));
 	tcase_add_loop_test(tc, listeners_differ, 0,
 			    G_N_ELEMENTS(listen_cases));
 	tcase_add_test(tc, peers_longer_than_a_short_line);
