--- a/review/rig/rig.py
+++ b/review/rig/rig.py
@@ -422,6 +422,65 @@
         return None
 
 
+SECTION = re.compile(r"\{\{([#^])([^{}]+)\}\}(.*?)\{\{/\2\}\}", re.DOTALL)
+
+
+def look_up(name, scopes):
+    """The value of a name like a.b.0, of the innermost entry that has it."""
+    first, *rest = name.split(".")
+    value = next(s for s in reversed(scopes)
+                 if isinstance(s, dict) and first in s)[first]
+    for part in rest:
+        value = value[int(part) if isinstance(value, list) else part]
+    return value
+
+
+def entries(value):
+    """Keys and entries that a section is rendered for."""
+    if isinstance(value, dict):
+        return list(value.items())
+    if isinstance(value, list):
+        return list(enumerate(value))
+    return [("", value)]
+
+
+def render_section(kind, name, body, scopes):
+    try:
+        value = look_up(name, scopes)
+    except (StopIteration, KeyError, IndexError):
+        value = None
+    if kind == "^":
+        return render(body, scopes) if value in (None, False) else ""
+    if value in (None, False):
+        return ""
+    rows = entries(value)
+    return "".join(
+        render(body, scopes + ([entry] if isinstance(entry, dict) else []),
+               {"@": key, ".": entry, ",": "," if i + 1 < len(rows) else ""})
+        for i, (key, entry) in enumerate(rows))
+
+
+def render(text, scopes, entry=None):
+    """Fills a template in as DEPLOY.md tells. Unlike the platform's, a name
+    without a value is an error, so that a new one is noticed."""
+    text = SECTION.sub(
+        lambda g: render_section(g[1], g[2], g[3], scopes), text)
+
+    def value_of(g):
+        name, _, form = g[1].partition("|")
+        if entry and name in entry:
+            value = entry[name]
+        else:
+            value = scopes[-1] if name == "." else look_up(name, scopes)
+        if form == "json" or isinstance(value, dict):
+            return json.dumps(value)
+        if isinstance(value, list):
+            return ",".join(str(v) for v in value)
+        return str(value)
+
+    return re.sub(r"\{\{([^{}]*)\}\}", value_of, text)
+
+
 class Proc:
     """One of the project's processes."""
 
@@ -435,16 +494,17 @@
 
     def fill(self):
         values = {"node": self.name, "zone": "dc-1", "ip": self.ip,
-                  "listen.front": "%s:%d" % (self.ip, self.front),
-                  "listen.ready": "%s:%d" % (self.ip, self.ready),
-                  "port_range.0": str(self.rig.peers_port),
-                  "platform.addr": "%s:%d" % (self.way or (
-                      self.rig.store.ip, self.rig.store.port))}
-        values.update({"bounds." + k: str(v) for k, v in BOUNDS.items()})
+                  "zones": {"dc-1": "region-1"},
+                  "listen": {"front": "%s:%d" % (self.ip, self.front),
+                             "ready": "%s:%d" % (self.ip, self.ready)},
+                  "port_range": [self.rig.peers_port],
+                  "limits": {"memory_mb": 260},
+                  "platform": {"addr": "%s:%d" % (self.way or (
+                      self.rig.store.ip, self.rig.store.port))},
+                  "bounds": BOUNDS}
         with open(os.path.join(TOP, "deploy", self.role + ".ini"),
                   encoding="utf-8") as f:
-            text = f.read()
-        return re.sub(r"\{\{([^}]*)\}\}", lambda g: values[g.group(1)], text)
+            return render(f.read(), [values])
 
     def start(self):
         with open(self.ini, "w", encoding="utf-8") as f:
