Calls: a head that is none counts as broken off, like other bytes that are none

Callers would see: 502 at once when a model engine's answer begins with a status below 200 or gives its length twice, though its stream could be resumed.

Cause: the two checks before this ended the call with bad-answer, which is for answers over a limit and ends the request; heads that the library cannot read end it with cut, after which the sidecar resumes a model's answer.

Change: these checks end the call with cut as well.

--- a/lib/net/httpc.c
+++ b/lib/net/httpc.c
@@ -83,11 +83,11 @@
 }
 
 /* Ends a call whose answer is over a limit or none that HTTP knows. */
-static void refuse(httpc_req_t *r, const char *why)
+static void refuse(httpc_req_t *r, code_t code, const char *why)
 {
 	log_line(LOG_WARN, "answer_refused", "to=%s why=%s bytes=%zu", r->host,
 		 why, r->read);
-	finish(r, CODE_BAD_ANSWER);
+	finish(r, code);
 }
 
 /* Gives the library's input buffer to the caller. */
@@ -127,7 +127,7 @@
 	r->in_library = true;
 	pass_input(r, client->sock);
 	if (over_limit(r)) {
-		refuse(r, "body");
+		refuse(r, CODE_BAD_ANSWER, "body");
 		return err ? 0 : -1;
 	}
 	if (err) {
@@ -189,7 +189,8 @@
 		return NULL;
 	}
 	if (status < FINAL_STATUS_MIN || is_ambiguous(headers, n)) {
-		refuse(r, status < FINAL_STATUS_MIN ? "status" : "length");
+		refuse(r, CODE_CUT,
+		       status < FINAL_STATUS_MIN ? "status" : "length");
 		return NULL;
 	}
 	r->in_library = true;
@@ -218,7 +219,7 @@
 	(void)n;
 	if (++r->interim <= INTERIM_MAX)
 		return 0;
-	refuse(r, "interim");
+	refuse(r, CODE_BAD_ANSWER, "interim");
 	return -1;
 }
 
@@ -277,7 +278,7 @@
 static void refuse_head(httpc_req_t *r)
 {
 	h2o_http1client_cancel(r->client);
-	refuse(r, "head");
+	refuse(r, CODE_BAD_ANSWER, "head");
 }
 
 static bool is_due(const httpc_req_t *r, ms_t now)
