--- a/lib/http/check.c
+++ b/lib/http/check.c
@@ -6,6 +6,7 @@
 #include "http/fns.h"
 
 enum {
+	STATUS_AT = 9, /* bytes before the status: "HTTP/1.1 " */
 	STATUS_DIGITS = 3,
 };
 
@@ -42,16 +43,15 @@
  */
 static bool valid_status_line(const char *p, size_t n)
 {
-	static const char version[] = "HTTP/1.1 ";
-	size_t at = strlen(version);
+	size_t end = STATUS_AT + STATUS_DIGITS;
 
-	if (n < at + STATUS_DIGITS || p[at - 1] != ' ')
+	if (n < end || p[STATUS_AT - 1] != ' ')
 		return false;
-	for (size_t end = at + STATUS_DIGITS; at < end; at++) {
-		if (!g_ascii_isdigit(p[at]))
+	for (size_t i = STATUS_AT; i < end; i++) {
+		if (!g_ascii_isdigit(p[i]))
 			return false;
 	}
-	return at == n || p[at] == ' ';
+	return n == end || p[end] == ' ';
 }
 
 /*
