--- /dev/null
+++ b/review/rig-2/rig.h
@@ -0,0 +1,120 @@
+/*
+ * A small deployment for a case: the project's own programs as processes, and
+ * stand-ins for the store, the servers and the clients in this one.
+ */
+#ifndef RIG_H
+#define RIG_H
+
+#include "soak/fns.h"
+
+enum {
+	FRONTS = 5,
+	SIDES = 4, /* model servers, a keeper beside each */
+	DAEMONS = FRONTS + SIDES,
+	BACKENDS_MAX = 16,
+	ID_BYTES = 32,
+	SERVER_BEAT_MS = 1200,
+	CONFIG_MS = 2000, /* the bounds of a small deployment */
+	STABLE_MS = 3000,
+};
+
+typedef struct rig rig_t;
+typedef struct ask ask_t;
+
+/* A server of a service. */
+typedef struct backend_s {
+	rig_t *rig;
+	listen_t at;
+	char id[ID_BYTES];
+	const char *service;
+	const char *version;
+	bool model;
+	bool unlisted; /* writes no entry */
+	unsigned int slots;
+	uint64_t seq;
+	ms_t work; /* of each request */
+	unsigned int ran;
+	/* The fields of its answers, whole lines; may be NULL. */
+	const char *(*fields)(struct backend_s *b, const ask_t *a);
+	/* The status of its answer to a request that has run; may be NULL. */
+	int (*status)(struct backend_s *b, const ask_t *a);
+} backend_s_t;
+
+/* A request of a client, and what became of it. */
+struct ask {
+	rig_t *rig;
+	hconn_t *conn;
+	char id[ID_BYTES];
+	unsigned int front;
+	ms_t sent_at;
+	ms_t ran_at; /* 0: it has not */
+	backend_s_t *ran_by;
+	int status; /* 0: no answer yet */
+	bool ended;
+};
+
+/* A process of the project. */
+typedef struct daemon_s {
+	rig_t *rig;
+	uv_process_t handle;
+	char name[ID_BYTES];
+	char ini[256];
+	bool front;
+	bool running;
+	addr_t clients;
+	addr_t ready;
+} daemon_s_t;
+
+/* A case. */
+typedef struct scene {
+	const char *name;
+	ms_t length; /* from the start of the daemons */
+	void (*start)(rig_t *r);
+	void (*tick)(rig_t *r, ms_t now);
+	/* A server runs a request; it has answered it; a client was answered */
+	void (*ran)(rig_t *r, backend_s_t *b, ask_t *a, ms_t now);
+	void (*answered)(rig_t *r, ask_t *a, ms_t now);
+	/* A record was appended to a topic by the system. */
+	void (*status)(rig_t *r, const char *text);
+	bool (*broken)(rig_t *r);
+} scene_t;
+
+struct rig {
+	soak_t s; /* its loop and store are used */
+	const scene_t *scene;
+	bool trouble; /* false: TROUBLE=0 */
+	FILE *record;
+	char *dir;
+	uv_timer_t tick;
+	uv_signal_t term;
+	uv_signal_t intr;
+	ms_t began;
+	ms_t ready_at; /* when all fronts served; 0: not yet */
+	ms_t next_beat;
+	ms_t next_send;
+	uint64_t version;
+	daemon_s_t daemons[DAEMONS];
+	backend_s_t backends[BACKENDS_MAX];
+	unsigned int nbackends;
+	GHashTable *asks; /* ask_t by id */
+	uint64_t last_id;
+	bool served[FRONTS];
+	bool ending;
+	bool failed_start;
+};
+
+/* world.c */
+int rig_run(rig_t *r, const scene_t *scene);
+ms_t rig_time(const rig_t *r);
+void rig_note(rig_t *r, const char *fmt, ...) G_GNUC_PRINTF(2, 3);
+backend_s_t *rig_backend(rig_t *r, const char *service, const char *version,
+			 bool model);
+void rig_operator(rig_t *r, const char *key, const char *value);
+void rig_silence_store(rig_t *r);
+ask_t *rig_ask(rig_t *r, unsigned int front, const char *host, const char *key);
+topic_t *rig_topic(rig_t *r, const char *name);
+
+extern const scene_t scene_config;
+extern const scene_t scene_rollout;
+
+#endif
