--- a/review/rig-2/config.c
+++ b/review/rig-2/config.c
@@ -62,7 +62,7 @@
 		return;
 	r->next_send = now + SEND_EVERY_MS;
 	for (unsigned int i = 0; i < FRONTS; i++)
-		rig_ask(r, i, "a.example", "key");
+		rig_ask(r, i, "a.example", "");
 }
 
 /* Run by the old service though sent later than the bound, in touch. */
--- a/review/rig-2/main.c
+++ b/review/rig-2/main.c
@@ -4,7 +4,8 @@
 #include <string.h>
 #include "rig.h"
 
-static const scene_t *const scenes[] = { &scene_config, &scene_rollout };
+static const scene_t *const scenes[] = { &scene_config, &scene_rollout,
+					 &scene_parts, &scene_limit };
 
 int main(int argc, char **argv)
 {
--- a/review/rig-2/rig.h
+++ b/review/rig-2/rig.h
@@ -9,9 +9,10 @@
 
 enum {
 	FRONTS = 5,
-	SIDES = 4, /* model servers, a keeper beside each */
-	DAEMONS = FRONTS + SIDES,
-	BACKENDS_MAX = 16,
+	SIDES = 4,	/* model servers, a keeper beside each */
+	SIDES_MAX = 12, /* the same, in some cases */
+	DAEMONS_MAX = FRONTS + SIDES_MAX,
+	BACKENDS_MAX = 24,
 	ID_BYTES = 32,
 	SERVER_BEAT_MS = 1200,
 	CONFIG_MS = 2000, /* the bounds of a small deployment */
@@ -32,7 +33,9 @@
 	bool unlisted; /* writes no entry */
 	unsigned int slots;
 	uint64_t seq;
-	ms_t work; /* of each request */
+	uint64_t born; /* start of its present life */
+	ms_t back_at;  /* it crashed, and starts again then; 0: it is up */
+	ms_t work;     /* of each request */
 	unsigned int ran;
 	/* The fields of its answers, whole lines; may be NULL. */
 	const char *(*fields)(struct backend_s *b, const ask_t *a);
@@ -46,6 +49,7 @@
 	hconn_t *conn;
 	char id[ID_BYTES];
 	unsigned int front;
+	bool crashes; /* each server that begins to answer it */
 	ms_t sent_at;
 	ms_t ran_at; /* 0: it has not */
 	backend_s_t *ran_by;
@@ -68,11 +72,13 @@
 /* A case. */
 typedef struct scene {
 	const char *name;
-	ms_t length; /* from the start of the daemons */
+	ms_t length;	    /* from the start of the daemons */
+	unsigned int sides; /* 0: SIDES */
 	void (*start)(rig_t *r);
 	void (*tick)(rig_t *r, ms_t now);
-	/* A server runs a request; it has answered it; a client was answered */
+	/* A server got a request; it crashed on one; a client was answered */
 	void (*ran)(rig_t *r, backend_s_t *b, ask_t *a, ms_t now);
+	void (*crashed)(rig_t *r, backend_s_t *b, ask_t *a, ms_t now);
 	void (*answered)(rig_t *r, ask_t *a, ms_t now);
 	/* A record was appended to a topic by the system. */
 	void (*status)(rig_t *r, const char *text);
@@ -93,7 +99,8 @@
 	ms_t next_beat;
 	ms_t next_send;
 	uint64_t version;
-	daemon_s_t daemons[DAEMONS];
+	daemon_s_t daemons[DAEMONS_MAX];
+	unsigned int ndaemons;
 	backend_s_t backends[BACKENDS_MAX];
 	unsigned int nbackends;
 	GHashTable *asks; /* ask_t by id */
@@ -111,10 +118,15 @@
 			 bool model);
 void rig_operator(rig_t *r, const char *key, const char *value);
 void rig_silence_store(rig_t *r);
-ask_t *rig_ask(rig_t *r, unsigned int front, const char *host, const char *key);
+ask_t *rig_ask(rig_t *r, unsigned int front, const char *host,
+	       const char *fields);
+void rig_signal(rig_t *r, unsigned int i, int number);
+void rig_start_daemon(rig_t *r, unsigned int i);
 topic_t *rig_topic(rig_t *r, const char *name);
 
 extern const scene_t scene_config;
 extern const scene_t scene_rollout;
+extern const scene_t scene_parts;
+extern const scene_t scene_limit;
 
 #endif
--- a/review/rig-2/world.c
+++ b/review/rig-2/world.c
@@ -16,6 +16,7 @@
 	NETS = 250,
 	CANNOT_RUN = 2,
 	PROBE_EVERY_MS = 200,
+	DOWN_MS = 3000, /* a server that crashed is back after some seconds */
 };
 
 static const char program[] = "target/chestnuthinged";
@@ -101,6 +102,32 @@
 	g_free(h->data);
 }
 
+/* A server crashes with all that it runs; its entry stays until it lapses. */
+static void crash(backend_s_t *b, ask_t *a)
+{
+	rig_t *r = b->rig;
+
+	rig_note(r, "%s crashes on %s", b->id, a->id);
+	b->back_at = clock_now() + DOWN_MS;
+	listen_stop(&b->at, true);
+	if (r->scene->crashed)
+		r->scene->crashed(r, b, a, clock_now());
+}
+
+/* Starts a server again under its id, at another port. */
+static void start_again(backend_s_t *b, ms_t now)
+{
+	char ip[32];
+
+	g_strlcpy(ip, b->at.addr.ip, sizeof(ip));
+	b->back_at = 0;
+	b->born += 1000;
+	b->seq = 0;
+	listen_start(&b->at, &b->rig->s, ip, 0);
+	b->rig->next_beat = now;
+	rig_note(b->rig, "%s is back", b->id);
+}
+
 static void on_work_done(uv_timer_t *t)
 {
 	run_t *run = t->data;
@@ -110,13 +137,22 @@
 	char body[128];
 	int status = 200;
 
+	if (c && run->ask->crashes) {
+		uv_close((uv_handle_t *)&run->timer, on_run_closed);
+		g_string_free(fields, TRUE);
+		crash(b, run->ask);
+		return;
+	}
 	if (b->status)
 		status = b->status(b, run->ask);
-	g_string_printf(fields, "X-Request-Id: %s\r\nX-Server-Stamp: %s.%s\r\n",
+	g_string_printf(fields,
+			"X-Request-Id: %s\r\nX-Server-Stamp: %s.%s\r\n"
+			"Content-Type: text/event-stream\r\n",
 			run->ask->id, run->ask->id, b->id);
 	if (b->fields)
 		g_string_append(fields, b->fields(b, run->ask));
-	snprintf(body, sizeof(body), "%s by %s", run->ask->id, b->id);
+	snprintf(body, sizeof(body), "id: 1\ndata: %s by %s\n\n", run->ask->id,
+		 b->id);
 	uv_close((uv_handle_t *)&run->timer, on_run_closed);
 	if (c) {
 		c->job = c;
@@ -179,6 +215,7 @@
 	b->version = version;
 	b->model = model;
 	b->slots = 6;
+	b->born = 1000;
 	b->work = 15;
 	snprintf(b->id, sizeof(b->id), "i-%u", i);
 	b->at.owner = b;
@@ -190,6 +227,12 @@
 
 static void beat(rig_t *r, ms_t now)
 {
+	for (unsigned int i = 0; i < r->nbackends; i++) {
+		backend_s_t *b = &r->backends[i];
+
+		if (b->back_at && now >= b->back_at)
+			start_again(b, now);
+	}
 	if (now < r->next_beat)
 		return;
 	r->next_beat = now + SERVER_BEAT_MS;
@@ -197,15 +240,15 @@
 		backend_s_t *b = &r->backends[i];
 		char *text;
 
-		if (b->unlisted)
+		if (b->unlisted || b->back_at)
 			continue;
 		text = g_strdup_printf(
 			"{\"service\":\"%s\",\"addr\":\"%s:%u\","
 			"\"zone\":\"lj-a\",\"version\":\"%s\",\"slots\":%u,"
 			"\"state\":\"ready\",\"cold_remaining_ms\":0,"
-			"\"seq\":%" PRIu64 ",\"born\":1000}",
+			"\"seq\":%" PRIu64 ",\"born\":%" PRIu64 "}",
 			b->service, b->at.addr.ip, b->at.addr.port, b->version,
-			b->slots, ++b->seq);
+			b->slots, ++b->seq, b->born);
 		store_put(&r->s.store, "keyed.servers", b->id, text);
 		g_free(text);
 	}
@@ -260,8 +303,12 @@
 static const hconn_ops_t client_ops = { on_answer_head, on_answer_body,
 					on_answer_end, on_answer_gone };
 
-/* A client sends a request to a front, on a new channel. */
-ask_t *rig_ask(rig_t *r, unsigned int front, const char *host, const char *key)
+/*
+ * A client sends a request to a front, on a new channel. fields: whole lines of
+ * its head.
+ */
+ask_t *rig_ask(rig_t *r, unsigned int front, const char *host,
+	       const char *fields)
 {
 	ask_t *a = g_new0(ask_t, 1);
 	GByteArray *head = g_byte_array_new();
@@ -274,8 +321,8 @@
 	g_hash_table_insert(r->asks, a->id, a);
 	text = g_strdup_printf("GET /p/2f HTTP/1.1\r\nHost: %s\r\n"
 			       "X-Request-Id: %s\r\nX-Timeout-Ms: 1000\r\n"
-			       "Authorization: Bearer %s\r\n\r\n",
-			       host, a->id, key);
+			       "Authorization: Bearer key\r\n%s\r\n",
+			       host, a->id, fields);
 	http_put(head, text);
 	g_free(text);
 	rig_note(r, "send %s to front-%u for %s", a->id, front, host);
@@ -392,7 +439,7 @@
 		uint16_t port = (uint16_t)(PORT_FIRST + (from + k) % PORTS);
 		bool free = true;
 
-		for (unsigned int i = 0; i < DAEMONS && free; i++) {
+		for (unsigned int i = 0; i < r->ndaemons && free; i++) {
 			char ip[32];
 
 			daemon_ip(r, i, ip, sizeof(ip));
@@ -411,7 +458,7 @@
 	uint16_t ready = free_port(r, clients - PORT_FIRST + 1U);
 
 	r->s.port = first;
-	for (unsigned int i = 0; i < DAEMONS; i++) {
+	for (unsigned int i = 0; i < r->ndaemons; i++) {
 		daemon_s_t *d = &r->daemons[i];
 		char ip[32];
 
@@ -434,9 +481,24 @@
 	}
 }
 
+/* Sends a signal to one of our daemons. */
+void rig_signal(rig_t *r, unsigned int i, int number)
+{
+	rig_note(r, "signal %d to %s", number, r->daemons[i].name);
+	if (r->daemons[i].running)
+		uv_process_kill(&r->daemons[i].handle, number);
+}
+
+/* Starts a daemon again that has ended. */
+void rig_start_daemon(rig_t *r, unsigned int i)
+{
+	rig_note(r, "%s starts again", r->daemons[i].name);
+	spawn(&r->daemons[i]);
+}
+
 static bool any_running(const rig_t *r)
 {
-	for (unsigned int i = 0; i < DAEMONS; i++) {
+	for (unsigned int i = 0; i < r->ndaemons; i++) {
 		if (r->daemons[i].running)
 			return true;
 	}
@@ -446,7 +508,7 @@
 static void end_all(rig_t *r)
 {
 	r->ending = true;
-	for (unsigned int i = 0; i < DAEMONS; i++) {
+	for (unsigned int i = 0; i < r->ndaemons; i++) {
 		if (r->daemons[i].running)
 			uv_process_kill(&r->daemons[i].handle, SIGKILL);
 	}
@@ -477,7 +539,7 @@
 		r->next_send = now + PROBE_EVERY_MS;
 		for (unsigned int i = 0; i < FRONTS; i++) {
 			if (!r->served[i])
-				rig_ask(r, i, "a.example", "key");
+				rig_ask(r, i, "a.example", "");
 		}
 	}
 	for (unsigned int i = 0; i < FRONTS; i++)
@@ -516,6 +578,7 @@
 	r->began = clock_now();
 	r->asks = g_hash_table_new(g_str_hash, g_str_equal);
 	uv_loop_init(&r->s.loop);
+	r->ndaemons = FRONTS + (scene->sides ? scene->sides : SIDES);
 	store_start(&r->s.store, &r->s);
 	scene->start(r);
 	beat(r, clock_now());
