--- a/review/rig-2/main.c
+++ b/review/rig-2/main.c
@@ -5,7 +5,8 @@
 #include "rig.h"
 
 static const scene_t *const scenes[] = { &scene_config, &scene_rollout,
-					 &scene_parts, &scene_limit };
+					 &scene_parts, &scene_limit,
+					 &scene_verdict };
 
 int main(int argc, char **argv)
 {
--- a/review/rig-2/rig.h
+++ b/review/rig-2/rig.h
@@ -50,6 +50,7 @@
 	char id[ID_BYTES];
 	unsigned int front;
 	bool crashes; /* each server that begins to answer it */
+	bool is_read; /* of the route for reads */
 	ms_t sent_at;
 	ms_t ran_at; /* 0: it has not */
 	backend_s_t *ran_by;
@@ -118,6 +119,7 @@
 			 bool model);
 void rig_operator(rig_t *r, const char *key, const char *value);
 void rig_silence_store(rig_t *r);
+void rig_stop(rig_t *r, backend_s_t *b);
 ask_t *rig_ask(rig_t *r, unsigned int front, const char *host,
 	       const char *fields);
 void rig_signal(rig_t *r, unsigned int i, int number);
@@ -128,5 +130,6 @@
 extern const scene_t scene_rollout;
 extern const scene_t scene_parts;
 extern const scene_t scene_limit;
+extern const scene_t scene_verdict;
 
 #endif
--- a/review/rig-2/world.c
+++ b/review/rig-2/world.c
@@ -114,6 +114,15 @@
 		r->scene->crashed(r, b, a, clock_now());
 }
 
+/* The platform stops a server; its entry is removed. */
+void rig_stop(rig_t *r, backend_s_t *b)
+{
+	rig_note(r, "%s is stopped", b->id);
+	b->unlisted = true;
+	listen_stop(&b->at, true);
+	store_put(&r->s.store, "keyed.servers", b->id, NULL);
+}
+
 /* Starts a server again under its id, at another port. */
 static void start_again(backend_s_t *b, ms_t now)
 {
