--- a/review/rig-2/rig.h
+++ b/review/rig-2/rig.h
@@ -31,12 +31,15 @@
 	const char *version;
 	bool model;
 	bool unlisted; /* writes no entry */
+	bool renames;  /* each start has a new id */
+	bool alone;    /* crashes only while it runs nothing else */
 	unsigned int slots;
 	uint64_t seq;
 	uint64_t born; /* start of its present life */
 	ms_t back_at;  /* it crashed, and starts again then; 0: it is up */
 	ms_t work;     /* of each request */
 	unsigned int ran;
+	unsigned int running;
 	/* The fields of its answers, whole lines; may be NULL. */
 	const char *(*fields)(struct backend_s *b, const ask_t *a);
 	/* The status of its answer to a request that has run; may be NULL. */
@@ -137,5 +140,6 @@
 extern const scene_t scene_verdict;
 extern const scene_t scene_stop;
 extern const scene_t scene_judges;
+extern const scene_t scene_immune;
 
 #endif
