--- a/review/rig-2/judges.c
+++ b/review/rig-2/judges.c
@@ -1,6 +1,7 @@
 /*
- * Case judges: a front is killed while a version gets all of the traffic and
- * streams still run on the old one; after its return the version turns bad.
+ * Cases judges and added: while a version gets all of the traffic and streams
+ * still run on the old one, a front that was killed comes back, or two fronts
+ * are added; later the version turns bad.
  */
 #include <signal.h>
 #include <string.h>
@@ -9,6 +10,8 @@
 enum {
 	ORDER_MS = 1000,    /* after the fronts serve */
 	HALF = 3,	    /* decisions: the canary's share, 250 and 500 */
+	ALL = 4,	    /* the share is 1000 */
+	ADD_MS = 300,	    /* from there */
 	DOWN_FOR_MS = 2700, /* the front, from there */
 	BAD_MS = 18200,	    /* after the order: the first bad answer */
 	BAD_PERCENT = 80,
@@ -23,6 +26,8 @@
 static ms_t ordered_at;
 static ms_t killed_at;
 static bool back;
+static ms_t all_at;
+static bool added;
 static ms_t known_at; /* the 50th bad answer */
 static backend_s_t *old[DESKS];
 static unsigned int bad_answers;
@@ -87,12 +92,28 @@
 	}
 }
 
+/* Planned work: machines are added to the system. */
+static void add_fronts(rig_t *r, ms_t now)
+{
+	topic_t *moves = rig_topic(r, "keyed.moves");
+
+	if (!all_at && moves && moves->recs->len >= ALL)
+		all_at = now;
+	if (!all_at || added || now < all_at + ADD_MS)
+		return;
+	added = true;
+	rig_add_front(r, "front-0b");
+	rig_add_front(r, "front-0c");
+}
+
 static void tick(rig_t *r, ms_t now)
 {
 	if (!ordered_at && now >= r->ready_at + ORDER_MS)
 		order(r, now);
-	if (r->trouble && ordered_at)
+	if (r->trouble && ordered_at && r->scene == &scene_judges)
 		trouble(r, now);
+	else if (r->trouble && ordered_at)
+		add_fronts(r, now);
 	if (now < r->next_send)
 		return;
 	r->next_send = now + SEND_EVERY_MS;
@@ -127,7 +148,7 @@
 	(void)now;
 	if (!known_at || g_strcmp0(b->version, "v2") != 0 ||
 	    a->sent_at <= known_at + ROLLBACK_MS ||
-	    (r->trouble && a->front == VICTIM))
+	    (r->trouble && r->scene == &scene_judges && a->front == VICTIM))
 		return;
 	late++;
 	rig_note(r, "EXPOSURE: %s was sent %d ms after the 50th bad answer",
@@ -152,3 +173,13 @@
 			       .answered = answered,
 			       .status = status,
 			       .broken = broken };
+
+const scene_t scene_added = { .name = "added",
+			      .length = 34000,
+			      .timeout = 8000,
+			      .start = start,
+			      .tick = tick,
+			      .ran = ran,
+			      .answered = answered,
+			      .status = status,
+			      .broken = broken };
--- a/review/rig-2/main.c
+++ b/review/rig-2/main.c
@@ -7,7 +7,8 @@
 static const scene_t *const scenes[] = { &scene_config,	 &scene_rollout,
 					 &scene_parts,	 &scene_limit,
 					 &scene_verdict, &scene_stop,
-					 &scene_judges,	 &scene_immune };
+					 &scene_judges,	 &scene_added,
+					 &scene_immune };
 
 int main(int argc, char **argv)
 {
--- a/review/rig-2/rig.h
+++ b/review/rig-2/rig.h
@@ -131,6 +131,7 @@
 	       const char *fields);
 void rig_signal(rig_t *r, unsigned int i, int number);
 void rig_start_daemon(rig_t *r, unsigned int i);
+void rig_add_front(rig_t *r, const char *name);
 topic_t *rig_topic(rig_t *r, const char *name);
 
 extern const scene_t scene_config;
@@ -140,6 +141,7 @@
 extern const scene_t scene_verdict;
 extern const scene_t scene_stop;
 extern const scene_t scene_judges;
+extern const scene_t scene_added;
 extern const scene_t scene_immune;
 
 #endif
--- a/review/rig-2/world.c
+++ b/review/rig-2/world.c
@@ -573,6 +573,27 @@
 	spawn(&r->daemons[i]);
 }
 
+/* A machine is added to the system: a front of that name, at a new address. */
+void rig_add_front(rig_t *r, const char *name)
+{
+	daemon_s_t *d = &r->daemons[r->ndaemons];
+	char ip[32];
+
+	snprintf(ip, sizeof(ip), "127.%u.1.%u", r->s.net, r->ndaemons + 1);
+	d->rig = r;
+	d->front = true;
+	d->clients = r->daemons[0].clients;
+	g_strlcpy(d->clients.ip, ip, sizeof(d->clients.ip));
+	d->ready = d->clients;
+	d->ready.port = r->daemons[0].ready.port;
+	g_strlcpy(d->name, name, sizeof(d->name));
+	snprintf(d->ini, sizeof(d->ini), "%s/%s.ini", r->dir, name);
+	front_ini(d, ip);
+	rig_note(r, "%s is added", name);
+	spawn(d);
+	r->ndaemons++;
+}
+
 static bool any_running(const rig_t *r)
 {
 	for (unsigned int i = 0; i < r->ndaemons; i++) {
