Canary analysis: a crashed server's earlier life no longer excuses a version

What callers saw: the one server of a new version crashes and comes back under a new id. Later the version fails most orders. It is never taken back, is reported succeeded, the old servers stop, and the failures stay.

Cause: a finding had to hold without any single server of the target, by evidence from the others. The ended life counted as another server; it had no failures, and too few requests to have any, so nothing was ever enough. The same holds for latencies, and for any version of which all but one server have had too few requests on a route.

Change: a finding is put down to one server only if others answered in the same span and are not known to be bad too. Lives that do not overlap say nothing of each other; where there are no others, the version is at fault.

--- a/lib/edge/canary.h
+++ b/lib/edge/canary.h
@@ -28,8 +28,22 @@
 	req_stats_t side[SHIFT_SIDES];
 } route_sum_t;
 
+/*
+ * One life of a server of the target: a server that starts again has another
+ * id. Times are those at which the analysis saw the counters grow.
+ */
+typedef struct life {
+	const char *server;
+	req_stats_t seen; /* of all routes and hosts, when last looked at */
+	ms_t first_at;	  /* the first request */
+	ms_t last_at;	  /* the last one */
+	ms_t passed_at;	  /* the last that did not fail; 0: none */
+} life_t;
+
 struct canary_stats {
+	odds_t *odds;
 	GHashTable *reported; /* reported_t by host and cell */
+	GHashTable *lives;    /* life_t by server */
 	ms_t checkpoint_at;
 };
 
@@ -38,6 +52,6 @@
 				  bool (*counts)(void *ctx,
 						 const reported_t *t),
 				  void *ctx);
-void canary_stats_checkpoint(canary_stats_t *s, ms_t now);
+void canary_stats_look(canary_stats_t *s, ms_t now);
 
 #endif
--- a/lib/edge/canary_compare.c
+++ b/lib/edge/canary_compare.c
@@ -9,14 +9,20 @@
 
 enum {
 	MIN_FAILURES = 3,
+	/* A single failure of the other servers may have any cause, as a crash
+	 */
+	OTHERS_FAILURES = 2,
 	/* Latency samples of each side before they are compared */
 	MIN_LATENCIES = 8,
+	/* Two lives that both served for so long tell of the same time. */
+	OVERLAP_MS = 500,
+	/* Requests at the target after which the other servers, if they had
+	   none, are not expected to get any on the route */
+	ALONE_REQUESTS = 30,
 };
 
 /* Probability of a false alarm per comparison */
 static const double alpha = 1e-5;
-/* The same, when one of the target's servers is left out */
-static const double alpha_without_one = 0.01;
 /* Failure rate expected of any version, at least */
 static const double min_failure_rate = 0.005;
 /* Prior of the old version's failure rate: requests */
@@ -26,6 +32,8 @@
 static const double slow_factor = 2;
 /* Standard errors by which it must exceed that. */
 static const double sigmas = 4.5;
+/* Odds, as a logarithm, from which servers are taken for bad too: 10 to 1 */
+static const double others_odds = 2.3;
 
 /*
  * Returns the probability that a version as good as the old one has at least as
@@ -57,76 +65,113 @@
 		    req_stats_variance(old, k) / (double)old->v[k]);
 }
 
-/*
- * Returns the metric by which the route condemns the target, or NULL. If less
- * is given, the counters of one of the target's servers, those are left out and
- * weaker evidence from the other servers is enough.
- */
-static const char *condemning_metric(const route_sum_t *r,
-				     const route_sum_t *less)
+/* Returns the metric by which the route condemns the target, or NULL. */
+static const char *condemning_metric(const route_sum_t *r)
 {
 	const req_stats_t *old = &r->side[SHIFT_OLD];
-	req_stats_t target = r->side[SHIFT_TARGET];
-	double z = less ? 0 : sigmas;
-
-	if (less)
-		req_stats_subtract(&target, &less->side[SHIFT_TARGET]);
-	if (target.v[M_FAILURES] >= (less ? 1 : MIN_FAILURES) &&
-	    failure_probability(old, &target) <
-		    (less ? alpha_without_one : alpha))
+	const req_stats_t *target = &r->side[SHIFT_TARGET];
+
+	if (target->v[M_FAILURES] >= MIN_FAILURES &&
+	    failure_probability(old, target) < alpha)
 		return "failures";
-	if (latency_excess(old, &target, M_FIRST_TOKEN_N) > z)
+	if (latency_excess(old, target, M_FIRST_TOKEN_N) > sigmas)
 		return "first_event";
-	if (latency_excess(old, &target, M_GAP_N) > z)
+	if (latency_excess(old, target, M_GAP_N) > sigmas)
 		return "gaps";
 	return NULL;
 }
 
-/* Returns the set of the target's servers in reports; names are not copied. */
-static GHashTable *servers_of(const canary_stats_t *s)
+/* Whether some of the target's servers are bad by that metric themselves. */
+static bool are_bad(const canary_stats_t *s, const route_sum_t *r,
+		    const char *why)
 {
-	GHashTable *set = g_hash_table_new(g_str_hash, g_str_equal);
-	GHashTableIter it;
-	gpointer v;
+	const req_stats_t *old = &r->side[SHIFT_OLD];
+	const req_stats_t *some = &r->side[SHIFT_TARGET];
+
+	if (strcmp(why, "first_event") == 0)
+		return latency_excess(old, some, M_FIRST_TOKEN_N) > 0;
+	if (strcmp(why, "gaps") == 0)
+		return latency_excess(old, some, M_GAP_N) > 0;
+	return some->v[M_FAILURES] >= OTHERS_FAILURES &&
+	       odds_against(s->odds, old, some) > others_odds;
+}
 
-	g_hash_table_iter_init(&it, s->reported);
-	while (g_hash_table_iter_next(&it, NULL, &v)) {
-		const reported_t *t = v;
+/* Whether any server of the target has requests in the sums. */
+static bool has_requests(GHashTable *sums)
+{
+	GHashTableIter it;
+	gpointer r;
 
-		if (t->metric == M_REQUESTS && t->side == SHIFT_TARGET)
-			g_hash_table_add(set, t->server);
+	g_hash_table_iter_init(&it, sums);
+	while (g_hash_table_iter_next(&it, NULL, &r)) {
+		if (((route_sum_t *)r)->side[SHIFT_TARGET].v[M_REQUESTS] > 0)
+			return true;
 	}
-	return set;
+	return false;
 }
 
-static bool is_of(void *server, const reported_t *t)
+/* The servers of the target that are compared with one of them. */
+typedef struct others {
+	const canary_stats_t *stats;
+	const life_t *one;
+} others_t;
+
+/*
+ * Whether a counter is of the old version, or of a server that answered while
+ * the one did. Others tell nothing of the one: what ended before it began may
+ * be an earlier life of the same server, and the version may have turned bad
+ * since then.
+ */
+static bool is_of_others(void *ctx, const reported_t *t)
 {
-	return strcmp(t->server, server) == 0;
+	const others_t *o = ctx;
+	const life_t *l;
+
+	if (t->side == SHIFT_OLD)
+		return true;
+	l = g_hash_table_lookup(o->stats->lives, t->server);
+	return l && l != o->one &&
+	       MIN(l->passed_at, o->one->last_at) -
+			       MAX(l->first_at, o->one->first_at) >=
+		       OVERLAP_MS;
 }
 
 /*
- * Whether a finding holds without any single server of the target: one faulty
- * server does not condemn a version that others run well.
+ * Whether a finding on a route may be the fault of one server of the target:
+ * there are others, and they are not known to be bad too. Others that get none
+ * of the route's requests do not excuse the version for long.
  */
-static bool holds_without_any_server(const canary_stats_t *s, bool recent,
-				     const char *route, const route_sum_t *r)
+static bool may_be_of_one(const canary_stats_t *s, GHashTable *others,
+			  const char *route, const route_sum_t *all,
+			  const char *why)
+{
+	const route_sum_t *r = g_hash_table_lookup(others, route);
+
+	if (r && r->side[SHIFT_TARGET].v[M_REQUESTS] > 0)
+		return !are_bad(s, r, why);
+	return has_requests(others) &&
+	       all->side[SHIFT_TARGET].v[M_REQUESTS] < ALONE_REQUESTS;
+}
+
+/* Whether a finding may be the fault of any single server of the target. */
+static bool may_be_of_any(const canary_stats_t *s, bool recent,
+			  const char *route, const route_sum_t *all,
+			  const char *why)
 {
-	GHashTable *servers = servers_of(s);
-	bool holds = true;
+	bool may = false;
 	GHashTableIter it;
-	gpointer name;
+	gpointer life;
 
-	g_hash_table_iter_init(&it, servers);
-	while (holds && g_hash_table_size(servers) > 1 &&
-	       g_hash_table_iter_next(&it, &name, NULL)) {
-		GHashTable *one = canary_stats_by_route(s, recent, is_of, name);
-		const route_sum_t *less = g_hash_table_lookup(one, route);
+	g_hash_table_iter_init(&it, s->lives);
+	while (!may && g_hash_table_iter_next(&it, NULL, &life)) {
+		others_t o = { s, life };
+		GHashTable *others =
+			canary_stats_by_route(s, recent, is_of_others, &o);
 
-		holds = !less || condemning_metric(r, less) != NULL;
-		g_hash_table_destroy(one);
+		may = may_be_of_one(s, others, route, all, why);
+		g_hash_table_destroy(others);
 	}
-	g_hash_table_destroy(servers);
-	return holds;
+	return may;
 }
 
 static canary_finding_t compare(const canary_stats_t *s, bool recent)
@@ -139,9 +184,9 @@
 
 	g_hash_table_iter_init(&it, routes);
 	while (!f.why && g_hash_table_iter_next(&it, &route, &r)) {
-		const char *why = condemning_metric(r, NULL);
+		const char *why = condemning_metric(r);
 
-		if (!why || !holds_without_any_server(s, recent, route, r))
+		if (!why || may_be_of_any(s, recent, route, r, why))
 			continue;
 		f.why = why;
 		g_strlcpy(f.route, route, sizeof(f.route));
@@ -155,10 +200,9 @@
  */
 canary_finding_t canary_stats_compare(canary_stats_t *s, ms_t now)
 {
-	canary_finding_t f = compare(s, false);
+	canary_finding_t f;
 
-	if (!f.why)
-		f = compare(s, true);
-	canary_stats_checkpoint(s, now);
-	return f;
+	canary_stats_look(s, now);
+	f = compare(s, false);
+	return f.why ? f : compare(s, true);
 }
--- a/lib/edge/canary_stats.c
+++ b/lib/edge/canary_stats.c
@@ -28,6 +28,9 @@
 
 	s->reported = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 					    reported_free);
+	s->lives =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	s->odds = odds_new();
 	s->checkpoint_at = now;
 	return s;
 }
@@ -35,7 +38,9 @@
 /* Frees the counters. */
 void canary_stats_free(canary_stats_t *s)
 {
+	g_hash_table_destroy(s->lives);
 	g_hash_table_destroy(s->reported);
+	odds_free(s->odds);
 	g_free(s);
 }
 
@@ -179,10 +184,65 @@
 	return routes;
 }
 
-/*
- * Takes a checkpoint of the values every RECENT_MS, to compare what came after.
- */
-void canary_stats_checkpoint(canary_stats_t *s, ms_t now)
+/* Returns the life of a server of the target; it is made if there is none. */
+static life_t *life_get(canary_stats_t *s, const char *server)
+{
+	life_t *l = g_hash_table_lookup(s->lives, server);
+
+	if (!l) {
+		char *key = g_strdup(server);
+
+		l = g_new0(life_t, 1);
+		l->server = key;
+		g_hash_table_insert(s->lives, key, l);
+	}
+	return l;
+}
+
+/* Notes in a life that its counters have grown to a sum. */
+static void life_grow(life_t *l, const req_stats_t *sum, ms_t now)
+{
+	if (sum->v[M_REQUESTS] > l->seen.v[M_REQUESTS]) {
+		if (l->seen.v[M_REQUESTS] == 0)
+			l->first_at = now;
+		l->last_at = now;
+	}
+	if (sum->v[M_REQUESTS] + l->seen.v[M_FAILURES] >
+	    l->seen.v[M_REQUESTS] + sum->v[M_FAILURES])
+		l->passed_at = now;
+	l->seen = *sum;
+}
+
+static void look_at_lives(canary_stats_t *s, ms_t now)
+{
+	GHashTable *sums =
+		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
+	GHashTableIter it;
+	gpointer server;
+	gpointer v;
+
+	g_hash_table_iter_init(&it, s->reported);
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		const reported_t *t = v;
+		req_stats_t *sum;
+
+		if (t->side != SHIFT_TARGET)
+			continue;
+		sum = g_hash_table_lookup(sums, t->server);
+		if (!sum) {
+			sum = g_new0(req_stats_t, 1);
+			g_hash_table_insert(sums, t->server, sum);
+		}
+		sum->v[t->metric] += t->value;
+	}
+	g_hash_table_iter_init(&it, sums);
+	while (g_hash_table_iter_next(&it, &server, &v))
+		life_grow(life_get(s, server), v, now);
+	g_hash_table_destroy(sums);
+}
+
+/* Takes a checkpoint every RECENT_MS, to compare what came after. */
+static void take_checkpoint(canary_stats_t *s, ms_t now)
 {
 	GHashTableIter it;
 	gpointer v;
@@ -198,3 +258,10 @@
 		t->at_checkpoint = t->value;
 	}
 }
+
+/* Notes what has changed since the last look. */
+void canary_stats_look(canary_stats_t *s, ms_t now)
+{
+	look_at_lives(s, now);
+	take_checkpoint(s, now);
+}
--- a/lib/edge/priv.h
+++ b/lib/edge/priv.h
@@ -132,6 +132,13 @@
 bool shift_allows(const request_t *r, const backend_t *b, ms_t now);
 void shift_count(const request_t *r, attempt_result_t how);
 
+/* odds.c */
+typedef struct odds odds_t;
+odds_t *odds_new(void);
+void odds_free(odds_t *o);
+double odds_against(const odds_t *o, const req_stats_t *old,
+		    const req_stats_t *target);
+
 /* canary_stats.c */
 typedef struct canary_stats canary_stats_t;
 typedef struct canary_finding {
--- /dev/null
+++ b/test/canary.c
@@ -0,0 +1,359 @@
+/*
+ * Canary analysis of simulated rollouts: good and bad versions with few
+ * servers, which may crash and come back under another id. Each case is played
+ * with several seeds.
+ */
+#include <check.h>
+#include <stdlib.h>
+#include "edge/priv.h"
+
+enum {
+	SEEDS = 20,
+	HOSTS = 5,
+	SERVERS = 4,	     /* of the target, at most */
+	LIVES = SERVERS + 1, /* one server has two */
+	ROUTES = 2,
+	ORDERS = 0, /* route: 5 of 7 requests */
+	READS = 1,
+	STEP = 10,	    /* ms */
+	WORK_MS = 20,	    /* of a request */
+	STORE_MS = 20,	    /* from a decision until all hosts have it */
+	REPORT_MS = 200,    /* between reports to the analysis */
+	DOWN_MS = 3000,	    /* a server that crashed is back after that */
+	AFTER_MS = 34000,   /* played after the time limit */
+	ROLLBACK_MS = 5000, /* from the 50th bad answer */
+	BAD_ANSWERS = 50,
+	SLACK = 50, /* requests more than the canary's share */
+	ORDER = 7,  /* number of the order */
+	ALL = 1000, /* all traffic, in thousandths */
+};
+
+static const char svc[] = "desk";
+static const char *const route_names[ROUTES] = { "orders", "reads" };
+static const double share_max = 0.1;
+
+/* A rollout, and how the target differs from the old version. */
+typedef struct play_case {
+	const char *name;
+	unsigned int per_s;
+	ms_t duration; /* of the order */
+	unsigned int servers;
+	double usual;	      /* part of the reads that fail at any version */
+	double fails[ROUTES]; /* part of its sound answers that it fails */
+	double slower;	      /* factor on its latencies of orders; 0: none */
+	ms_t from;	      /* when that begins, after the order */
+	bool crash;	      /* a server crashes on its first read */
+	bool one_server;      /* only one of them fails requests */
+	shift_state_t end;
+} play_case_t;
+
+static const play_case_t cases[] = {
+	{ "good, its only server crashes",
+	  100,
+	  20000,
+	  1,
+	  0,
+	  { 0 },
+	  0,
+	  0,
+	  true,
+	  false,
+	  SHIFT_DONE },
+	{ "turns bad after its only server crashed",
+	  100,
+	  20000,
+	  1,
+	  0,
+	  { 0.8, 0 },
+	  0,
+	  6000,
+	  true,
+	  false,
+	  SHIFT_ROLLED_BACK },
+	{ "the same, a smaller part",
+	  100,
+	  20000,
+	  1,
+	  0,
+	  { 0.4, 0 },
+	  0,
+	  6000,
+	  true,
+	  false,
+	  SHIFT_ROLLED_BACK },
+	{ "turns bad soon after its only server crashed",
+	  100,
+	  20000,
+	  1,
+	  0,
+	  { 0.4, 0 },
+	  0,
+	  4000,
+	  true,
+	  false,
+	  SHIFT_ROLLED_BACK },
+	{ "slow after its only server crashed",
+	  100,
+	  20000,
+	  1,
+	  0,
+	  { 0 },
+	  4,
+	  6000,
+	  true,
+	  false,
+	  SHIFT_ROLLED_BACK },
+	{ "one of four servers fails",
+	  100,
+	  20000,
+	  4,
+	  0,
+	  { 0.6, 0.6 },
+	  0,
+	  0,
+	  false,
+	  true,
+	  SHIFT_DONE },
+	{ "one of four servers fails, another crashes",
+	  100,
+	  20000,
+	  4,
+	  0,
+	  { 0.6, 0.6 },
+	  0,
+	  0,
+	  true,
+	  true,
+	  SHIFT_DONE },
+};
+
+typedef struct play {
+	const play_case_t *c;
+	canary_t *canary;
+	GRand *rand;
+	ms_t now;
+	/* What each host counted, the old version as life 0 */
+	req_stats_t counts[HOSTS][SHIFT_SIDES][LIVES][ROUTES];
+	shift_step_t step; /* in force; its order is 0 before the first */
+	shift_step_t next;
+	ms_t next_at; /* when next comes into force; 0: nothing is due */
+	double due;   /* requests for the target by its share */
+	double given;
+	ms_t back_at;	    /* of the server that crashed; 0: it has not */
+	unsigned int turn;  /* of the target's servers */
+	unsigned int asked; /* within the time limit */
+	unsigned int at_target;
+	unsigned int bad;
+	ms_t bad_at; /* of the last that is excused, 0: not yet */
+	ms_t last_target;
+	ms_t ended; /* 0: running */
+} play_t;
+
+static void on_decided(void *ctx, const char *service, const shift_step_t *s)
+{
+	play_t *p = ctx;
+
+	(void)service;
+	p->next = *s;
+	p->next_at = p->now + STORE_MS;
+}
+
+static const canary_ops_t ops = { on_decided };
+
+static void take_decision(play_t *p)
+{
+	if (!p->next_at || p->now < p->next_at)
+		return;
+	p->next_at = 0;
+	if (p->step.share != p->next.share)
+		p->due = p->given = 0;
+	p->step = p->next;
+	if (p->step.state != SHIFT_RUNNING && !p->ended)
+		p->ended = p->now;
+	canary_step(p->canary, svc, &p->step, p->now);
+}
+
+static bool to_target(play_t *p)
+{
+	if (p->step.order == 0 || p->step.state == SHIFT_ROLLED_BACK)
+		return false;
+	if (p->step.state == SHIFT_DONE)
+		return true;
+	p->due += (double)p->step.share / ALL;
+	if (p->due < p->given + g_rand_double(p->rand))
+		return false;
+	p->given++;
+	return true;
+}
+
+/* Returns the life of the target that gets the next request; -1: none is up. */
+static int next_life(play_t *p)
+{
+	for (unsigned int i = 0; i < p->c->servers; i++) {
+		unsigned int server = p->turn++ % p->c->servers;
+
+		if (server > 0 || p->back_at == 0)
+			return (int)server;
+		if (p->now >= p->back_at)
+			return SERVERS;
+	}
+	return -1;
+}
+
+/* Whether the target fails a request that another version would not. */
+static bool is_bad(play_t *p, int life, unsigned int route)
+{
+	return p->now >= p->c->from &&
+	       (!p->c->one_server || life == (int)p->c->servers - 1) &&
+	       g_rand_double(p->rand) < p->c->fails[route];
+}
+
+static void note_bad(play_t *p)
+{
+	if (++p->bad == BAD_ANSWERS)
+		p->bad_at = p->now;
+}
+
+static void run_at_target(play_t *p, unsigned int host, int life,
+			  unsigned int route, double first)
+{
+	req_stats_t *count = &p->counts[host][SHIFT_TARGET][life][route];
+	bool usual = route == READS && g_rand_double(p->rand) < p->c->usual;
+	bool bad = is_bad(p, life, route);
+	bool slow = route == ORDERS && p->c->slower > 0 && p->now >= p->c->from;
+
+	p->at_target += p->now < p->c->duration;
+	p->last_target = p->now;
+	if (p->c->crash && p->back_at == 0 && life == 0 && route == READS) {
+		p->back_at = p->now + DOWN_MS;
+		req_stats_add(count, true, -1, 0, 0);
+		return;
+	}
+	if (bad || slow)
+		note_bad(p);
+	req_stats_add(count, usual || bad, slow ? first * p->c->slower : first,
+		      0, 0);
+}
+
+static void submit(play_t *p)
+{
+	unsigned int host = g_rand_int_range(p->rand, 0, HOSTS);
+	unsigned int route =
+		g_rand_int_range(p->rand, 0, 7) < 2 ? READS : ORDERS;
+	double first = WORK_MS * (0.8 + 0.4 * g_rand_double(p->rand));
+	int life = to_target(p) ? next_life(p) : -1;
+
+	p->asked += p->now < p->c->duration;
+	if (life >= 0) {
+		run_at_target(p, host, life, route, first);
+		return;
+	}
+	req_stats_add(&p->counts[host][SHIFT_OLD][0][route],
+		      route == READS && g_rand_double(p->rand) < p->c->usual,
+		      first, 0, 0);
+}
+
+static void report_cell(play_t *p, unsigned int host, shift_side_t side,
+			int life, unsigned int route)
+{
+	const req_stats_t *count = &p->counts[host][side][life][route];
+	char server[8] = "";
+	char name[64];
+
+	if (side == SHIFT_TARGET)
+		g_snprintf(server, sizeof(server), "new%d", life);
+	for (int k = 0; k < METRICS; k++) {
+		if (count->v[k] == 0)
+			continue;
+		g_snprintf(name, sizeof(name), SHIFT_CELL, (int)side, k, server,
+			   route_names[route]);
+		canary_report(p->canary, host + 1, svc, ORDER, name,
+			      count->v[k]);
+	}
+}
+
+/* The hosts report in turn. */
+static void report(play_t *p)
+{
+	unsigned int host =
+		(unsigned int)(p->now / (REPORT_MS / HOSTS)) % HOSTS;
+
+	if (p->now % (REPORT_MS / HOSTS) != 0)
+		return;
+	for (int side = 0; side < SHIFT_SIDES; side++) {
+		for (int life = 0; life < LIVES; life++) {
+			report_cell(p, host, (shift_side_t)side, life, ORDERS);
+			report_cell(p, host, (shift_side_t)side, life, READS);
+		}
+	}
+	canary_report(p->canary, host + 1, svc, ORDER, SHIFT_CELL_RUNNING,
+		      p->step.share < ALL);
+}
+
+static void play(play_t *p)
+{
+	shift_order_t o = { svc, "v2", p->c->duration, ORDER };
+	ms_t sent = 0;
+
+	p->canary = canary_new(&ops, p, share_max);
+	canary_order(p->canary, &o, 0);
+	for (p->now = 0; p->now < p->c->duration + AFTER_MS; p->now += STEP) {
+		take_decision(p);
+		for (; sent * 1000 < p->now * p->c->per_s; sent++)
+			submit(p);
+		report(p);
+		canary_tick(p->canary, p->now);
+	}
+	canary_free(p->canary);
+}
+
+/* No request goes to a bad version later than the bound. */
+static void check_exposure(const play_t *p, int seed)
+{
+	ck_assert_msg(p->bad_at == 0 ||
+			      p->last_target <= p->bad_at + ROLLBACK_MS,
+		      "%s, seed %d: used for %lld ms after %d bad answers",
+		      p->c->name, seed, (long long)(p->last_target - p->bad_at),
+		      BAD_ANSWERS);
+	ck_assert_msg(p->c->from > 0 ||
+			      p->at_target <= share_max * p->asked + SLACK,
+		      "%s, seed %d: %u of %u requests at the target",
+		      p->c->name, seed, p->at_target, p->asked);
+}
+
+START_TEST(test_rollout)
+{
+	const play_case_t *c = &cases[_i];
+
+	for (int seed = 1; seed <= SEEDS; seed++) {
+		play_t *p = g_new0(play_t, 1);
+
+		p->c = c;
+		p->rand = g_rand_new_with_seed((guint32)seed);
+		play(p);
+		ck_assert_msg(p->step.state == c->end, "%s, seed %d: %s",
+			      c->name, seed, shift_state_name(p->step.state));
+		if (c->end == SHIFT_ROLLED_BACK)
+			check_exposure(p, seed);
+		g_rand_free(p->rand);
+		g_free(p);
+	}
+}
+END_TEST
+
+int main(void)
+{
+	Suite *s = suite_create("canary");
+	TCase *t = tcase_create("all");
+	SRunner *r = srunner_create(s);
+	int failed;
+
+	log_open(2, LOG_ERROR, false);
+	suite_add_tcase(s, t);
+	tcase_set_timeout(t, 60);
+	tcase_add_loop_test(t, test_rollout, 0, G_N_ELEMENTS(cases));
+	srunner_run_all(r, CK_NORMAL);
+	failed = srunner_ntests_failed(r);
+	srunner_free(r);
+	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
