HTTP: a status above 599 is no answer

What callers saw: a server in trouble answers 600 or 999, and the caller gets that status as an answer, on the users' platform and at the project's own interface.

Change: the checks of heads and the client of the project's own interface take such a head as one that is none, as they do 000.

--- a/lib/http/check.c
+++ b/lib/http/check.c
@@ -8,6 +8,7 @@
 enum {
 	STATUS_AT = 9, /* bytes before the status: "HTTP/1.1 " */
 	STATUS_DIGITS = 3,
+	STATUS_MAX = 599, /* HTTP knows none above */
 };
 
 static bool is_token(unsigned char c)
@@ -113,7 +114,7 @@
  */
 static bool valid_status(const http_head_t *h, bool announces_body)
 {
-	if (h->status < HTTP_STATUS_CONTINUE ||
+	if (h->status < HTTP_STATUS_CONTINUE || h->status > STATUS_MAX ||
 	    h->status == HTTP_STATUS_SWITCHING_PROTOCOLS)
 		return false;
 	if (h->status == HTTP_STATUS_NO_CONTENT)
--- a/lib/net/httpc.c
+++ b/lib/net/httpc.c
@@ -13,6 +13,7 @@
 					     sweep */
 	INTERIM_MAX = 16,		  /* interim answers to a call */
 	FINAL_STATUS_MIN = 200,		  /* statuses below end no call */
+	FINAL_STATUS_MAX = 599,		  /* HTTP knows none above */
 	FRAMING_MAX = 64 << 10, /* bytes of chunk lines and trailers, and */
 	FRAMING_PER_BYTE = 8,	/* so many more for each byte of data */
 };
@@ -188,9 +189,12 @@
 		finish(r, CODE_CUT);
 		return NULL;
 	}
-	if (status < FINAL_STATUS_MIN || is_ambiguous(headers, n)) {
-		refuse(r, CODE_CUT,
-		       status < FINAL_STATUS_MIN ? "status" : "length");
+	if (status < FINAL_STATUS_MIN || status > FINAL_STATUS_MAX) {
+		refuse(r, CODE_CUT, "status");
+		return NULL;
+	}
+	if (is_ambiguous(headers, n)) {
+		refuse(r, CODE_CUT, "length");
 		return NULL;
 	}
 	r->in_library = true;
--- a/test/http.c
+++ b/test/http.c
@@ -354,6 +354,8 @@
 	  CODE_OK, 0, "" },
 	{ "status 099", "HTTP/1.1 099 OK\r\nContent-Length: 2\r\n\r\nab",
 	  CODE_BAD_REQUEST, CODE_OK, 0, "" },
+	{ "status 600", "HTTP/1.1 600 OK\r\nContent-Length: 2\r\n\r\nab",
+	  CODE_BAD_REQUEST, CODE_OK, 0, "" },
 	{ "no status", "HTTP/1.1  OK\r\nContent-Length: 2\r\n\r\nab",
 	  CODE_BAD_REQUEST, CODE_OK, 0, "" },
 	{ "signed status", "HTTP/1.1 +200 OK\r\nContent-Length: 2\r\n\r\nab",
--- a/test/httpc.c
+++ b/test/httpc.c
@@ -6,12 +6,14 @@
 enum {
 	SILENT_MS = 200,
 	BODY_MAX = 256,
+	UPLOAD_BYTES = 16 << 20, /* more than the sockets of both ends hold */
 };
 
 /* What the server does once it has the request's head. */
 typedef enum then {
 	THEN_CLOSE,
 	THEN_WAIT,
+	THEN_RESET,
 } then_t;
 
 typedef struct http_case {
@@ -48,6 +50,8 @@
 	  THEN_CLOSE, CODE_CUT, 200, "hello" },
 	{ "ended by closing only", HEAD "\r\nhello", THEN_CLOSE, CODE_CUT, 200,
 	  "hello" },
+	{ "no length, reset", HEAD "\r\nhello", THEN_RESET, CODE_CUT, 200,
+	  "hello" },
 	{ "closed without an answer", "", THEN_CLOSE, CODE_CUT, 0, "" },
 	{ "closed inside the head", HEAD, THEN_CLOSE, CODE_CUT, 0, "" },
 	{ "not HTTP", "what is this\r\n\r\n", THEN_CLOSE, CODE_CUT, 0, "" },
@@ -61,6 +65,10 @@
 	{ "switch to another protocol",
 	  "HTTP/1.1 101 Switching\r\nContent-Length: 5\r\n\r\nhello", THEN_WAIT,
 	  CODE_CUT, 0, "" },
+	{ "status 600", "HTTP/1.1 600 OK\r\nContent-Length: 5\r\n\r\nhello",
+	  THEN_WAIT, CODE_CUT, 0, "" },
+	{ "status 999", "HTTP/1.1 999 OK\r\nContent-Length: 5\r\n\r\nhello",
+	  THEN_WAIT, CODE_CUT, 0, "" },
 	{ "status of two digits",
 	  "HTTP/1.1 20 OK\r\nContent-Length: 5\r\n\r\nhello", THEN_WAIT,
 	  CODE_CUT, 0, "" },
@@ -132,7 +140,11 @@
 	server_t *s = w->data;
 
 	(void)status;
-	if (s->c->then == THEN_CLOSE && !uv_is_closing((void *)&s->conn))
+	if (s->c->then == THEN_WAIT || uv_is_closing((void *)&s->conn))
+		return;
+	if (s->c->then == THEN_RESET)
+		uv_tcp_close_reset(&s->conn, NULL);
+	else
 		uv_close((uv_handle_t *)&s->conn, NULL);
 }
 
@@ -159,6 +171,8 @@
 	if (s->answered || !strstr(s->got->str, "\r\n\r\n"))
 		return;
 	s->answered = true;
+	if (s->c->then == THEN_RESET)
+		uv_read_stop(stream);
 	answer = uv_buf_init((char *)s->c->answer, strlen(s->c->answer));
 	s->write.data = s;
 	uv_write(&s->write, stream, &answer, 1, on_answered);
@@ -285,6 +299,41 @@
 }
 END_TEST
 
+/*
+ * The server answers before it has read the body, without a length, and resets
+ * the connection while the rest is being written.
+ */
+START_TEST(part_during_the_upload_is_not_whole)
+{
+	static const http_case_t early = { "early",    HEAD "\r\nhello",
+					   THEN_RESET, CODE_CUT,
+					   0,	       "" };
+	counters_t *counters = counters_new();
+	char *upload = g_strnfill(UPLOAD_BYTES, 'x');
+	httpc_call_t call = { .method = "POST",
+			      .path = "/",
+			      .body = str_of(upload) };
+	result_t r = { .body = g_string_new(NULL) };
+	uv_loop_t loop;
+	server_t s;
+	httpc_t *h;
+
+	uv_loop_init(&loop);
+	server_start(&s, &loop, &early, &call.to);
+	h = httpc_new(&loop, counters);
+	httpc_call(h, &call, &ops, &r);
+	run_until(&loop, &r.ends, SILENT_MS * 20L);
+	ck_assert_int_eq(r.ends, 1);
+	ck_assert_int_eq(r.code, early.want);
+	httpc_free(h);
+	server_stop(&s);
+	loop_end(&loop);
+	g_string_free(r.body, TRUE);
+	g_free(upload);
+	counters_free(counters);
+}
+END_TEST
+
 /* The answer lies unread after a long turn of the loop: no silence. */
 START_TEST(long_turn_is_not_silence)
 {
@@ -383,6 +432,7 @@
 	int failed;
 
 	tcase_add_loop_test(t, answer_cases, 0, G_N_ELEMENTS(cases));
+	tcase_add_test(t, part_during_the_upload_is_not_whole);
 	tcase_add_test(t, long_turn_is_not_silence);
 	tcase_add_test(t, no_listener_is_not_sent);
 	tcase_add_loop_test(t, cancelled_call_tells_nothing_more, 0, 3);
