Canary analysis: counters are summed when they are reported

Cause: each look summed the counters of all hosts anew, several times, and for each server of the target where a version looked bad.

Change: reports add to one cell a server and route; looks read the cells. What is noted over time is in a file of its own.

--- a/lib/edge/canary.h
+++ b/lib/edge/canary.h
@@ -7,20 +7,22 @@
 
 #include "edge/priv.h"
 
-enum {
-	CANARY_RUNNING = -1, /* metric of SHIFT_CELL_RUNNING */
-};
+/* The counters of a server on a route, summed over all hosts. */
+typedef struct canary_cell {
+	shift_side_t side;
+	char *server; /* of the target; empty on the old side */
+	char *route;
+	req_stats_t all;
+	req_stats_t at_checkpoint;	   /* at the last checkpoint */
+	req_stats_t at_earlier_checkpoint; /* and at the one before it */
+} canary_cell_t;
 
 /* A counter that a host reported. */
 typedef struct reported {
 	uint64_t host;
-	shift_side_t side;
-	int metric;   /* metric_t, or CANARY_RUNNING */
-	char *server; /* of the target; empty on the old side */
-	char *route;
+	canary_cell_t *cell; /* NULL: requests that run on the old side */
+	metric_t metric;
 	uint64_t value;
-	uint64_t at_checkpoint;		/* value at the last checkpoint */
-	uint64_t at_earlier_checkpoint; /* and at the one before it */
 } reported_t;
 
 /* Counters of one route, or of some of the servers on it. */
@@ -56,7 +58,8 @@
 	odds_t *odds;
 	ms_t duration;	      /* of the rollout */
 	GHashTable *failing;  /* failing_spans_t by route */
-	GHashTable *reported; /* reported_t by host and cell */
+	GHashTable *reported; /* reported_t by host and name */
+	GHashTable *cells;    /* canary_cell_t by side, server and route */
 	GHashTable *lives;    /* life_t by server */
 	ms_t checkpoint_at;
 };
@@ -64,8 +67,10 @@
 /* canary_stats.c */
 GHashTable *canary_stats_by_route(const canary_stats_t *s, bool recent,
 				  bool (*counts)(void *ctx,
-						 const reported_t *t),
+						 const canary_cell_t *l),
 				  void *ctx);
+
+/* canary_look.c */
 unsigned int canary_stats_failing_spans(const canary_stats_t *s,
 					const char *route, bool recent);
 unsigned int canary_stats_recents(const canary_stats_t *s);
--- a/lib/edge/canary_compare.c
+++ b/lib/edge/canary_compare.c
@@ -8,14 +8,12 @@
 #include "edge/canary.h"
 
 enum {
-	/* Spans of time with failures: an incident does not condemn a version
-	 */
+	/* Spans with failures: an incident does not condemn a version. */
 	MIN_SPANS = 3,
 	/* Tenths of its sound answers that a bad version fails, at least */
 	ANY = 1,
 	GROSS = 2,
-	/* A single failure of the other servers may have any cause, as a crash
-	 */
+	/* A single failure of other servers may have any cause, as a crash. */
 	OTHERS_FAILURES = 2,
 	/* Latency samples of each side before they are compared */
 	MIN_LATENCIES = 8,
@@ -64,7 +62,7 @@
 
 /* Returns the sums by route of the counters that counts accepts. */
 static GHashTable *sums_of(const canary_stats_t *s, bool recent,
-			   bool (*counts)(void *ctx, const reported_t *t),
+			   bool (*counts)(void *ctx, const canary_cell_t *l),
 			   void *ctx)
 {
 	GHashTable *routes = canary_stats_by_route(s, recent, counts, ctx);
@@ -106,7 +104,7 @@
 {
 	unsigned int spans = recent ? canary_stats_recents(s) : 1;
 
-	return (comparison_t){ s, recent, log(2 * spans * nroutes / alpha) };
+	return (comparison_t){ s, recent, log(2.0 * spans * nroutes / alpha) };
 }
 
 /* Returns the metric by which the route condemns the target, or NULL. */
@@ -168,17 +166,17 @@
  * be an earlier life of the same server, and the version may have turned bad
  * since then.
  */
-static bool is_of_others(void *ctx, const reported_t *t)
+static bool is_of_others(void *ctx, const canary_cell_t *l)
 {
 	const others_t *o = ctx;
-	const life_t *l;
+	const life_t *other;
 
-	if (t->side == SHIFT_OLD)
+	if (l->side == SHIFT_OLD)
 		return true;
-	l = g_hash_table_lookup(o->stats->lives, t->server);
-	return l && l != o->one &&
-	       MIN(l->passed_at, o->one->last_at) -
-			       MAX(l->first_at, o->one->first_at) >=
+	other = g_hash_table_lookup(o->stats->lives, l->server);
+	return other && other != o->one &&
+	       MIN(other->passed_at, o->one->last_at) -
+			       MAX(other->first_at, o->one->first_at) >=
 		       OVERLAP_MS;
 }
 
@@ -219,10 +217,10 @@
 	return may;
 }
 
-static bool is_of_life(void *life, const reported_t *t)
+static bool is_of_life(void *life, const canary_cell_t *l)
 {
-	return t->side == SHIFT_OLD ||
-	       strcmp(t->server, ((const life_t *)life)->server) == 0;
+	return l->side == SHIFT_OLD ||
+	       strcmp(l->server, ((const life_t *)life)->server) == 0;
 }
 
 /* Returns the sums of a route, or of all routes together if it is NULL. */
