Moves: few requests elsewhere no longer excuse a bad version

What callers saw, at the project's own interface: the first requests of a new version run well on one server, all others on a second one, where a third fails or takes ten times as long. The version keeps up to half of the traffic.

Without the worst server the others had to look worse too; with a handful of requests they never can, and the version stays suspect instead of bad.

Change: the others count only with enough requests to show it.

--- a/lib/move/canary.c
+++ b/lib/move/canary.c
@@ -48,7 +48,37 @@
 	return servers_used > 1 ? max : -1;
 }
 
-/* A version that runs on several servers is not found bad for one of them. */
+/*
+ * Whether the servers but one had enough requests to show failures too, if they
+ * failed as many of them as all do.
+ */
+static bool others_tell_failures(const comparison_t *x, int skip)
+{
+	double failures = 0;
+	double requests = 0;
+
+	for (int i = 0; i < SERVER_BUCKETS; i++) {
+		failures += x->servers[i].failures;
+		requests += x->servers[i].requests;
+	}
+	return (requests - x->servers[skip].requests) * failures >=
+	       requests * FAILURES_MIN;
+}
+
+/* Whether the servers but one had enough requests to be compared in latency. */
+static bool others_tell_latency(const comparison_t *x, int t, int skip)
+{
+	double weight = -x->servers[skip].weight[t];
+
+	for (int i = 0; i < SERVER_BUCKETS; i++)
+		weight += x->servers[i].weight[t];
+	return weight >= PAIRS_MIN;
+}
+
+/*
+ * A version that runs on several servers is not found bad for one of them,
+ * unless the others have hardly any requests.
+ */
 static verdict_t judge_failures(const comparison_t *x)
 {
 	int skip = worst_server(x, -1);
@@ -64,7 +94,8 @@
 		return VERDICT_FINE;
 	if (p >= alpha_bad || x->failed_strata < STRATA_MIN)
 		return VERDICT_SUSPECT;
-	if (skip >= 0 && stat_failures_p(x, skip) >= alpha_others)
+	if (skip >= 0 && others_tell_failures(x, skip) &&
+	    stat_failures_p(x, skip) >= alpha_others)
 		return VERDICT_SUSPECT;
 	return VERDICT_BAD;
 }
@@ -84,7 +115,7 @@
 		return VERDICT_FINE;
 	if (z < sigmas_bad)
 		return VERDICT_SUSPECT;
-	if (skip >= 0 &&
+	if (skip >= 0 && others_tell_latency(x, t, skip) &&
 	    stat_slowdown_z(x, t, skip, variance, slowdown_min) < sigmas_others)
 		return VERDICT_SUSPECT;
 	return VERDICT_BAD;
--- a/test/move.c
+++ b/test/move.c
@@ -5,6 +5,7 @@
 #include "move/priv.h"
 
 enum {
+	FIRST = 4,
 	VERSIONS = 4,
 };
 
@@ -27,6 +28,7 @@
 	ms_t slow;		/* added to v2's first token latency */
 	const char *bad_server; /* v2 fails on this server; NULL none */
 	const char *new_server; /* server of v2; NULL: the same as for v1 */
+	bool first_elsewhere;	/* v2's FIRST requests ran well on another */
 	uint64_t seq;
 	unsigned int picked_new;
 } rig_t;
@@ -83,6 +85,10 @@
 			s.status = 500;
 		if (r->new_server)
 			s.server = r->new_server;
+		if (r->first_elsewhere && r->picked_new <= FIRST) {
+			s.server = "side-4";
+			s.status = 200;
+		}
 		if (r->bad_server && !strcmp(r->bad_server, s.server))
 			s.status = 500;
 	}
@@ -155,18 +161,24 @@
 	unsigned int bad_every;
 	ms_t slow;
 	const char *server;
+	bool first_elsewhere;
 	bool rolled_back;
 	unsigned int picked_max;
 } bad_case_t;
 
 static const bad_case_t bad_cases[] = {
-	{ "all fail", 1, 0, NULL, true, 15 },
-	{ "a third fails", 3, 0, NULL, true, 45 },
-	{ "three times as slow", 0, 200, NULL, true, 60 },
+	{ "all fail", 1, 0, NULL, false, true, 15 },
+	{ "a third fails", 3, 0, NULL, false, true, 45 },
+	{ "three times as slow", 0, 200, NULL, false, true, 60 },
 	{ "three times as slow on hardware of its own", 0, 200, "side-3", false,
-	  1000000 },
-	{ "ten times as slow on hardware of its own", 0, 900, "side-3", true,
-	  60 },
+	  false, 1000000 },
+	{ "ten times as slow on hardware of its own", 0, 900, "side-3", false,
+	  true, 60 },
+	/* A few requests elsewhere excuse nothing. */
+	{ "a third fails, all but a few on one server", 3, 0, "side-3", true,
+	  true, 45 },
+	{ "ten times as slow, all but a few on one server", 0, 900, "side-3",
+	  true, true, 60 },
 };
 
 START_TEST(bad_version_is_rolled_back)
@@ -178,6 +190,7 @@
 	r.bad_every = c->bad_every;
 	r.slow = c->slow;
 	r.new_server = c->server;
+	r.first_elsewhere = c->first_elsewhere;
 	run(&r, 100, 60);
 	ck_assert_msg(moves_is_bad(r.m, "helper", "v2") == c->rolled_back, "%s",
 		      c->name);
