Canary analysis: a host that takes over waits until it knows the counts

Cause: a host that takes over the analysis decides by the counts of the first hosts that have reported.

Change: for a second the share stays as it is and the rollout is not done; a rollback is not held up.

--- a/lib/edge/canary.c
+++ b/lib/edge/canary.c
@@ -14,8 +14,9 @@
 			       back within seconds */
 	STAGE_MIN_MS = 500, /* with a share before it is raised */
 	FULL_MIN_MS = 500,  /* with all traffic before the rollout is done */
-	RATE_MIN_MS = 1000, /* of counts, before the traffic is known */
-	FULL = 1000,	    /* all traffic, in thousandths */
+	KNOWN_MS = 1000, /* after which the hosts have reported their counts to
+			    a host that takes over, and the traffic is known */
+	FULL = 1000,	 /* all traffic, in thousandths */
 	HALF = 500,
 	CANARY_MAX = 400, /* the old version has the more certain figures */
 };
@@ -74,6 +75,8 @@
 	double canary_slack;
 	GHashTable *rollouts; /* canary_rollout_t by service */
 	ms_t next_at;
+	ms_t ticked_at; /* the last call of canary_tick */
+	ms_t since;	/* this host analyses the rollouts */
 };
 
 static void rollout_free(gpointer v)
@@ -260,7 +263,7 @@
 
 	if (age >= t->duration)
 		return HALF;
-	if (age < RATE_MIN_MS || (double)age >= due || requests < 1 ||
+	if (age < KNOWN_MS || (double)age >= due || requests < 1 ||
 	    spent >=
 		    canary_use * (c->canary_share * requests + c->canary_slack))
 		return share;
@@ -313,6 +316,13 @@
 		 (long long)age_of(t, now));
 }
 
+/* Whether this host has taken over, and has only some of the counts yet. */
+static bool has_taken_over(const canary_t *c, const canary_rollout_t *t,
+			   ms_t now)
+{
+	return t->decided && now - c->since < KNOWN_MS;
+}
+
 /*
  * Returns the target's share. It follows the rollout's age as long as the
  * evidence is for the target on each route, and is that of a canary again if it
@@ -327,6 +337,8 @@
 
 	if (!t->decided)
 		return canary;
+	if (has_taken_over(c, t, now))
+		return t->step.share;
 	next = next_stage(t, now);
 	against = f->slow || f->gross_lately > lately_odds ||
 		  f->odds > against_odds ||
@@ -344,14 +356,14 @@
  * old version's requests had their time, and the evidence is for the target. It
  * has to be strong on every route, or all traffic is there for long.
  */
-static bool may_end(const canary_rollout_t *t, const canary_finding_t *f,
-		    ms_t now)
+static bool may_end(const canary_t *c, const canary_rollout_t *t,
+		    const canary_finding_t *f, ms_t now)
 {
 	ms_t full = age_of(t, now) - t->step.age;
 	bool long_full = (double)full >= full_part * (double)t->duration;
 
 	if (!t->decided || t->step.share < FULL || full < FULL_MIN_MS ||
-	    progress_of(t, now) < done_from)
+	    progress_of(t, now) < done_from || has_taken_over(c, t, now))
 		return false;
 	if (canary_stats_running(t->stats) > 0 && !long_full)
 		return false;
@@ -370,18 +382,24 @@
 	share = share_of(c, t, &f, now);
 	if (f.why)
 		decide(c, t, SHIFT_ROLLED_BACK, 0, &f, now);
-	else if (may_end(t, &f, now))
+	else if (may_end(c, t, &f, now))
 		decide(c, t, SHIFT_DONE, FULL, &f, now);
 	else if (!t->decided || share != t->step.share)
 		decide(c, t, SHIFT_RUNNING, share, &f, now);
 }
 
-/* Analyses all rollouts every ANALYSIS_MS. */
+/*
+ * Analyses all rollouts every ANALYSIS_MS. It is called only while this host
+ * has to.
+ */
 void canary_tick(canary_t *c, ms_t now)
 {
 	GHashTableIter it;
 	gpointer v;
 
+	if (now - c->ticked_at > KNOWN_MS)
+		c->since = now;
+	c->ticked_at = now;
 	if (now < c->next_at)
 		return;
 	c->next_at = now + ANALYSIS_MS;
--- a/test/canary.c
+++ b/test/canary.c
@@ -21,6 +21,7 @@
 	REPORT_MS = 200,    /* between reports to the analysis */
 	DOWN_MS = 3000,	    /* a server that crashed is back after that */
 	AFTER_MS = 120000,  /* after the time limit; until then it has an end */
+	TAKEN_MS = 1000,    /* until a host that took over knows all counts */
 	SETTLED_MS = 6000,  /* played after the end */
 	ROLLBACK_MS = 5000, /* from the 50th bad answer */
 	BAD_ANSWERS = 50,
@@ -49,58 +50,63 @@
 	bool crash;	 /* a server crashes on its first read */
 	bool one_server; /* only one of them fails requests */
 	shift_state_t end;
+	ms_t analysis_dies;   /* another host takes over then; 0: never */
 	unsigned int in_time; /* seeds in 100 that must be done in time */
 } play_case_t;
 
 static const play_case_t cases[] = {
 	{ "good, its only server crashes", 100, 20000, 1, 0, 0, 0, 0, 0, true,
-	  false, SHIFT_DONE, 50 },
+	  false, SHIFT_DONE, 0, 50 },
 	{ "turns bad after its only server crashed", 100, 20000, 1, 0, 0.8, 0,
-	  0, 6000, true, false, SHIFT_ROLLED_BACK, 0 },
+	  0, 6000, true, false, SHIFT_ROLLED_BACK, 0, 0 },
 	{ "the same, a smaller part", 100, 20000, 1, 0, 0.4, 0, 0, 6000, true,
-	  false, SHIFT_ROLLED_BACK, 0 },
+	  false, SHIFT_ROLLED_BACK, 0, 0 },
 	{ "turns bad soon after its only server crashed", 100, 20000, 1, 0, 0.4,
-	  0, 0, 4000, true, false, SHIFT_ROLLED_BACK, 0 },
+	  0, 0, 4000, true, false, SHIFT_ROLLED_BACK, 0, 0 },
 	{ "slow after its only server crashed", 100, 20000, 1, 0, 0, 0, 4, 6000,
-	  true, false, SHIFT_ROLLED_BACK, 0 },
+	  true, false, SHIFT_ROLLED_BACK, 0, 0 },
 	{ "one of four servers fails", 100, 20000, 4, 0, 0.6, 0.6, 0, 0, false,
-	  true, SHIFT_DONE, 50 },
+	  true, SHIFT_DONE, 0, 50 },
 	{ "one of four servers fails, another crashes", 100, 20000, 4, 0, 0.6,
-	  0.6, 0, 0, true, true, SHIFT_DONE, 50 },
+	  0.6, 0, 0, true, true, SHIFT_DONE, 0, 50 },
 	{ "good, few requests", 10, 12000, 1, 0, 0, 0, 0, 0, false, false,
-	  SHIFT_DONE, 100 },
+	  SHIFT_DONE, 0, 100 },
 	{ "good, reads fail as usual, few requests", 10, 12000, 1, 0.14, 0, 0,
-	  0, 0, false, false, SHIFT_DONE, 50 },
+	  0, 0, false, false, SHIFT_DONE, 0, 50 },
 	{ "good, reads fail as usual", 30, 12000, 4, 0.14, 0, 0, 0, 0, false,
-	  false, SHIFT_DONE, 50 },
+	  false, SHIFT_DONE, 0, 50 },
 	{ "good, reads fail as usual, many requests", 125, 12000, 4, 0.14, 0, 0,
-	  0, 0, false, false, SHIFT_DONE, 50 },
+	  0, 0, false, false, SHIFT_DONE, 0, 50 },
 	{ "good, a quarter of the reads fail as usual", 30, 12000, 4, 0.25, 0,
-	  0, 0, 0, false, false, SHIFT_DONE, 50 },
+	  0, 0, 0, false, false, SHIFT_DONE, 0, 50 },
 	{ "good, its only server crashes, reads fail as usual", 30, 12000, 1,
-	  0.14, 0, 0, 0, 0, true, false, SHIFT_DONE, 50 },
+	  0.14, 0, 0, 0, 0, true, false, SHIFT_DONE, 0, 50 },
 	{ "one of four servers fails, reads fail as usual", 125, 12000, 4, 0.14,
-	  0.4, 0.4, 0, 0, false, true, SHIFT_DONE, 50 },
+	  0.4, 0.4, 0, 0, false, true, SHIFT_DONE, 0, 50 },
 	{ "fails reads, four servers", 30, 12000, 4, 0.14, 0, 0.45, 0, 0, false,
-	  false, SHIFT_ROLLED_BACK, 0 },
+	  false, SHIFT_ROLLED_BACK, 0, 0 },
 	{ "fails reads, one server", 30, 12000, 1, 0.14, 0, 0.45, 0, 0, false,
-	  false, SHIFT_ROLLED_BACK, 0 },
+	  false, SHIFT_ROLLED_BACK, 0, 0 },
 	{ "fails fewer reads", 60, 12000, 4, 0.14, 0, 0.35, 0, 0, false, false,
-	  SHIFT_ROLLED_BACK, 0 },
+	  SHIFT_ROLLED_BACK, 0, 0 },
 	{ "fails more reads", 30, 12000, 1, 0.14, 0, 0.6, 0, 0, false, false,
-	  SHIFT_ROLLED_BACK, 0 },
+	  SHIFT_ROLLED_BACK, 0, 0 },
 	{ "fails reads, a longer order", 30, 30000, 4, 0.14, 0, 0.45, 0, 0,
-	  false, false, SHIFT_ROLLED_BACK, 0 },
+	  false, false, SHIFT_ROLLED_BACK, 0, 0 },
 	{ "fails reads, few requests", 10, 12000, 1, 0.14, 0, 0.6, 0, 0, false,
-	  false, SHIFT_ROLLED_BACK, 0 },
+	  false, SHIFT_ROLLED_BACK, 0, 0 },
 	{ "fails reads, many requests", 125, 12000, 1, 0.14, 0, 0.45, 0, 0,
-	  false, false, SHIFT_ROLLED_BACK, 0 },
+	  false, false, SHIFT_ROLLED_BACK, 0, 0 },
 	{ "fails reads late", 30, 12000, 4, 0.14, 0, 0.6, 0, 7000, false, false,
-	  SHIFT_ROLLED_BACK, 0 },
+	  SHIFT_ROLLED_BACK, 0, 0 },
+	{ "good, another host takes over", 30, 12000, 4, 0.14, 0, 0, 0, 0,
+	  false, false, SHIFT_DONE, 5000, 50 },
+	{ "fails reads, another host takes over", 30, 12000, 4, 0.14, 0, 0.45,
+	  0, 0, false, false, SHIFT_ROLLED_BACK, 5000, 0 },
 	{ "fails orders", 30, 12000, 4, 0.14, 0.3, 0, 0, 0, false, false,
-	  SHIFT_ROLLED_BACK, 0 },
+	  SHIFT_ROLLED_BACK, 0, 0 },
 	{ "slow on orders", 30, 12000, 4, 0.14, 0, 0, 4, 0, false, false,
-	  SHIFT_ROLLED_BACK, 0 },
+	  SHIFT_ROLLED_BACK, 0, 0 },
 };
 
 typedef struct play {
@@ -111,6 +117,7 @@
 	/* What each host counted, the old version as life 0 */
 	req_stats_t counts[HOSTS][SHIFT_SIDES][LIVES][ROUTES];
 	shift_step_t step; /* in force; its order is 0 before the first */
+	ms_t step_at;
 	shift_step_t next;
 	ms_t next_at; /* when next comes into force; 0: nothing is due */
 	double due;   /* requests for the target by its share */
@@ -122,7 +129,9 @@
 	unsigned int bad;
 	ms_t bad_at; /* of the last that is excused, 0: not yet */
 	ms_t last_target;
-	ms_t ended; /* 0: running */
+	ms_t ended;		   /* 0: running */
+	unsigned int share_before; /* when the analysis began */
+	ms_t taken_at;		   /* that was then */
 } play_t;
 
 static void on_decided(void *ctx, const char *service, const shift_step_t *s)
@@ -143,7 +152,13 @@
 	p->next_at = 0;
 	if (p->step.share != p->next.share)
 		p->due = p->given = 0;
+	if (p->taken_at > 0 && p->now - p->taken_at < TAKEN_MS)
+		ck_assert_msg(p->next.share == p->share_before ||
+				      p->next.state != SHIFT_RUNNING,
+			      "%s: share %u, before %u", p->c->name,
+			      p->next.share, p->share_before);
 	p->step = p->next;
+	p->step_at = p->now;
 	if (p->step.state != SHIFT_RUNNING && !p->ended)
 		p->ended = p->now;
 	canary_step(p->canary, svc, &p->step, p->now);
@@ -273,17 +288,32 @@
 	       (p->ended && p->now > p->ended + SETTLED_MS);
 }
 
-static void play(play_t *p)
+/* A host starts to analyse the rollout. It knows the decision in force. */
+static void analyse(play_t *p)
 {
 	shift_order_t o = { svc, "v2", p->c->duration, ORDER };
-	ms_t sent = 0;
 
+	if (p->canary)
+		canary_free(p->canary);
 	p->canary = canary_new(&ops, p, share_max, SLACK);
 	canary_order(p->canary, &o, 0);
+	if (p->step.order)
+		canary_step(p->canary, svc, &p->step, p->step_at);
+	p->share_before = p->step.share;
+	p->taken_at = p->now;
+}
+
+static void play(play_t *p)
+{
+	ms_t sent = 0;
+
+	analyse(p);
 	for (p->now = 0; !is_over(p); p->now += STEP) {
 		take_decision(p);
 		for (; sent * 1000 < p->now * p->c->per_s; sent++)
 			submit(p);
+		if (p->c->analysis_dies && p->now == p->c->analysis_dies)
+			analyse(p);
 		report(p);
 		canary_tick(p->canary, p->now);
 	}
