--- a/lib/edge/canary.c
+++ b/lib/edge/canary.c
@@ -47,11 +47,11 @@
 /* Part of it with all traffic after which a rollout is done on weaker evidence,
    and though requests still run on the old version, which are cut then */
 static const double full_part = 0.23;
-/* Odds, as logarithms, as those of a finding: 10 to 1 for the target */
-static const double sure_odds = -2.3;
+/* Natural logarithms of odds, as in a finding */
+static const double sure_odds = -2.3;	/* 10 to 1 for the target */
 static const double weak_odds = -1.1;	/* 3 to 1 for it */
 static const double against_odds = 1.6; /* 5 to 1 against it */
-static const double lately_odds = 2.3;	/* 10 to 1 against it */
+static const double lately_odds = 2.3;	/* 10 to 1 against it, recently */
 
 /* A rollout under analysis. */
 typedef struct canary_rollout {
@@ -76,7 +76,7 @@
 	GHashTable *rollouts; /* canary_rollout_t by service */
 	ms_t next_at;
 	ms_t ticked_at; /* the last call of canary_tick */
-	ms_t since;	/* this host analyses the rollouts */
+	ms_t since;	/* when this host took over the analysis */
 };
 
 static void rollout_free(gpointer v)
--- a/lib/edge/canary.h
+++ b/lib/edge/canary.h
@@ -73,7 +73,7 @@
 /* canary_look.c */
 unsigned int canary_stats_failing_spans(const canary_stats_t *s,
 					const char *route, bool recent);
-unsigned int canary_stats_recents(const canary_stats_t *s);
+unsigned int canary_stats_recent_spans(const canary_stats_t *s);
 void canary_stats_look(canary_stats_t *s, ms_t now);
 
 #endif
--- a/lib/edge/canary_compare.c
+++ b/lib/edge/canary_compare.c
@@ -10,7 +10,8 @@
 enum {
 	/* Spans with failures: an incident does not condemn a version. */
 	MIN_SPANS = 3,
-	/* Tenths of its sound answers that a bad version fails, at least */
+	/* Tenths of its sound answers that a bad version fails, at least: of
+	   any bad one, and of one that hundreds of requests need not show */
 	ANY = 1,
 	GROSS = 2,
 	/* A single failure of other servers may have any cause, as a crash. */
@@ -102,7 +103,7 @@
 static comparison_t comparison_of(const canary_stats_t *s, bool recent,
 				  unsigned int nroutes)
 {
-	unsigned int spans = recent ? canary_stats_recents(s) : 1;
+	unsigned int spans = recent ? canary_stats_recent_spans(s) : 1;
 
 	return (comparison_t){ s, recent, log(2.0 * spans * nroutes / alpha) };
 }
--- a/lib/edge/canary_look.c
+++ b/lib/edge/canary_look.c
@@ -84,7 +84,7 @@
 }
 
 /* Returns how many recent spans a rollout of its duration has, at least 1. */
-unsigned int canary_stats_recents(const canary_stats_t *s)
+unsigned int canary_stats_recent_spans(const canary_stats_t *s)
 {
 	return (unsigned int)MAX(s->duration / RECENT_MS, 1);
 }
--- a/test/canary.c
+++ b/test/canary.c
@@ -130,8 +130,8 @@
 	ms_t bad_at; /* of the last that is excused, 0: not yet */
 	ms_t last_target;
 	ms_t ended;		   /* 0: running */
-	unsigned int share_before; /* when the analysis began */
-	ms_t taken_at;		   /* that was then */
+	unsigned int share_before; /* when another host took over */
+	ms_t taken_at;		   /* when it did; 0: not yet */
 } play_t;
 
 static void on_decided(void *ctx, const char *service, const shift_step_t *s)
