Soak: the store answers a repeated append as the platform's does

Cause: the soak's store appended a record again when a producer repeated an append, so a status whose answer was lost, or that several hosts wrote after a restart, reached the operator twice. PROTOCOL, log-append: "A repeat of one of the last five appends receives its first response again." Producers of the daemon write one append at each epoch.

Change: the store keeps the offset of a producer's append and answers a repeat with it. An append that is lost with a copy is forgotten.

--- a/test/soak/dat.h
+++ b/test/soak/dat.h
@@ -63,6 +63,12 @@
 	void (*gone)(sconn_t *c);
 } listen_t;
 
+/* What a topic knows of a producer, whose epochs have one append each. */
+typedef struct producer {
+	uint64_t epoch; /* the highest */
+	uint64_t first; /* offset of its append */
+} producer_t;
+
 /* A record of a topic; no value: the key was dropped. */
 typedef struct rec {
 	char *key;
@@ -73,10 +79,10 @@
 
 typedef struct topic {
 	char *name;
-	GPtrArray *recs;    /* of rec_t */
-	uint64_t first;	    /* offset of the oldest that is kept */
-	GHashTable *newest; /* rec_t by key */
-	GHashTable *epochs; /* the highest, by producer */
+	GPtrArray *recs;       /* of rec_t */
+	uint64_t first;	       /* offset of the oldest that is kept */
+	GHashTable *newest;    /* rec_t by key */
+	GHashTable *producers; /* producer_t by name */
 } topic_t;
 
 typedef enum store_state {
--- a/test/soak/store.c
+++ b/test/soak/store.c
@@ -22,7 +22,7 @@
 	t->name = g_strdup(name);
 	t->recs = g_ptr_array_new();
 	t->newest = g_hash_table_new(g_str_hash, g_str_equal);
-	t->epochs =
+	t->producers =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	g_hash_table_insert(st->topics, t->name, t);
 	return t;
@@ -194,43 +194,59 @@
 	return n;
 }
 
-/* Whether the call's conditions hold: 200, or the status that refuses it. */
-static int conditions(topic_t *t, const char *query)
+/*
+ * Whether the call's conditions hold: 200, or the status that refuses it. When
+ * it repeats a producer's append, first is set to the offset of that.
+ */
+static int conditions(topic_t *t, const char *query, uint64_t *first)
 {
 	const char *name = strstr(query, "producer=");
+	producer_t now = { 0, t->recs->len };
+	producer_t *known;
 	uint64_t at;
-	uint64_t epoch;
-	uint64_t *highest;
 	char *producer;
+	int status = 200;
 
 	if (param(query, "&at=", &at) && at != t->recs->len)
 		return 412;
-	if (!name || !param(query, "&epoch=", &epoch))
+	if (!name || !param(query, "&epoch=", &now.epoch))
 		return 200;
 	producer = g_strndup(name + 9, strcspn(name + 9, "&"));
-	highest = g_hash_table_lookup(t->epochs, producer);
-	if (highest && epoch < *highest) {
-		g_free(producer);
-		return 409;
-	}
-	g_hash_table_replace(t->epochs, producer,
-			     g_memdup2(&epoch, sizeof(epoch)));
-	return 200;
+	known = g_hash_table_lookup(t->producers, producer);
+	if (known && now.epoch < known->epoch)
+		status = 409;
+	else if (known && now.epoch == known->epoch)
+		*first = known->first;
+	else
+		g_hash_table_insert(t->producers, g_strdup(producer),
+				    g_memdup2(&now, sizeof(now)));
+	g_free(producer);
+	return status;
+}
+
+/* Answers an append whose first record has that offset, or was refused. */
+static void answer_append(sconn_t *c, int status, uint64_t first)
+{
+	char text[64];
+
+	snprintf(text, sizeof(text),
+		 "{\"offset\":%" PRIu64 ",\"end\":%" PRIu64 "}", first,
+		 first + (status == 200));
+	reply(c, status, str_of(text));
 }
 
 static void append(store_t *st, sconn_t *c, topic_t *t, const char *query)
 {
 	const guint8 *p = c->body->data;
-	int status = conditions(t, query);
-	char answer[64];
+	uint64_t end = t->recs->len;
+	uint64_t first = end;
+	int status = conditions(t, query, &first);
 	char *key;
 	char *value;
 	size_t nk;
 
-	snprintf(answer, sizeof(answer), "{\"offset\":%u,\"end\":%u}",
-		 t->recs->len, t->recs->len + (status == 200));
-	if (status != 200) {
-		reply(c, status, str_of(answer));
+	if (status != 200 || first != end) {
+		answer_append(c, status, first);
 		return;
 	}
 	if (c->body->len < 5 || (nk = p[4]) + 5 > c->body->len) {
@@ -244,7 +260,7 @@
 		move_status(st->at.s, value);
 	g_free(key);
 	g_free(value);
-	reply(c, 200, str_of(answer));
+	answer_append(c, status, first);
 }
 
 static void on_request(sconn_t *c)
@@ -347,6 +363,14 @@
 	}
 }
 
+static gboolean is_lost(gpointer name, gpointer v, gpointer ctx)
+{
+	const topic_t *t = ctx;
+
+	(void)name;
+	return ((producer_t *)v)->first >= t->recs->len;
+}
+
 /* Puts the records that a topic loses behind each other in lost. */
 static void lose(topic_t *t, ms_t since, GPtrArray *lost)
 {
@@ -359,6 +383,7 @@
 		g_ptr_array_remove_index(t->recs, t->recs->len - 1);
 	}
 	t->first = MIN(t->first, t->recs->len);
+	g_hash_table_foreach_remove(t->producers, is_lost, t);
 	index_topic(t);
 }
 
