Rollouts: the end of an order is not told as that of its successor

Operators saw: all hosts are killed after the last decision on a rollout and before its status, and the next version is ordered. 350 ms later its status is succeeded, or rolled_back, though no request has reached it; on succeeded the platform stops the old servers at once.

Cause: a host that becomes the analyst writes a missing status from the newest decision, under the target of the newest order, and never asked whether the two belong together. A queued status, or one whose answer was lost, was written after the next order as well.

Change: only decisions on the newest order are reported, and a new order cancels the write of the older one's status (append_cancel). A cancelled call that is under way is not retried.

--- a/cmd/chestnuthinged/rolloutd.c
+++ b/cmd/chestnuthinged/rolloutd.c
@@ -199,8 +199,23 @@
 	d->order = number;
 }
 
+/*
+ * Drops a status that is not written yet: the operator would take it for that
+ * of the order that replaces the known one.
+ */
+static void cancel_status(rolloutd_t *r, decision_t *d)
+{
+	char *key = adapter_rollout_status_key(d->service);
+
+	append_cancel(r->append, adapter_topic_status(), key);
+	d->status_pending = false;
+	g_free(key);
+}
+
 static void take_order(rolloutd_t *r, decision_t *d, const shift_order_t *o)
 {
+	if (d->order != o->number)
+		cancel_status(r, d);
 	edge_shift_order(r->edge, o);
 	canary_order(r->analysis, o, clock_now());
 	g_free(d->target);
@@ -314,14 +329,14 @@
 }
 
 /*
- * Writes the operator's status for each decision. For the last decision of a
- * rollout, records in the store that this is done.
+ * Writes the operator's status for each decision on the newest order. For the
+ * last decision of a rollout, records in the store that this is done.
  */
 static void report_decision(rolloutd_t *r, decision_t *d)
 {
 	shift_step_t step = d->step;
 
-	if (!d->known || !d->target || step.reported)
+	if (!d->known || !d->target || step.order != d->order || step.reported)
 		return;
 	if (!d->status_written && !d->status_pending)
 		put_status(r, d);
--- a/test/soak/dat.h
+++ b/test/soak/dat.h
@@ -261,6 +261,8 @@
 /* The operator's move of the plain servers to another version. */
 typedef struct move_s {
 	unsigned int orders;
+	uint64_t decided; /* the newest order that a decision is on */
+	uint64_t before;  /* the same when the last order was given */
 	bool bad;	  /* the target fails most requests */
 	bool ended;	  /* its status is final */
 	ms_t reversed_at; /* 0 not */
@@ -301,6 +303,7 @@
 	ms_t next_fault;
 	unsigned int nfaults;
 	size_t memory_most; /* bytes of any daemon */
+	bool replaces;	    /* orders replace one another as they end */
 	bool pauses_only;   /* servers that pause are the only fault */
 	bool words_only;    /* what servers say is the only fault */
 	said_t together;    /* that many servers say at once is the only fault,
--- a/test/soak/fault.c
+++ b/test/soak/fault.c
@@ -75,7 +75,8 @@
 	proc_signal(p, SIGKILL);
 }
 
-static void fault_kill_all(soak_t *s)
+/* Kills all daemons. */
+void fault_kill_all(soak_t *s)
 {
 	soak_note(s, "kill all");
 	for (unsigned int i = 0; i < s->nprocs; i++)
@@ -274,6 +275,10 @@
 	s->next_fault =
 		now + 50 + g_rand_int_range(s->faults, 0, FAULT_EVERY_MS);
 	s->nfaults++;
+	if (s->replaces) {
+		move_order(s);
+		return;
+	}
 	if (s->evacuates) {
 		evacuate_fault(s);
 		return;
--- a/test/soak/fns.h
+++ b/test/soak/fns.h
@@ -50,6 +50,7 @@
 
 /* fault.c */
 void fault_tick(soak_t *s, ms_t now);
+void fault_kill_all(soak_t *s);
 void config_write(soak_t *s);
 
 /* main.c */
@@ -83,6 +84,7 @@
 
 /* move.c */
 void move_order(soak_t *s);
+void move_decided(soak_t *s, const char *text);
 void move_status(soak_t *s, const char *text);
 bool move_fails(const server_t *v);
 void move_ran(const server_t *v);
--- a/test/soak/main.c
+++ b/test/soak/main.c
@@ -32,6 +32,7 @@
 	gboolean leave;
 	gboolean drills;
 	gboolean evacuate;
+	gboolean replace;
 	gint poison;
 	gint repeats;
 	gboolean verbose;
@@ -160,6 +161,10 @@
 		  "A data centre that is evacuated or comes back cold, and "
 		  "killed edges",
 		  NULL },
+		{ "replace", 0, 0, G_OPTION_ARG_NONE, &opt.replace,
+		  "Orders of rollouts that replace one another as they end, "
+		  "with all edges killed",
+		  NULL },
 		{ "stops", 0, 0, G_OPTION_ARG_NONE, &opt.stops,
 		  "Only planned stops of edges, under long requests", NULL },
 		{ "verbose", 'v', 0, G_OPTION_ARG_NONE, &opt.verbose,
@@ -195,6 +200,7 @@
 	s->pauses_only = opt.pauses;
 	s->words_only = opt.words;
 	s->evacuates = opt.evacuate;
+	s->replaces = opt.replace;
 	if (opt.rest)
 		s->together = SAID_PAUSE;
 	if (opt.leave)
--- a/test/soak/move.c
+++ b/test/soak/move.c
@@ -1,7 +1,8 @@
 /*
  * Orders to move the plain servers to another version, good or bad, and what
- * must hold of them: the status that the operator reads ends, never changes
- * once it is final, and a version that was taken back gets nothing more.
+ * must hold of them: the status that the operator reads ends, is not the end of
+ * an order before it, never changes once it is final, and a version that was
+ * taken back gets nothing more.
  */
 #include <inttypes.h>
 #include <jansson.h>
@@ -25,15 +26,13 @@
 	return false;
 }
 
-/* Orders a move, once the last one is over. */
-void move_order(soak_t *s)
+static void put_order(soak_t *s)
 {
 	move_s_t *m = &s->move;
 	char *text;
 
-	if (!has_target(s) || (m->orders > 0 && !m->ended))
-		return;
 	m->orders++;
+	m->before = m->decided;
 	m->bad = g_rand_boolean(s->faults);
 	m->ended = false;
 	m->reversed_at = 0;
@@ -45,6 +44,33 @@
 	g_free(text);
 }
 
+/* Orders a move, once the last one is over. */
+void move_order(soak_t *s)
+{
+	if (has_target(s) && (s->move.orders == 0 || s->move.ended))
+		put_order(s);
+}
+
+/*
+ * Takes a decision that was written. When orders replace one another, the next
+ * one comes before the status of this one's end, and all daemons are killed.
+ */
+void move_decided(soak_t *s, const char *text)
+{
+	shift_step_t step;
+
+	if (shift_step_parse(str_of(text), &step)) {
+		violation(s, "status", "decision \"%s\" can't be read", text);
+		return;
+	}
+	s->move.decided = MAX(s->move.decided, step.order);
+	if (!s->replaces || step.state == SHIFT_RUNNING || step.reported ||
+	    clock_now() >= s->faults_end)
+		return;
+	put_order(s);
+	fault_kill_all(s);
+}
+
 /* Takes what was written as the status. */
 void move_status(soak_t *s, const char *text)
 {
@@ -60,6 +86,8 @@
 		violation(s, "status", "a bad version succeeded");
 	else if (m->ended && !final)
 		violation(s, "status", "%s after the end", state);
+	else if (final && m->decided <= m->before)
+		violation(s, "status", "%s before any decision", state);
 	else if (final && strcmp(state, "rolled_back") == 0 && !m->reversed_at)
 		m->reversed_at = clock_now();
 	m->ended = m->ended || final;
