Canary analysis: no decision on an order that was replaced

Callers saw: nothing yet; T: rollouts found it. A host whose read of the operator's topic is late may know the decision on an order before the order. As analyst it would decide on the older one. The store keeps the newest decision of a service only, so hosts that start would find none on the newer order and send its version nothing, also after its end, when the old servers have stopped.

Cause: canary_step ignored decisions on other orders.

Change: it keeps the newest order that a decision was on; the analyst waits for that order.

Measured: T: rollouts, 1 of 7 failed before ("a decision is read before its order": 1 decision written), none now.

--- a/lib/edge/canary.c
+++ b/lib/edge/canary.c
@@ -58,6 +58,7 @@
 	char *service;
 	char *target;
 	uint64_t order;
+	uint64_t newest_order; /* that a decision in the store is on */
 	ms_t duration;
 	ms_t ordered_at;
 	shift_step_t step; /* the newest decision in the store */
@@ -156,7 +157,10 @@
 {
 	canary_rollout_t *t = g_hash_table_lookup(c->rollouts, service);
 
-	if (!t || t->order != s->order)
+	if (!t)
+		return;
+	t->newest_order = MAX(t->newest_order, s->order);
+	if (t->order != s->order)
 		return;
 	if (!t->decided || t->step.share != s->share)
 		t->step_at = now;
@@ -376,7 +380,8 @@
 	unsigned int share;
 	canary_finding_t f;
 
-	if (t->pending || (t->decided && t->step.state != SHIFT_RUNNING))
+	if (t->pending || t->newest_order > t->order ||
+	    (t->decided && t->step.state != SHIFT_RUNNING))
 		return;
 	f = canary_stats_compare(t->stats, now);
 	share = share_of(c, t, &f, now);
