Canary analysis: lines without unset figures

Operators saw: the first move_decided of a rollout, and some move_held lines before a rollback, have figures of 300 digits, and lose what follows at the length of a line.

Cause: odds that no route had a say in kept the lowest double. The share, with its move_held line, was worked out although the version was found bad.

Change: such odds are even, 0. The share is asked for only if the version stays.

--- a/lib/edge/canary.c
+++ b/lib/edge/canary.c
@@ -384,10 +384,12 @@
 	    (t->decided && t->step.state != SHIFT_RUNNING))
 		return;
 	f = canary_stats_compare(t->stats, now);
-	share = share_of(c, t, &f, now);
-	if (f.why)
+	if (f.why) {
 		decide(c, t, SHIFT_ROLLED_BACK, 0, &f, now);
-	else if (may_end(c, t, &f, now))
+		return;
+	}
+	share = share_of(c, t, &f, now);
+	if (may_end(c, t, &f, now))
 		decide(c, t, SHIFT_DONE, FULL, &f, now);
 	else if (!t->decided || share != t->step.share)
 		decide(c, t, SHIFT_RUNNING, share, &f, now);
--- a/lib/edge/canary_compare.c
+++ b/lib/edge/canary_compare.c
@@ -363,6 +363,12 @@
 	return odds_of_version(&x, NULL, &sum, GROSS);
 }
 
+/* Returns even odds if no route had a say. */
+static double or_even(double odds)
+{
+	return odds > -G_MAXDOUBLE ? odds : 0;
+}
+
 /*
  * Returns the evidence on the target, over the whole rollout, then recent.
  */
@@ -378,5 +384,8 @@
 	compare(&f, s, false);
 	if (!f.why)
 		compare(&f, s, true);
+	f.odds = or_even(f.odds);
+	f.gross = or_even(f.gross);
+	f.gross_lately = or_even(f.gross_lately);
 	return f;
 }
--- a/test/canary.c
+++ b/test/canary.c
@@ -4,7 +4,10 @@
  * with several seeds.
  */
 #include <check.h>
+#include <stdio.h>
 #include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
 #include "edge/priv.h"
 
 enum {
@@ -29,6 +32,7 @@
 	BEYOND_SHARE = 10, /* seeds in 100 in which a bad version gets more */
 	ORDER = 7,	   /* number of the order */
 	ALL = 1000,	   /* all traffic, in thousandths */
+	LINE_MAX_BYTES = 500, /* of the log */
 };
 
 static const char svc[] = "desk";
@@ -354,13 +358,29 @@
 	g_free(p);
 }
 
+/* A figure that was not set would fill a line. */
+static void check_log(const play_case_t *c, FILE *log)
+{
+	char line[LINE_MAX_BYTES + 1];
+
+	rewind(log);
+	while (fgets(line, sizeof(line), log))
+		ck_assert_msg(strchr(line, '\n'), "%s: longer than a line: %s",
+			      c->name, line);
+}
+
 START_TEST(test_rollout)
 {
 	const play_case_t *c = &cases[_i];
+	FILE *log = tmpfile();
 	tally_t t = { 0 };
 
+	log_open(fileno(log), LOG_INFO, false);
 	for (int seed = 1; seed <= SEEDS; seed++)
 		play_seed(c, seed, &t);
+	log_open(STDERR_FILENO, LOG_ERROR, false);
+	check_log(c, log);
+	fclose(log);
 	ck_assert_msg(t.in_time * 100 >= c->in_time * SEEDS,
 		      "%s: %u of %d in time", c->name, t.in_time, SEEDS);
 	ck_assert_msg(t.beyond_share * 100 <= BEYOND_SHARE * SEEDS,
@@ -376,7 +396,7 @@
 	SRunner *r = srunner_create(s);
 	int failed;
 
-	log_open(2, LOG_ERROR, false);
+	log_open(STDERR_FILENO, LOG_ERROR, false);
 	suite_add_tcase(s, t);
 	tcase_set_timeout(t, 60);
 	tcase_add_loop_test(t, test_rollout, 0, G_N_ELEMENTS(cases));
