--- a/test/soak/dat.h
+++ b/test/soak/dat.h
@@ -98,6 +98,8 @@
 	ms_t changed_at;    /* its state */
 	unsigned int era;   /* how often it came back from a copy */
 	char era_field[32]; /* of its answers */
+	/* A decision on a rollout was written; NULL: nobody asks */
+	void (*on_decision)(soak_t *s, const char *text);
 	store_state_t state;
 } store_t;
 
--- a/test/soak/main.c
+++ b/test/soak/main.c
@@ -218,6 +218,7 @@
 	s->faults_end = s->next_fault + (ms_t)opt.seconds * MS_PER_S;
 	s->calm_at = s->faults_end + RECOVER_MS;
 	store_start(&s->store, s);
+	s->store.on_decision = move_decided;
 	config_write(s);
 	for (unsigned int i = 0; i < s->nservers; i++)
 		server_start(&s->servers[i], s, i, i % 3 != 2);
--- a/test/soak/store.c
+++ b/test/soak/store.c
@@ -235,15 +235,6 @@
 	reply(c, status, str_of(text));
 }
 
-/* What the soak itself learns from a record that a daemon wrote. */
-static void look_at(soak_t *s, const char *topic, const char *value)
-{
-	if (strcmp(topic, "keyed.status") == 0)
-		move_status(s, value);
-	else if (strcmp(topic, "keyed.moves") == 0)
-		move_decided(s, value);
-}
-
 static void append(store_t *st, sconn_t *c, topic_t *t, const char *query)
 {
 	const guint8 *p = c->body->data;
@@ -265,7 +256,10 @@
 	key = g_strndup((const char *)p + 5, nk);
 	value = g_strndup((const char *)p + 5 + nk, c->body->len - 5 - nk);
 	store_put(st, t->name, key, value);
-	look_at(st->at.s, t->name, value);
+	if (strcmp(t->name, "keyed.status") == 0)
+		move_status(st->at.s, value);
+	else if (st->on_decision && strcmp(t->name, "keyed.moves") == 0)
+		st->on_decision(st->at.s, value);
 	g_free(key);
 	g_free(value);
 	answer_append(c, status, first);
