Canary analysis: each server's sums are made once a look

Operators saw: while a version looks bad, the analyst spends a tenth of a core, against 1.9 in 100 for control, at 400 hosts, 60 servers and 4 routes.

Cause: for each route and each question, the counters of every server and of those beside it were summed anew, into hash tables by the route's name.

Change: routes have an index, sums are arrays by it, cells know their server's life, and a look sums each server once, when a route first asks.

--- a/lib/edge/canary_compare.c
+++ b/lib/edge/canary_compare.c
@@ -28,6 +28,8 @@
 	ALONE_REQUESTS = 30,
 };
 
+#define ALL_ROUTES G_MAXUINT /* in place of an index: their sum */
+
 /* Probability that a good version is ever rolled back for its failures, if
    each request fails by itself */
 static const double alpha = 3e-4;
@@ -42,37 +44,124 @@
 /* Odds, as a logarithm, from which servers are taken for bad too: 100 to 1 */
 static const double others_odds = 4.6;
 
+/* The counters of one server of the target, and of those beside it. */
+typedef struct apart {
+	route_sum_t *one; /* by route */
+	route_sum_t *others;
+} apart_t;
+
+/* A comparison of all routes, over the whole rollout or recent ones. */
+typedef struct comparison {
+	const canary_stats_t *stats;
+	bool recent;
+	double odds_max;  /* odds, as a logarithm, that condemn */
+	route_sum_t *all; /* by route */
+	unsigned int nroutes;
+	GPtrArray *servers; /* apart_t; NULL: not asked for yet */
+} comparison_t;
+
 /* Where the old version has few recent requests, takes all of the rollout. */
-static void complete_old(const canary_stats_t *s, GHashTable *recent)
+static void complete_old(const canary_stats_t *s, route_sum_t *recent)
 {
-	GHashTable *all = canary_stats_by_route(s, false, NULL, NULL);
-	GHashTableIter it;
-	gpointer route;
-	gpointer v;
+	route_sum_t *all = canary_stats_by_route(s, false, NULL, NULL);
 
-	g_hash_table_iter_init(&it, recent);
-	while (g_hash_table_iter_next(&it, &route, &v)) {
-		const route_sum_t *r = g_hash_table_lookup(all, route);
-		req_stats_t *old = &((route_sum_t *)v)->side[SHIFT_OLD];
+	for (guint i = 0; i < s->routes->len; i++) {
+		req_stats_t *old = &recent[i].side[SHIFT_OLD];
 
-		if (r && old->v[M_REQUESTS] < OLD_REQUESTS)
-			*old = r->side[SHIFT_OLD];
+		if (old->v[M_REQUESTS] < OLD_REQUESTS)
+			*old = all[i].side[SHIFT_OLD];
 	}
-	g_hash_table_destroy(all);
+	g_free(all);
 }
 
 /* Returns the sums by route of the counters that counts accepts. */
-static GHashTable *sums_of(const canary_stats_t *s, bool recent,
-			   bool (*counts)(void *ctx, const canary_cell_t *l),
-			   void *ctx)
+static route_sum_t *sums_of(const canary_stats_t *s, bool recent,
+			    bool (*counts)(void *ctx, const canary_cell_t *l),
+			    void *ctx)
 {
-	GHashTable *routes = canary_stats_by_route(s, recent, counts, ctx);
+	route_sum_t *routes = canary_stats_by_route(s, recent, counts, ctx);
 
 	if (recent)
 		complete_old(s, routes);
 	return routes;
 }
 
+/*
+ * Returns a comparison. The probability of a false alarm is divided between the
+ * routes, and for each of them between the whole rollout and the recent spans,
+ * which all begin anew.
+ */
+static comparison_t comparison_of(const canary_stats_t *s, bool recent)
+{
+	unsigned int spans = recent ? canary_stats_recent_spans(s) : 1;
+
+	return (comparison_t){ .stats = s,
+			       .recent = recent,
+			       .odds_max = log(2.0 * spans * s->routes->len /
+					       alpha),
+			       .all = sums_of(s, recent, NULL, NULL),
+			       .nroutes = s->routes->len };
+}
+
+static void comparison_clear(comparison_t *x)
+{
+	g_free(x->all);
+	if (x->servers)
+		g_ptr_array_free(x->servers, TRUE);
+}
+
+static void apart_free(gpointer v)
+{
+	apart_t *a = v;
+
+	g_free(a->one);
+	g_free(a->others);
+	g_free(a);
+}
+
+/*
+ * Whether a counter is of the old version, or of a server that answered while
+ * the one did. Others tell nothing of the one: what ended before it began may
+ * be an earlier life of the same server, and the version may have turned bad
+ * since then.
+ */
+static bool is_of_others(void *one, const canary_cell_t *l)
+{
+	const life_t *life = one;
+
+	if (l->side == SHIFT_OLD)
+		return true;
+	return l->life != life &&
+	       MIN(l->life->passed_at, life->last_at) -
+			       MAX(l->life->first_at, life->first_at) >=
+		       OVERLAP_MS;
+}
+
+static bool is_of_life(void *life, const canary_cell_t *l)
+{
+	return l->side == SHIFT_OLD || l->life == life;
+}
+
+/* Returns each server of the target and those beside it, summed once. */
+static const GPtrArray *servers_of(comparison_t *x)
+{
+	GHashTableIter it;
+	gpointer life;
+
+	if (x->servers)
+		return x->servers;
+	x->servers = g_ptr_array_new_with_free_func(apart_free);
+	g_hash_table_iter_init(&it, x->stats->lives);
+	while (g_hash_table_iter_next(&it, NULL, &life)) {
+		apart_t *a = g_new0(apart_t, 1);
+
+		a->one = sums_of(x->stats, x->recent, is_of_life, life);
+		a->others = sums_of(x->stats, x->recent, is_of_others, life);
+		g_ptr_array_add(x->servers, a);
+	}
+	return x->servers;
+}
+
 /*
  * Returns by how many standard errors the target's latency exceeds slow_factor
  * times the old version's.
@@ -88,32 +177,11 @@
 		    req_stats_variance(old, k) / (double)old->v[k]);
 }
 
-/* A comparison of all routes in one span of time. */
-typedef struct comparison {
-	const canary_stats_t *stats;
-	bool recent;
-	double odds_max; /* odds, as a logarithm, that condemn */
-} comparison_t;
-
-/*
- * Returns a comparison of nroutes routes. The probability of a false alarm is
- * divided between the routes, and for each of them between the whole rollout
- * and the recent spans, which all begin anew.
- */
-static comparison_t comparison_of(const canary_stats_t *s, bool recent,
-				  unsigned int nroutes)
-{
-	unsigned int spans = recent ? canary_stats_recent_spans(s) : 1;
-
-	return (comparison_t){ s, recent, log(2.0 * spans * nroutes / alpha) };
-}
-
 /* Returns the metric by which the route condemns the target, or NULL. */
-static const char *condemning_metric(const comparison_t *x, const char *route,
-				     const route_sum_t *r)
+static const char *condemning_metric(const comparison_t *x, unsigned int route)
 {
-	const req_stats_t *old = &r->side[SHIFT_OLD];
-	const req_stats_t *target = &r->side[SHIFT_TARGET];
+	const req_stats_t *old = &x->all[route].side[SHIFT_OLD];
+	const req_stats_t *target = &x->all[route].side[SHIFT_TARGET];
 
 	if (canary_stats_failing_spans(x->stats, route, x->recent) >=
 		    MIN_SPANS &&
@@ -142,152 +210,93 @@
 }
 
 /* Whether any server of the target has requests in the sums. */
-static bool has_requests(GHashTable *sums)
+static bool has_requests(const route_sum_t *sums, unsigned int nroutes)
 {
-	GHashTableIter it;
-	gpointer r;
-
-	g_hash_table_iter_init(&it, sums);
-	while (g_hash_table_iter_next(&it, NULL, &r)) {
-		if (((route_sum_t *)r)->side[SHIFT_TARGET].v[M_REQUESTS] > 0)
+	for (unsigned int i = 0; i < nroutes; i++) {
+		if (sums[i].side[SHIFT_TARGET].v[M_REQUESTS] > 0)
 			return true;
 	}
 	return false;
 }
 
-/* The servers of the target that are compared with one of them. */
-typedef struct others {
-	const canary_stats_t *stats;
-	const life_t *one;
-} others_t;
-
-/*
- * Whether a counter is of the old version, or of a server that answered while
- * the one did. Others tell nothing of the one: what ended before it began may
- * be an earlier life of the same server, and the version may have turned bad
- * since then.
- */
-static bool is_of_others(void *ctx, const canary_cell_t *l)
-{
-	const others_t *o = ctx;
-	const life_t *other;
-
-	if (l->side == SHIFT_OLD)
-		return true;
-	other = g_hash_table_lookup(o->stats->lives, l->server);
-	return other && other != o->one &&
-	       MIN(other->passed_at, o->one->last_at) -
-			       MAX(other->first_at, o->one->first_at) >=
-		       OVERLAP_MS;
-}
-
 /*
  * Whether a finding on a route may be the fault of one server of the target:
  * there are others, and they are not known to be bad too. Others that get none
  * of the route's requests do not excuse the version for long.
  */
-static bool may_be_of_one(const canary_stats_t *s, GHashTable *others,
-			  const char *route, const route_sum_t *all,
-			  const char *why)
+static bool may_be_of_one(const comparison_t *x, const apart_t *a,
+			  unsigned int route, const char *why)
 {
-	const route_sum_t *r = g_hash_table_lookup(others, route);
+	const route_sum_t *others = &a->others[route];
 
-	if (r && r->side[SHIFT_TARGET].v[M_REQUESTS] > 0)
-		return !are_bad(s, r, why);
-	return has_requests(others) &&
-	       all->side[SHIFT_TARGET].v[M_REQUESTS] < ALONE_REQUESTS;
+	if (others->side[SHIFT_TARGET].v[M_REQUESTS] > 0)
+		return !are_bad(x->stats, others, why);
+	return has_requests(a->others, x->nroutes) &&
+	       x->all[route].side[SHIFT_TARGET].v[M_REQUESTS] < ALONE_REQUESTS;
 }
 
 /* Whether a finding may be the fault of any single server of the target. */
-static bool may_be_of_any(const canary_stats_t *s, bool recent,
-			  const char *route, const route_sum_t *all,
-			  const char *why)
+static bool may_be_of_any(comparison_t *x, unsigned int route, const char *why)
 {
-	bool may = false;
-	GHashTableIter it;
-	gpointer life;
+	const GPtrArray *servers = servers_of(x);
 
-	g_hash_table_iter_init(&it, s->lives);
-	while (!may && g_hash_table_iter_next(&it, NULL, &life)) {
-		others_t o = { s, life };
-		GHashTable *others = sums_of(s, recent, is_of_others, &o);
-
-		may = may_be_of_one(s, others, route, all, why);
-		g_hash_table_destroy(others);
+	for (guint i = 0; i < servers->len; i++) {
+		if (may_be_of_one(x, servers->pdata[i], route, why))
+			return true;
 	}
-	return may;
-}
-
-static bool is_of_life(void *life, const canary_cell_t *l)
-{
-	return l->side == SHIFT_OLD ||
-	       strcmp(l->server, ((const life_t *)life)->server) == 0;
+	return false;
 }
 
-/* Returns the sums of a route, or of all routes together if it is NULL. */
-static route_sum_t sum_of(GHashTable *routes, const char *route)
+/* Returns the sum of a route, or of all routes together. */
+static route_sum_t sum_of(const comparison_t *x, const route_sum_t *routes,
+			  unsigned int route)
 {
 	route_sum_t sum = { 0 };
-	GHashTableIter it;
-	gpointer name;
-	gpointer r;
 
-	g_hash_table_iter_init(&it, routes);
-	while (g_hash_table_iter_next(&it, &name, &r)) {
-		if (route && strcmp(route, name) != 0)
-			continue;
-		for (int i = 0; i < SHIFT_SIDES; i++)
-			req_stats_merge(&sum.side[i],
-					&((route_sum_t *)r)->side[i]);
+	if (route != ALL_ROUTES)
+		return routes[route];
+	for (unsigned int i = 0; i < x->nroutes; i++) {
+		for (int k = 0; k < SHIFT_SIDES; k++)
+			req_stats_merge(&sum.side[k], &routes[i].side[k]);
 	}
 	return sum;
 }
 
 /*
  * Returns the odds that one server of the target fails more requests of a route
- * than the old version, whichever it is; 0 if none had others beside it. route
- * may be NULL: all.
+ * than the old version, whichever it is; 0 if none had others beside it.
  */
-static double odds_of_one(const comparison_t *x, const char *route,
+static double odds_of_one(comparison_t *x, unsigned int route,
 			  unsigned int least)
 {
+	const GPtrArray *servers = servers_of(x);
 	double sum = -G_MAXDOUBLE;
 	unsigned int n = 0;
-	GHashTableIter it;
-	gpointer life;
 
-	g_hash_table_iter_init(&it, x->stats->lives);
-	while (g_hash_table_iter_next(&it, NULL, &life)) {
-		others_t o = { x->stats, life };
-		GHashTable *others =
-			sums_of(x->stats, x->recent, is_of_others, &o);
-		GHashTable *one =
-			sums_of(x->stats, x->recent, is_of_life, life);
-		route_sum_t r = sum_of(one, route);
-
-		if (has_requests(others)) {
-			sum = odds_add(sum, odds_against(x->stats->odds,
-							 &r.side[SHIFT_OLD],
-							 &r.side[SHIFT_TARGET],
-							 least));
-			n++;
-		}
-		g_hash_table_destroy(one);
-		g_hash_table_destroy(others);
+	for (guint i = 0; i < servers->len; i++) {
+		const apart_t *a = servers->pdata[i];
+		route_sum_t r = sum_of(x, a->one, route);
+
+		if (!has_requests(a->others, x->nroutes))
+			continue;
+		sum = odds_add(sum,
+			       odds_against(x->stats->odds, &r.side[SHIFT_OLD],
+					    &r.side[SHIFT_TARGET], least));
+		n++;
 	}
 	return n > 0 ? sum - log(n) : 0;
 }
 
 /*
  * Returns the odds that the version fails more requests of a route than the old
- * one, against those that none or a single one of its servers does. route may
- * be NULL: all.
+ * one, against those that none or a single one of its servers does.
  */
-static double odds_of_version(const comparison_t *x, const char *route,
-			      const route_sum_t *r, unsigned int least)
+static double odds_of_version(comparison_t *x, unsigned int route,
+			      unsigned int least)
 {
-	double odds = odds_against(x->stats->odds, &r->side[SHIFT_OLD],
-				   &r->side[SHIFT_TARGET], least);
+	route_sum_t r = sum_of(x, x->all, route);
+	double odds = odds_against(x->stats->odds, &r.side[SHIFT_OLD],
+				   &r.side[SHIFT_TARGET], least);
 
 	if (odds <= 0)
 		return odds;
@@ -295,72 +304,54 @@
 			       log(one_prior) + odds_of_one(x, route, least));
 }
 
-static void set_route(canary_finding_t *f, const char *route)
-{
-	g_strlcpy(f->route, route, sizeof(f->route));
-}
-
 /* Whether the target seems slow on a route, and not for a single server. */
-static bool seems_slow(const comparison_t *x, const char *route,
-		       const route_sum_t *r)
+static bool seems_slow(comparison_t *x, unsigned int route)
 {
-	const req_stats_t *old = &r->side[SHIFT_OLD];
-	const req_stats_t *target = &r->side[SHIFT_TARGET];
+	const req_stats_t *old = &x->all[route].side[SHIFT_OLD];
+	const req_stats_t *target = &x->all[route].side[SHIFT_TARGET];
 
 	return (latency_excess(old, target, M_FIRST_TOKEN_N) > seeming_sigmas &&
-		!may_be_of_any(x->stats, x->recent, route, r, "first_event")) ||
+		!may_be_of_any(x, route, "first_event")) ||
 	       (latency_excess(old, target, M_GAP_N) > seeming_sigmas &&
-		!may_be_of_any(x->stats, x->recent, route, r, "gaps"));
+		!may_be_of_any(x, route, "gaps"));
+}
+
+static void set_route(canary_finding_t *f, const canary_stats_t *s,
+		      unsigned int route)
+{
+	const canary_route_t *r = s->routes->pdata[route];
+
+	g_strlcpy(f->route, r->name, sizeof(f->route));
 }
 
 /* Adds what one route says to the finding. */
-static void add_route(canary_finding_t *f, const comparison_t *x,
-		      const char *route, const route_sum_t *r)
+static void add_route(canary_finding_t *f, comparison_t *x, unsigned int route)
 {
-	double gross = odds_of_version(x, route, r, GROSS);
+	double gross = odds_of_version(x, route, GROSS);
 
-	f->slow = f->slow || seems_slow(x, route, r);
+	f->slow = f->slow || seems_slow(x, route);
 	if (x->recent) {
 		f->gross_lately = MAX(f->gross_lately, gross);
 		return;
 	}
-	f->odds = MAX(f->odds, odds_of_version(x, route, r, ANY));
+	f->odds = MAX(f->odds, odds_of_version(x, route, ANY));
 	if (gross > f->gross) {
 		f->gross = gross;
-		set_route(f, route);
+		set_route(f, x->stats, route);
 	}
 }
 
-static void compare(canary_finding_t *f, const canary_stats_t *s, bool recent)
+static void compare(canary_finding_t *f, comparison_t *x)
 {
-	GHashTable *routes = sums_of(s, recent, NULL, NULL);
-	comparison_t x = comparison_of(s, recent, g_hash_table_size(routes));
-	GHashTableIter it;
-	gpointer route;
-	gpointer r;
+	for (unsigned int i = 0; i < x->nroutes && !f->why; i++) {
+		const char *why = condemning_metric(x, i);
 
-	g_hash_table_iter_init(&it, routes);
-	while (!f->why && g_hash_table_iter_next(&it, &route, &r)) {
-		const char *why = condemning_metric(&x, route, r);
-
-		add_route(f, &x, route, r);
-		if (!why || may_be_of_any(s, recent, route, r, why))
+		add_route(f, x, i);
+		if (!why || may_be_of_any(x, i, why))
 			continue;
 		f->why = why;
-		set_route(f, route);
+		set_route(f, x->stats, i);
 	}
-	g_hash_table_destroy(routes);
-}
-
-/* Returns the odds of gross failures, of all routes together. */
-static double gross_of_all(const canary_stats_t *s)
-{
-	GHashTable *routes = sums_of(s, false, NULL, NULL);
-	comparison_t x = comparison_of(s, false, 1);
-	route_sum_t sum = sum_of(routes, NULL);
-
-	g_hash_table_destroy(routes);
-	return odds_of_version(&x, NULL, &sum, GROSS);
 }
 
 /* Returns even odds if no route had a say. */
@@ -375,15 +366,21 @@
 canary_finding_t canary_stats_compare(canary_stats_t *s, ms_t now)
 {
 	canary_finding_t f = { .route = "-" };
+	comparison_t x;
 
 	canary_stats_look(s, now);
 	if (g_hash_table_size(s->reported) == 0)
 		return f;
 	f.odds = f.gross = f.gross_lately = -G_MAXDOUBLE;
-	f.gross_of_all = gross_of_all(s);
-	compare(&f, s, false);
-	if (!f.why)
-		compare(&f, s, true);
+	x = comparison_of(s, false);
+	f.gross_of_all = odds_of_version(&x, ALL_ROUTES, GROSS);
+	compare(&f, &x);
+	comparison_clear(&x);
+	if (!f.why) {
+		x = comparison_of(s, true);
+		compare(&f, &x);
+		comparison_clear(&x);
+	}
 	f.odds = or_even(f.odds);
 	f.gross = or_even(f.gross);
 	f.gross_lately = or_even(f.gross_lately);
--- a/lib/edge/canary_stats.c
+++ b/lib/edge/canary_stats.c
@@ -9,13 +9,12 @@
 	NAME_FIELDS = 4, /* of a counter */
 };
 
-static void cell_free(gpointer v)
+static void route_free(gpointer v)
 {
-	canary_cell_t *l = v;
+	canary_route_t *r = v;
 
-	g_free(l->server);
-	g_free(l->route);
-	g_free(l);
+	g_free(r->name);
+	g_free(r);
 }
 
 /* Returns empty counters of a rollout that should take that duration. */
@@ -25,12 +24,11 @@
 
 	s->reported =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-	s->cells = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-					 cell_free);
-	s->lives =
+	s->cells =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-	s->failing =
+	s->lives =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	s->routes = g_ptr_array_new_with_free_func(route_free);
 	s->odds = odds_new();
 	s->duration = duration;
 	s->checkpoint_at = now;
@@ -40,7 +38,7 @@
 /* Frees the counters. */
 void canary_stats_free(canary_stats_t *s)
 {
-	g_hash_table_destroy(s->failing);
+	g_ptr_array_free(s->routes, TRUE);
 	g_hash_table_destroy(s->lives);
 	g_hash_table_destroy(s->reported);
 	g_hash_table_destroy(s->cells);
@@ -48,6 +46,34 @@
 	g_free(s);
 }
 
+/* Returns the index of a route; it is made if there is none. */
+static unsigned int route_get(canary_stats_t *s, const char *name)
+{
+	canary_route_t *r;
+
+	for (guint i = 0; i < s->routes->len; i++) {
+		r = s->routes->pdata[i];
+		if (strcmp(r->name, name) == 0)
+			return i;
+	}
+	r = g_new0(canary_route_t, 1);
+	r->name = g_strdup(name);
+	g_ptr_array_add(s->routes, r);
+	return s->routes->len - 1;
+}
+
+/* Returns the life of a server of the target; it is made if there is none. */
+static life_t *life_get(canary_stats_t *s, const char *server)
+{
+	life_t *l = g_hash_table_lookup(s->lives, server);
+
+	if (!l) {
+		l = g_new0(life_t, 1);
+		g_hash_table_insert(s->lives, g_strdup(server), l);
+	}
+	return l;
+}
+
 /* Returns the sum of a server's counters on a route; made if there is none. */
 static canary_cell_t *cell_get(canary_stats_t *s, shift_side_t side,
 			       const char *server, const char *route)
@@ -61,8 +87,8 @@
 	}
 	l = g_new0(canary_cell_t, 1);
 	l->side = side;
-	l->server = g_strdup(server);
-	l->route = g_strdup(route);
+	l->life = side == SHIFT_TARGET ? life_get(s, server) : NULL;
+	l->route = route_get(s, route);
 	g_hash_table_insert(s->cells, key, l);
 	return l;
 }
@@ -173,28 +199,16 @@
 	return sum;
 }
 
-static route_sum_t *route_get(GHashTable *routes, const char *name)
-{
-	route_sum_t *r = g_hash_table_lookup(routes, name);
-
-	if (!r) {
-		r = g_new0(route_sum_t, 1);
-		g_hash_table_insert(routes, g_strdup(name), r);
-	}
-	return r;
-}
-
 /*
  * Returns the sums by route, over the whole rollout or recent ones, of the
- * servers that counts accepts; of all if it is NULL.
+ * servers that counts accepts; of all if it is NULL. The caller frees them.
  */
-GHashTable *canary_stats_by_route(const canary_stats_t *s, bool recent,
-				  bool (*counts)(void *ctx,
-						 const canary_cell_t *l),
-				  void *ctx)
+route_sum_t *canary_stats_by_route(const canary_stats_t *s, bool recent,
+				   bool (*counts)(void *ctx,
+						  const canary_cell_t *l),
+				   void *ctx)
 {
-	GHashTable *routes =
-		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	route_sum_t *routes = g_new0(route_sum_t, s->routes->len);
 	GHashTableIter it;
 	gpointer v;
 
@@ -207,8 +221,7 @@
 			continue;
 		if (recent)
 			req_stats_subtract(&sum, &l->at_earlier_checkpoint);
-		req_stats_merge(&route_get(routes, l->route)->side[l->side],
-				&sum);
+		req_stats_merge(&routes[l->route].side[l->side], &sum);
 	}
 	return routes;
 }
