Rollouts: a relay reports its counts as often as other hosts

Cause: the interval of the reports grew by 3 ms a connected host. Only the relays have many, so that at 400 hosts their counts came up to 1.4 s late: the failures of one incident could fill three spans of 500 ms, which is what condemns a version.

Change: 200 ms for all hosts. The spans are tied to it at compile time. At most four relays send more, as much as each other host.

--- a/cmd/chestnuthinged/reports.c
+++ b/cmd/chestnuthinged/reports.c
@@ -13,14 +13,6 @@
 	FACTS_MAX = 512, /* customers, or rollout counts, in one message */
 	/* A new configuration is reported at once; this makes up for losses. */
 	CONFIG_REPORT_MS = 1000,
-	/* A bad version has to be rolled back within seconds. */
-	COUNT_REPORT_MS = 200,
-	/*
-	 * Added for each connected host, which are few for a host that is no
-	 * relay. So the analyst gets about five messages a second from each
-	 * host while a version moves: in proportion to the hosts.
-	 */
-	COUNT_REPORT_PER_HOST_MS = 3,
 };
 
 /* Keys, or prefixes of keys, of the facts in a message. */
@@ -282,9 +274,7 @@
 
 	if (now < p->next_count_report && !resend_all)
 		return;
-	p->next_count_report =
-		now + COUNT_REPORT_MS +
-		(ms_t)g_hash_table_size(p->names) * COUNT_REPORT_PER_HOST_MS;
+	p->next_count_report = now + SHIFT_REPORT_MS;
 	p->analyst = analyst;
 	begin_facts(p);
 	edge_shift_report(p->edge, add_count, resend_all, p);
--- a/lib/edge/canary_look.c
+++ b/lib/edge/canary_look.c
@@ -12,6 +12,8 @@
 	SPAN_MS = 500,	  /* hosts report an incident within it */
 };
 
+G_STATIC_ASSERT(SPAN_MS >= 2 * SHIFT_REPORT_MS);
+
 /* Notes in a life by how much its counters have grown. */
 static void life_grow(life_t *l, ms_t now)
 {
--- a/lib/edge/dat.h
+++ b/lib/edge/dat.h
@@ -114,6 +114,11 @@
 	bool reported;	    /* the final state was reported to the operator */
 } shift_step_t;
 
+enum {
+	SHIFT_REPORT_MS = 200, /* between a host's reports of its counts: a bad
+				  version must be rolled back within seconds */
+};
+
 /* The two sides of a traffic shift; a request is assigned to one. */
 typedef enum shift_side {
 	SHIFT_OLD,
