--- a/lib/edge/canary_compare.c
+++ b/lib/edge/canary_compare.c
@@ -44,11 +44,11 @@
 /* Odds, as a logarithm, from which servers are taken for bad too: 100 to 1 */
 static const double others_odds = 4.6;
 
-/* The counters of one server of the target, and of those beside it. */
-typedef struct apart {
-	route_sum_t *one; /* by route */
-	route_sum_t *others;
-} apart_t;
+/* Sums by route of one server of the target. */
+typedef struct server_sums {
+	route_sum_t *own;
+	route_sum_t *others; /* of those that it is compared with */
+} server_sums_t;
 
 /* A comparison of all routes, over the whole rollout or recent ones. */
 typedef struct comparison {
@@ -57,7 +57,7 @@
 	double odds_max;  /* odds, as a logarithm, that condemn */
 	route_sum_t *all; /* by route */
 	unsigned int nroutes;
-	GPtrArray *servers; /* apart_t; NULL: not asked for yet */
+	GPtrArray *servers; /* server_sums_t; NULL: not needed yet */
 } comparison_t;
 
 /* Where the old version has few recent requests, takes all of the rollout. */
@@ -110,11 +110,11 @@
 		g_ptr_array_free(x->servers, TRUE);
 }
 
-static void apart_free(gpointer v)
+static void server_sums_free(gpointer v)
 {
-	apart_t *a = v;
+	server_sums_t *a = v;
 
-	g_free(a->one);
+	g_free(a->own);
 	g_free(a->others);
 	g_free(a);
 }
@@ -142,7 +142,7 @@
 	return l->side == SHIFT_OLD || l->life == life;
 }
 
-/* Returns each server of the target and those beside it, summed once. */
+/* Returns the server_sums_t of each server of the target, made once. */
 static const GPtrArray *servers_of(comparison_t *x)
 {
 	GHashTableIter it;
@@ -150,12 +150,12 @@
 
 	if (x->servers)
 		return x->servers;
-	x->servers = g_ptr_array_new_with_free_func(apart_free);
+	x->servers = g_ptr_array_new_with_free_func(server_sums_free);
 	g_hash_table_iter_init(&it, x->stats->lives);
 	while (g_hash_table_iter_next(&it, NULL, &life)) {
-		apart_t *a = g_new0(apart_t, 1);
+		server_sums_t *a = g_new0(server_sums_t, 1);
 
-		a->one = sums_of(x->stats, x->recent, is_of_life, life);
+		a->own = sums_of(x->stats, x->recent, is_of_life, life);
 		a->others = sums_of(x->stats, x->recent, is_of_others, life);
 		g_ptr_array_add(x->servers, a);
 	}
@@ -224,7 +224,7 @@
  * there are others, and they are not known to be bad too. Others that get none
  * of the route's requests do not excuse the version for long.
  */
-static bool may_be_of_one(const comparison_t *x, const apart_t *a,
+static bool may_be_of_one(const comparison_t *x, const server_sums_t *a,
 			  unsigned int route, const char *why)
 {
 	const route_sum_t *others = &a->others[route];
@@ -247,7 +247,7 @@
 	return false;
 }
 
-/* Returns the sum of a route, or of all routes together. */
+/* Returns the sum of a route, or of all if it is ALL_ROUTES. */
 static route_sum_t sum_of(const comparison_t *x, const route_sum_t *routes,
 			  unsigned int route)
 {
@@ -274,8 +274,8 @@
 	unsigned int n = 0;
 
 	for (guint i = 0; i < servers->len; i++) {
-		const apart_t *a = servers->pdata[i];
-		route_sum_t r = sum_of(x, a->one, route);
+		const server_sums_t *a = servers->pdata[i];
+		route_sum_t r = sum_of(x, a->own, route);
 
 		if (!has_requests(a->others, x->nroutes))
 			continue;
